--- /dev/null
+++ b/src/main/java/sumacferry/Relay.java
@@ -0,0 +1,129 @@
+package sumacferry;
+
+import java.util.List;
+
+/**
+ * The decisions of one sender: it holds messages and hands them to destinations that it does not control.
+ *
+ * <p>This file is the whole interface of {@link Policy}. Times are microseconds on the caller's clock, ids
+ * are opaque. A caller passes everything that happened at one moment, then {@link Event.Turn}; actions are
+ * given during that call and take effect at the same moment.
+ */
+public interface Relay {
+
+    /** Takes note of one event; {@link Event.Turn} makes the decisions. */
+    void step(long now, Event event, Actions actions);
+
+    /** How often an effect may happen. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** How far a destination's memory of a key reaches. */
+    enum KeyScope { DESTINATION, ZONE, ENDPOINT }
+
+    /** How the worth of a late message falls. */
+    enum LateWorth { EVEN, HALVING }
+
+    /** How an attempt ended. */
+    enum Ending { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, UNKNOWN }
+
+    /** State of a listed endpoint; it says nothing of its health. */
+    enum Listed { READY, DRAINING, GONE }
+
+    /** What kind of list an event brings. */
+    enum ListKind { DELTA, FULL, CACHED, FAILED }
+
+    /** What a listed weight says. */
+    enum WeightKind { NONE, NOMINAL, ROUGH }
+
+    /** A class of messages. */
+    record MessageClass(double worth, double lateShare, long aim, long deadline, Effect effect,
+            KeyScope keyScope, long keyLife, boolean inOrder) { }
+
+    /** A tenant: messages a second within its share, from all senders together. */
+    record Tenant(double quotaPerSecond) { }
+
+    /** A kind of destination. */
+    record Kind(boolean routesApart, int messagesPerCall) { }
+
+    /** What the deployment permits. */
+    record Limits(int slots, int openMessages, int maxAttempts, boolean parallelAttempts, boolean cancel,
+            boolean retryAdvice, long maxRetryAdvice, int callsPerConnection, long idleConnectionLife,
+            long connectTimeout) { }
+
+    /** The figures of the rules. */
+    record Rules(long answerSlack, long askWithin, double startCapacity, long coldSpan, double fallMultiple,
+            long fallSpan, long settle) { }
+
+    /** Prices that guide the choice of an endpoint; tolls are by zone and may be empty. */
+    record Prices(double handshake, double crossZone, List<Double> zoneToll) { }
+
+    /** Which values of a load report tell of a limit; -1 where none does. */
+    record ReportFields(int allowanceLeft, int limit) { }
+
+    /** All that a sender is told at its start. */
+    record Settings(long seed, int senders, int zone, long tick, boolean listOnRequest, double overShareWorth,
+            LateWorth lateWorth, WeightKind weights, List<MessageClass> classes, List<Tenant> tenants,
+            List<Kind> kinds, Limits limits, Rules rules, Prices prices, ReportFields reports) { }
+
+    /** A line of the list of endpoints. */
+    record Entry(long endpoint, int destination, Listed state, double weight, int zone, int kind) { }
+
+    /** Something that happened. */
+    sealed interface Event {
+        /** A new message; {@code timeLeft} is how long it may still be delivered. */
+        record Arrival(long id, int messageClass, int tenant, long key, long timeLeft, int destination)
+                implements Event { }
+
+        /** An attempt ended; {@code toldWait} is the told wait or 0, {@code report} may be empty. */
+        record Outcome(long id, int attempt, long endpoint, Ending ending, long took, boolean closed,
+                long toldWait, List<Double> report) implements Event { }
+
+        /** A streamed answer began: the attempt now belongs to the client. */
+        record StreamStarted(long id, int attempt) implements Event { }
+
+        /** Nobody wants this message any more. */
+        record Withdrawn(long id) implements Event { }
+
+        /** News of the list of endpoints. */
+        record Listing(ListKind kind, List<Entry> entries) implements Event { }
+
+        /** A timer is due. */
+        record TimerDue(long token) implements Event { }
+
+        /** A health check ended. */
+        record CheckEnded(long endpoint, Ending ending, long took) implements Event { }
+
+        /** Another sender told something. */
+        record PeerNote(long from, byte[] data) implements Event { }
+
+        /** All events of this moment have been passed: decide. */
+        record Turn() implements Event { }
+    }
+
+    /** What a sender can do. */
+    interface Actions {
+        /** Starts an attempt, given up at {@code giveUpAt} on the clock. */
+        void send(long id, long endpoint, long giveUpAt);
+
+        /** Final answer: another try does no harm; {@code retryAfter} is advice, 0 for none. */
+        void refuse(long id, long retryAfter);
+
+        /** Final answer: nothing is said of the effect. */
+        void fail(long id);
+
+        /** Stops waiting for an attempt. */
+        void cancel(long id, int attempt);
+
+        /** Shuts the idle connections to an endpoint; calls in flight are not touched. */
+        void closeIdle(long endpoint);
+
+        /** Asks for a timer. */
+        void wake(long delay, long token);
+
+        /** Subscribes to changes of the list. */
+        void follow();
+
+        /** Adds a line to the operators' log. */
+        void log(String text);
+    }
+}
--- /dev/null
+++ b/src/main/java/sumacferry/State.java
@@ -0,0 +1,164 @@
+package sumacferry;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** What a sender remembers; every decision on it is in {@link Policy}. */
+final class State {
+    private State() {
+    }
+
+    enum Breaker { CLOSED, OPEN, RAMP }
+
+    static final class Message {
+        long id;
+        Relay.MessageClass type;
+        Destination destination;
+        KeyTurn turn;
+        long due;
+        long aim;
+        double worth;
+        int attempts;
+        int timeOuts;
+        Call out;
+        boolean calledOff;
+        boolean ended;
+        /** When the first attempt that may have run was sent, MAX_VALUE while none may have. */
+        long doubtSince = Long.MAX_VALUE;
+        Endpoint doubtAt;
+        Endpoint failedAt;
+        long notBefore;
+        double index;
+    }
+
+    static final class Call {
+        Endpoint endpoint;
+        long sentAt;
+        int messages;
+        int waiting;
+        boolean noted;
+        boolean silent;
+        /** How long the connection it may have reused had lain idle, 0 for a fresh one. */
+        long idleBefore;
+    }
+
+    static final class Endpoint {
+        long id;
+        int zone;
+        int messagesPerCall = 1;
+        Destination destination;
+        Scope scope;
+        Relay.Listed state;
+        int inFlight;
+        int connections;
+        long lastUse = Long.MIN_VALUE / 2;
+        /** Time between the last two stretches of use. */
+        long gap;
+        double failing;
+        int failures;
+        int lost;
+        long lastOk = Long.MIN_VALUE / 2;
+    }
+
+    static final class Destination {
+        final List<Endpoint> endpoints = new ArrayList<>(2);
+        final Scope shared;
+        double p;
+        boolean measured;
+        /** Share of recent calls that were answered. */
+        double odds = 1;
+
+        Destination(Scope shared) {
+            this.shared = shared;
+        }
+    }
+
+    static final class KeyTurn {
+        long key;
+        final Deque<Message> queue = new ArrayDeque<>();
+        long restUntil;
+        Message restsAfter;
+    }
+
+    /** Exponentially averaged rate. */
+    static final class Rate {
+        private final double span;
+        private double sum;
+        private long at;
+
+        Rate(double span) {
+            this.span = span;
+        }
+
+        void add(long now, double n) {
+            sum = sum * Math.exp((at - now) / span) + n;
+            at = now;
+        }
+
+        double perSecond(long now) {
+            return sum * Math.exp((at - now) / span) * 1e6 / span;
+        }
+
+        double atLast() {
+            return sum * 1e6 / span;
+        }
+    }
+
+    /** Health and limits of what shares one limit and one fate. */
+    static final class Scope {
+        final List<Endpoint> members = new ArrayList<>();
+        final List<Call> calls = new ArrayList<>();
+        final Rate sent;
+        final Rate served;
+        double usual;
+        double present;
+        long waitUntil;
+        long backoffUntil;
+        double pace = Double.POSITIVE_INFINITY;
+        long paceNext;
+        long lastCut;
+        long lastRefusal;
+        int refusals;
+        double weight;
+        Breaker breaker = Breaker.CLOSED;
+        int trials;
+        long openedAt;
+        long trialAt;
+        Call trial;
+        long rampFrom;
+        long rampSent;
+        double formerPace;
+        long lastOk = Long.MIN_VALUE / 2;
+
+        Scope(double sentSpan, double servedSpan) {
+            sent = new Rate(sentSpan);
+            served = new Rate(servedSpan);
+        }
+    }
+
+    /** Token bucket that starts full and holds one token at least. */
+    static final class TokenBucket {
+        private final double perSecond;
+        private final double most;
+        private double tokens;
+        private long at = Long.MIN_VALUE;
+
+        TokenBucket(double perSecond, double seconds) {
+            this.perSecond = perSecond;
+            most = Math.max(1, perSecond * seconds);
+            tokens = most;
+        }
+
+        boolean take(long now) {
+            if (at != Long.MIN_VALUE) {
+                tokens = Math.min(most, tokens + perSecond * (now - at) / 1e6);
+            }
+            at = now;
+            boolean granted = tokens >= 1;
+            tokens -= granted ? 1 : 0;
+            return granted;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sumacferry/PolicyTest.java
@@ -0,0 +1,390 @@
+package sumacferry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+import org.junit.jupiter.api.Test;
+
+import sumacferry.Relay.Ending;
+import sumacferry.Relay.Event;
+import sumacferry.Relay.ListKind;
+import sumacferry.Relay.Listed;
+
+class PolicyTest {
+    private static Script script() {
+        return new Script(Script.settings(8, false, 1));
+    }
+
+    /** Ten quick answers, one after the other, so that the usual pace is known. */
+    private static Script warmed(int destination, int endpoints) {
+        Script s = script().list(destination, endpoints);
+        for (int i = 0; i < 10; i++) {
+            s.arrive(1000 * destination + i, Script.SAFE, destination).turn();
+            s.pass(200_000).end(1000 * destination + i, Ending.OK).turn();
+        }
+        return s;
+    }
+
+    @Test
+    void moduleStaysSmall() throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/sumacferry/Policy.java"));
+        assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 850, "lines");
+        assertTrue(lines.stream().allMatch(line -> line.length() <= 110), "columns");
+    }
+
+    @Test
+    void higherIndexGoesFirst() {
+        Script s = new Script(Script.settings(1, false, 1)).list(1, 1);
+        s.arrive(1, Script.KEYED, 1).arrive(2, Script.UNSAFE, 1).arrive(3, Script.SAFE, 1).turn();
+        s.pass(100_000).end(2, Ending.OK).turn().end(3, Ending.OK).turn();
+        assertEquals(List.of(2L, 3L, 1L), s.sends.stream().map(Script.Send::id).toList());
+    }
+
+    @Test
+    void refusesAtOnceWhenTheWaitIsLongerThanTheTimeLeft() {
+        Script s = warmed(1, 1);
+        for (int i = 0; i < 40; i++) {
+            s.arrive(1 + i, Script.SAFE, 1);
+        }
+        s.turn().pass(12_000_000);
+        s.arrive(100, Script.KEYED, 1).turn();
+        assertTrue(s.refused.contains(100L), "refused at once: the destination has been silent for long");
+    }
+
+    @Test
+    void messageWithoutEndpointIsHandedBackInTime() {
+        Script s = script().arrive(1, Script.UNSAFE, 9).turn().pass(17_000_000);
+        assertEquals(List.of(1L), s.refused);
+    }
+
+    @Test
+    void toldWaitHoldsTheWholeDestination() {
+        Script s = warmed(1, 2);
+        s.arrive(1, Script.SAFE, 1).turn().end(1, Ending.FULL, 900_000).arrive(2, Script.SAFE, 1).turn();
+        assertFalse(s.isOut(2));
+        s.pass(1_500_000);
+        assertTrue(s.isOut(1) || s.isOut(2));
+    }
+
+    @Test
+    void unsafeIsNeverRepeatedAndKeyedOnlyWhileRemembered() {
+        Script s = warmed(1, 1);
+        s.arrive(1, Script.UNSAFE, 1).turn().end(1, Ending.ERROR).turn().pass(100_000);
+        s.arrive(2, Script.KEYED, 1).turn().end(2, Ending.RESET).turn().pass(16_100_000);
+        assertEquals(List.of(1L), s.failed);
+        assertEquals(1, s.sends.stream().filter(x -> x.id() == 1).count());
+        assertTrue(s.sends.stream().filter(x -> x.id() == 2).count() > 1);
+    }
+
+    @Test
+    void unsafeGoesAgainWhenItNeverRan() {
+        Script s = warmed(1, 2);
+        s.arrive(1, Script.UNSAFE, 1).turn();
+        long first = s.last(1).endpoint();
+        s.end(1, Ending.CONNECT_FAILED).turn();
+        assertNotEquals(first, s.last(1).endpoint(), "the sibling is tried next");
+    }
+
+    @Test
+    void keysTakeTurnsAndRestAfterDoubt() {
+        Script s = warmed(1, 1);
+        s.arrive(1, Script.ORDERED, 1, 77).arrive(2, Script.ORDERED, 1, 77).turn();
+        assertTrue(s.isOut(1) && !hasSent(s, 2));
+        s.with(new Event.Withdrawn(1)).turn();
+        assertFalse(hasSent(s, 2), "the earlier attempt is still out");
+        s.end(1, Ending.RESET);
+        s.with(new Event.Withdrawn(1)).turn();
+        assertFalse(hasSent(s, 2), "the key rests");
+    }
+
+    private static boolean hasSent(Script s, long id) {
+        return s.sends.stream().anyMatch(x -> x.id() == id);
+    }
+
+    @Test
+    void nothingNewToADrainingEndpoint() {
+        Script s = warmed(1, 2).change(1, 0, Listed.DRAINING);
+        for (int i = 1; i < 6; i++) {
+            s.arrive(i, Script.SAFE, 1).turn();
+        }
+        s.change(1, 1, Listed.GONE).arrive(9, Script.SAFE, 1).turn();
+        assertFalse(hasSent(s, 9));
+    }
+
+    /** Incident of calls that nobody answered: they held all slots until their time-outs. */
+    @Test
+    void silenceOpensTheBreakerAndGivesSlotsBack() {
+        Script s = warmed(1, 1);
+        for (int i = 1; i <= 6; i++) {
+            s.arrive(i, Script.SAFE, 1);
+        }
+        s.turn().pass(2_500_000);
+        assertFalse(s.cancelled.isEmpty(), "silent calls are called off");
+        long before = s.now;
+        s.pass(5_000_000);
+        assertTrue(s.sendsTo(1, before) <= 6, "single trials only: " + s.sendsTo(1, before));
+    }
+
+    @Test
+    void oneSilentEndpointDoesNotShutItsSibling() {
+        Script s = warmed(1, 2);
+        s.arrive(1, Script.SAFE, 1).arrive(2, Script.SAFE, 1).turn();
+        long sick = s.last(1).endpoint();
+        s.end(2, Ending.OK).turn().pass(3_000_000);
+        for (int i = 3; i < 10; i++) {
+            s.arrive(i, Script.SAFE, 1).turn();
+            assertNotEquals(sick, s.last(i).endpoint());
+            s.pass(100_000).end(i, Ending.OK).turn();
+        }
+    }
+
+    @Test
+    void oneErrorDoesNotShutADestination() {
+        Script s = warmed(1, 1);
+        s.arrive(1, Script.SAFE, 1).turn().end(1, Ending.ERROR).turn();
+        s.arrive(2, Script.SAFE, 1).arrive(3, Script.SAFE, 1).turn();
+        assertTrue(s.isOut(2) && s.isOut(3));
+    }
+
+    @Test
+    void slowStartAfterAnOutage() {
+        Script s = warmed(1, 1);
+        for (int i = 1; i <= 20; i++) {
+            s.arrive(i, Script.SAFE, 1).turn();
+            if (s.sends.stream().anyMatch(x -> x.id() == i0(s)) && s.isOut(i0(s))) {
+                s.end(i0(s), Ending.CONNECT_FAILED).turn();
+            }
+            s.pass(300_000);
+        }
+        s.pass(3_000_000);
+        while (s.sends.stream().noneMatch(x -> s.isOut(x.id()))) {
+            s.pass(100_000);
+        }
+        s.end(i0(s), Ending.OK).turn();
+        long from = s.now;
+        for (int i = 0; i < 30; i++) {
+            s.pass(100_000);
+            while (s.sends.stream().anyMatch(x -> s.isOut(x.id()))) {
+                s.end(i0(s), Ending.OK).turn();
+            }
+        }
+        assertTrue(s.sendsTo(1, from) <= 6, "sent in the first three seconds: " + s.sendsTo(1, from));
+    }
+
+    /** The message of the latest attempt. */
+    private static long i0(Script s) {
+        return s.sends.get(s.sends.size() - 1).id();
+    }
+
+    /** Many senders with little traffic knocked at one door until its limit was used up by refusals. */
+    @Test
+    void pausesGrowWhileADoorStaysShut() {
+        Script s = warmed(1, 1);
+        s.arrive(1, Script.SAFE, 1).turn();
+        for (int i = 0; i < 2_000 && !s.refused.contains(1L); i++) {
+            if (s.isOut(1)) {
+                s.end(1, Ending.FULL).turn();
+            }
+            s.pass(5_000);
+        }
+        assertTrue(s.sends.stream().filter(x -> x.id() == 1).count() <= 8);
+    }
+
+    @Test
+    void oneCallCarriesSeveralMessagesInOneSlot() {
+        Script s = new Script(Script.settings(1, false, 3)).list(1, 1);
+        s.arrive(1, Script.SAFE, 1).arrive(2, Script.SAFE, 1).arrive(3, Script.SAFE, 1);
+        s.arrive(4, Script.SAFE, 1).turn();
+        assertEquals(3, s.sends.size());
+    }
+
+    /** Idle connections of hundreds of senders filled the tables of destinations that each met seldom. */
+    @Test
+    void connectionsThatWillNotBeReusedAreShutWhereTablesAreFull() {
+        Script s = warmed(1, 1);
+        assertEquals(List.of(), s.closed, "connections are to be had");
+        s.arrive(1, Script.SAFE, 1).turn().end(1, Ending.CONNECT_FAILED).turn().pass(3_000_000);
+        s.end(1, Ending.OK).turn().pass(20_000_000);
+        s.arrive(2, Script.SAFE, 1).turn().pass(200_000).end(2, Ending.OK).turn();
+        int before = s.closed.size();
+        assertTrue(before > 0, "a gap longer than its life shows that it serves nobody");
+        s.pass(200_000).arrive(3, Script.SAFE, 1).turn().pass(200_000).end(3, Ending.OK).turn();
+        assertEquals(before, s.closed.size(), "calls close together keep theirs");
+    }
+
+    /** Connections were dropped unseen while idle, and what was sent on one was lost. */
+    @Test
+    void connectionsThatFailAfterIdlingAreNotReused() {
+        Script s = warmed(1, 1).list(2, 1);
+        for (int i = 1; i <= 12; i++) {
+            s.pass(1_500_000).arrive(i, Script.UNSAFE, 1).turn().pass(100_000);
+            if (s.sends.stream().anyMatch(x -> x.id() < 100) && s.isOut(i)) {
+                s.end(i, Ending.RESET).turn();
+            }
+            s.arrive(100 + i, Script.SAFE, 1).turn();
+            for (int k = 0; k < 40; k++) {
+                s.pass(100_000);
+                for (long id : List.of((long) i, 100L + i)) {
+                    if (s.isOut(id)) {
+                        s.end(id, Ending.OK).turn();
+                    }
+                }
+            }
+        }
+        s.arrive(50, Script.SAFE, 1).turn();
+        assertFalse(s.closed.isEmpty(), "shut before it is used");
+    }
+
+    /** With three slots, two unsafe calls without an answer stopped a sender until their deadline. */
+    @Test
+    void silentUnsafeCallsGiveTheirSlotsBackUnderPressure() {
+        Script s = new Script(Script.settings(2, false, 1)).list(1, 1).list(2, 1);
+        s.arrive(1, Script.UNSAFE, 1).arrive(2, Script.UNSAFE, 1).turn().pass(8_000_000);
+        assertTrue(s.cancelled.isEmpty(), "nobody waits");
+        s.arrive(3, Script.SAFE, 2).turn().pass(100_000);
+        assertTrue(s.isOut(3), "a slot was given back");
+        assertEquals(1, s.cancelled.size());
+    }
+
+    /** A slow start that only an answer could end left a destination shut to senders that met it seldom. */
+    @Test
+    void slowStartEndsWithoutTraffic() {
+        Script s = warmed(1, 1);
+        s.arrive(1, Script.SAFE, 1).arrive(2, Script.SAFE, 1).turn().end(1, Ending.CONNECT_FAILED).turn();
+        s.end(2, Ending.CONNECT_FAILED).turn().pass(1_000_000);
+        for (int i = 0; i < 120; i++) {
+            for (long id : List.of(1L, 2L)) {
+                if (s.isOut(id)) {
+                    s.end(id, Ending.OK).turn();
+                }
+            }
+            s.pass(100_000);
+        }
+        s.arrive(5, Script.SAFE, 1).arrive(6, Script.SAFE, 1).turn();
+        assertTrue(s.isOut(5) && s.isOut(6));
+    }
+
+    /** With one call in tens of seconds an outage was over before a second failure was seen. */
+    @Test
+    void oneFailureOpensTheBreakerWhereNothingWasAnsweredForLong() {
+        Script s = warmed(1, 1);
+        s.pass(20_000_000).arrive(1, Script.SAFE, 1).turn().end(1, Ending.ERROR).turn();
+        s.arrive(2, Script.SAFE, 1).arrive(3, Script.SAFE, 1).turn();
+        assertFalse(s.isOut(2) || s.isOut(3));
+    }
+
+    /** A message whose attempts all failed made a dozen, and hundreds of senders pushed the destination over. */
+    @Test
+    void aMessageMakesFewAttemptsAtADeadDestination() {
+        Script s = new Script(crowd(7)).list(1, 1);
+        s.arrive(1, Script.SAFE, 1).turn();
+        while (!s.refused.contains(1L)) {
+            if (s.isOut(1)) {
+                s.end(1, Ending.FULL).turn();
+            }
+            s.pass(5_000);
+        }
+        assertTrue(s.sends.size() <= 3, "attempts: " + s.sends.size());
+    }
+
+    /** A clump refused at hundreds of senders came back in one wave and pushed the destination over. */
+    @Test
+    void sendersRefusedTogetherComeBackFarApart() {
+        TreeSet<Long> returns = new TreeSet<>();
+        for (int seed = 1; seed <= 20; seed++) {
+            Script s = new Script(crowd(seed)).list(1, 1);
+            s.arrive(1, Script.SAFE, 1).turn().end(1, Ending.FULL).turn();
+            while (s.sends.size() < 2 && s.refused.isEmpty()) {
+                s.pass(50_000);
+            }
+            returns.add(s.now - Script.START);
+        }
+        assertTrue(returns.first() >= 8_000_000, "none soon: " + returns);
+        assertTrue(returns.last() - returns.first() > 4_000_000 && returns.size() > 12, "apart: " + returns);
+    }
+
+    /** Settings of one among three hundred senders. */
+    private static Relay.Settings crowd(long seed) {
+        Relay.Settings few = Script.settings(4, false, 1);
+        return new Relay.Settings(seed, 300, 0, few.tick(), false, 0.1, few.lateWorth(), few.weights(),
+                few.classes(), few.tenants(), few.kinds(), few.limits(), few.rules(), few.prices(), few.reports());
+    }
+
+    @Test
+    void subscribesOnRequestAndRenews() {
+        Script s = new Script(Script.settings(4, true, 1)).turn();
+        assertEquals(1, s.follows);
+        s.with(new Event.Listing(ListKind.FAILED, List.of())).turn().pass(1_000_000);
+        assertEquals(2, s.follows);
+    }
+
+    @Test
+    void badSettingsAreNamed() {
+        assertThrows(IllegalArgumentException.class, () -> new Policy(Script.settings(0, false, 1)));
+    }
+
+    @Test
+    void oddEventsAreHarmless() {
+        Script s = warmed(1, 1);
+        s.with(new Event.Outcome(999, 0, 5, Ending.UNKNOWN, 1, false, 0, List.of()));
+        s.with(new Event.Withdrawn(999)).with(new Event.TimerDue(4)).with(new Event.StreamStarted(1, 2));
+        s.with(new Event.Listing(ListKind.FULL, List.of())).turn().pass(100_000);
+        assertTrue(s.failed.isEmpty());
+    }
+
+    /** A long random day keeps the rules that the checker asserts, and goes the same way twice. */
+    @Test
+    void randomDaysKeepTheRules() {
+        for (int seed = 1; seed <= 20; seed++) {
+            assertEquals(randomDay(seed), randomDay(seed));
+        }
+    }
+
+    /** Instances share nothing: a step of one between the steps of another changes neither. */
+    @Test
+    void interleavedInstancesActAsAlone() {
+        Script alone = script().list(1, 2);
+        Script first = script().list(1, 2);
+        Script second = script().list(1, 2);
+        for (int i = 0; i < 40; i++) {
+            for (Script s : List.of(alone, first, second)) {
+                s.arrive(i, i % 3, 1).pass(40_000);
+                if (s.isOut(i)) {
+                    s.end(i, i % 5 == 0 ? Ending.FULL : Ending.OK).turn();
+                }
+            }
+        }
+        assertFalse(alone.sends.isEmpty());
+        assertEquals(alone.sends, first.sends);
+        assertEquals(alone.sends, second.sends);
+    }
+
+    private static List<Script.Send> randomDay(int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Script s = new Script(Script.settings(4, false, 1 + seed % 3)).list(1, 2).list(2, 1).list(3, 3);
+        Ending[] endings = Ending.values();
+        for (int i = 0; i < 300; i++) {
+            s.arrive(i, random.nextInt(4), 1 + random.nextInt(3), 1 + random.nextInt(5));
+            s.pass(5_000L * random.nextInt(1, 40));
+            for (Script.Send send : List.copyOf(s.sends)) {
+                if (s.isOut(send.id()) && s.last(send.id()) == send && random.nextInt(3) > 0) {
+                    Ending ending = endings[random.nextInt(2) * random.nextInt(endings.length)];
+                    s.end(send.id(), ending, ending == Ending.FULL ? random.nextInt(1_000_000) : 0);
+                }
+            }
+            s.turn();
+        }
+        s.pass(20_000_000);
+        return s.sends;
+    }
+}
