--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -111,6 +111,7 @@
     // ---- State. ----
 
     private final Settings settings;
+    private final boolean concludes;
     private final SplittableRandom random;
     private final Map<Long, Message> messages = new LinkedHashMap<>();
     private final List<Message> arrivals = new ArrayList<>();
@@ -119,6 +120,8 @@
     /** Scopes with calls out: a step walks these, however long the list is. */
     private final Set<Scope> busy = new LinkedHashSet<>();
     private final Map<Long, KeyTurn> turns = new HashMap<>();
+    /** Answered messages whose key's turn waits for the answer to be concluded. */
+    private final Map<Long, Message> concluding = new HashMap<>();
     private final Deque<KeyTurn> resting = new ArrayDeque<>();
     private final List<TokenBucket> shares = new ArrayList<>();
     private final long longestTime;
@@ -136,9 +139,15 @@
     private long wakeAt = NEVER;
     private long timerAt = NEVER;
 
-    /** A sender with nothing but its settings; they are checked here. */
+    /** A sender with nothing but its settings; they are checked here. Its answers are final as they are given. */
     public Policy(Settings settings) {
+        this(settings, false);
+    }
+
+    /** {@code concludes}: the caller tells by {@link Event.Concluded} when an answer has been received. */
+    public Policy(Settings settings, boolean concludes) {
         this.settings = settings;
+        this.concludes = concludes;
         Limits limits = settings.limits();
         Rules rules = settings.rules();
         require(settings.senders() > 0 && !settings.classes().isEmpty(), "senders or classes");
@@ -168,6 +177,10 @@
             onArrival(now, e);
         } else if (event instanceof Event.Outcome e) {
             onOutcome(now, e, actions);
+        } else if (event instanceof Event.Resumed e) {
+            onResumed(now, e);
+        } else if (event instanceof Event.Concluded e) {
+            onConcluded(now, e.id());
         } else if (event instanceof Event.Withdrawn e) {
             onWithdrawn(now, e.id());
         } else if (event instanceof Event.Listing e) {
@@ -183,20 +196,50 @@
         if (messages.containsKey(e.id())) {
             return;
         }
+        Message m = take(now, e.id(), e.messageClass(), e.key(), e.timeLeft(), e.destination());
+        m.worth *= withinShare(now, e.tenant()) ? 1 : settings.overShareWorth();
+        arrivals.add(m);
+    }
+
+    private Message take(long now, long id, int messageClass, long key, long timeLeft, int destination) {
         Message m = new Message();
-        m.id = e.id();
-        m.type = settings.classes().get(Math.min(e.messageClass(), settings.classes().size() - 1));
-        m.destination = destination(e.destination());
-        m.due = now + Math.min(m.type.deadline(), e.timeLeft());
+        m.id = id;
+        m.type = settings.classes().get(Math.min(messageClass, settings.classes().size() - 1));
+        m.destination = destination(destination);
+        m.due = now + Math.min(m.type.deadline(), timeLeft);
         m.aim = m.due - m.type.deadline() + m.type.aim();
-        m.worth = m.type.worth() * (withinShare(now, e.tenant()) ? 1 : settings.overShareWorth());
-        if (m.type.inOrder() && e.key() != 0) {
-            m.turn = turns.computeIfAbsent(e.key(), k -> new KeyTurn());
-            m.turn.key = e.key();
+        m.worth = m.type.worth();
+        if (m.type.inOrder() && key != 0) {
+            m.turn = turns.computeIfAbsent(key, k -> new KeyTurn());
+            m.turn.key = key;
             m.turn.queue.add(m);
         }
         messages.put(m.id, m);
-        arrivals.add(m);
+        return m;
+    }
+
+    /** It passed the arrival test in an earlier process; what was out when that ended may still run. */
+    private void onResumed(long now, Event.Resumed e) {
+        if (messages.containsKey(e.id())) {
+            return;
+        }
+        Message m = take(now, e.id(), e.messageClass(), e.key(), e.timeLeft(), e.destination());
+        m.attempts = e.attempts();
+        if (e.doubtAge() >= 0) {
+            m.doubtSince = now - e.doubtAge();
+            m.doubtAt = endpoints.get(e.doubtEndpoint());
+        }
+        if (e.cutOff() && m.turn != null) {
+            m.turn.restUntil = now + settings.rules().settle();
+            m.turn.restsAfter = m;
+        }
+    }
+
+    private void onConcluded(long now, long id) {
+        Message m = concluding.remove(id);
+        if (m != null) {
+            leaveTurn(now, m);
+        }
     }
 
     private Destination destination(int number) {
@@ -269,6 +312,14 @@
             return;
         }
         messages.remove(m.id);
+        if (m.turn != null && m.answered && concludes) {
+            concluding.put(m.id, m);
+        } else {
+            leaveTurn(now, m);
+        }
+    }
+
+    private void leaveTurn(long now, Message m) {
         if (m.turn != null) {
             m.turn.queue.remove(m);
             if (m.turn.queue.isEmpty()) {
@@ -344,7 +395,7 @@
         }
         return switch (m.type.keyScope()) {
             case DESTINATION -> true;
-            case ZONE -> m.doubtAt.zone == point.zone;
+            case ZONE -> m.doubtAt != null && m.doubtAt.zone == point.zone;
             case ENDPOINT -> m.doubtAt == point;
         };
     }
@@ -363,6 +414,7 @@
             actions.fail(m.id);
         }
         m.ended = true;
+        m.answered = true;
         forgetIfDone(now, m);
     }
 
--- a/src/main/java/sumacferry/Relay.java
+++ b/src/main/java/sumacferry/Relay.java
@@ -74,6 +74,17 @@
         record Arrival(long id, int messageClass, int tenant, long key, long timeLeft, int destination)
                 implements Event { }
 
+        /**
+         * A message that an earlier process of this sender had taken on, in the order of acceptance.
+         * {@code doubtAge} is the time since the first attempt that may have run was sent, -1 where none may
+         * have; {@code cutOff} tells that the last attempt was out when that process ended.
+         */
+        record Resumed(long id, int messageClass, long key, long timeLeft, int destination, int attempts,
+                long doubtAge, long doubtEndpoint, boolean cutOff) implements Event { }
+
+        /** The final answer of a message has reached whom it was for: its key's turn passes on. */
+        record Concluded(long id) implements Event { }
+
         /** An attempt ended; {@code toldWait} is the told wait or 0, {@code report} may be empty. */
         record Outcome(long id, int attempt, long endpoint, Ending ending, long took, boolean closed,
                 long toldWait, List<Double> report) implements Event { }
--- a/src/main/java/sumacferry/State.java
+++ b/src/main/java/sumacferry/State.java
@@ -25,6 +25,8 @@
         Call out;
         boolean calledOff;
         boolean ended;
+        /** Answered by this sender; where answers are concluded later, the key's turn waits for that. */
+        boolean answered;
         /** When the first attempt that may have run was sent, MAX_VALUE while none may have. */
         long doubtSince = Long.MAX_VALUE;
         Endpoint doubtAt;
@@ -40,6 +42,8 @@
         int waiting;
         boolean noted;
         boolean silent;
+        /** One of its messages may not be repeated. */
+        boolean unsafe;
         /** How long the connection it may have reused had lain idle, 0 for a fresh one. */
         long idleBefore;
     }
--- /dev/null
+++ b/src/main/java/sumacferry/net/Config.java
@@ -0,0 +1,115 @@
+package sumacferry.net;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+import sumacferry.Relay;
+import sumacferry.wire.BadInput;
+import sumacferry.wire.Facts;
+
+/** All that a sender is told at its start. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets,
+        long diskBytes, JsonObject known, Relay.Settings settings, List<String> classes, List<String> zones,
+        List<String> kinds, List<String> reportNames) {
+
+    /** Reads the file that the environment names; where both tell something, the environment holds. */
+    static Config read(Map<String, String> environment) throws IOException {
+        String file = environment.get("GW_CONFIG");
+        if (file == null) {
+            throw new BadInput("GW_CONFIG names no configuration");
+        }
+        String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new BadInput("configuration " + file + " cannot be read: " + e);
+        }
+        try {
+            return parse(JsonParser.parseString(text).getAsJsonObject(), environment);
+        } catch (RuntimeException e) {
+            throw new BadInput("configuration " + file + ": " + e.getMessage());
+        }
+    }
+
+    private static Config parse(JsonObject json, Map<String, String> environment) {
+        Map<String, String> paths = new HashMap<>();
+        flatten("", json.getAsJsonObject("settings"), paths);
+        Facts facts = new Facts(paths);
+        JsonObject limits = json.getAsJsonObject("limits");
+        String state = environment.get("GW_STATE");
+        if (state == null) {
+            throw new BadInput("GW_STATE names no folder");
+        }
+        JsonElement known = json.get("known");
+        return new Config(environment.getOrDefault("GW_NAME", "sender"),
+                address(environment.containsKey("GW_LISTEN") ? environment.get("GW_LISTEN")
+                        : json.get("listen").getAsString()),
+                address(environment.containsKey("GW_DISCOVERY") ? environment.get("GW_DISCOVERY")
+                        : json.get("discovery").getAsString()),
+                Path.of(state), limits.get("sockets").getAsInt(),
+                (long) (limits.get("disk_mb").getAsDouble() * 1_000_000),
+                known != null && known.isJsonObject() ? known.getAsJsonObject() : new JsonObject(),
+                facts.settings(seed(json)), facts.classNames(), facts.list("zones"), facts.list("kinds"),
+                facts.list("reporting.names"));
+    }
+
+    private static long seed(JsonObject json) {
+        return json.has("seed") ? Long.parseUnsignedLong(json.get("seed").getAsString(), 16) : System.nanoTime();
+    }
+
+    /** Nested settings to the paths of the simulator's wire, values spelled as there. */
+    private static void flatten(String path, JsonElement value, Map<String, String> out) {
+        String prefix = path.isEmpty() ? "" : path + ".";
+        if (value.isJsonObject()) {
+            value.getAsJsonObject().entrySet().forEach(e -> flatten(prefix + e.getKey(), e.getValue(), out));
+        } else if (value.isJsonArray()) {
+            flattenList(path, value.getAsJsonArray(), out);
+        } else if (!value.isJsonNull()) {
+            out.put(path, word(value));
+        }
+    }
+
+    private static void flattenList(String path, JsonArray list, Map<String, String> out) {
+        if (list.isEmpty() || list.get(0).isJsonPrimitive()) {
+            List<String> words = new ArrayList<>();
+            list.forEach(item -> words.add(word(item)));
+            out.put(path, String.join(",", words));
+            return;
+        }
+        out.put(path + ".count", Integer.toString(list.size()));
+        for (int i = 0; i < list.size(); i++) {
+            flatten(path + "." + i, list.get(i), out);
+        }
+    }
+
+    private static String word(JsonElement value) {
+        return value.getAsString().replace(' ', '_').replace(',', '_');
+    }
+
+    /** An address in figures and a port; names are never looked up, as there is no DNS. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+            throw new BadInput("not an address: " + text);
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+                    Integer.parseInt(text.substring(colon + 1)));
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            throw new BadInput("not an address: " + text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sumacferry/net/Directory.java
@@ -0,0 +1,271 @@
+package sumacferry.net;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+import sumacferry.Relay;
+import sumacferry.Relay.ListKind;
+import sumacferry.Relay.Listed;
+
+/** Watches the list of receivers and gives each uid the number that the module knows it by. */
+final class Directory {
+    /** An empty line comes every 2 s: after a few missed ones the watch is taken to be dead. */
+    private static final long SILENCE_MS = 5_000;
+    private static final long PAUSE_MS = 200;
+    private static final long PAUSE_MOST_MS = 2_000;
+    private static final int LONGEST_LINE = 1 << 20;
+    private static final int MOST_GONE = 1_024;
+
+    /** News for the module. */
+    interface Listener {
+        void listed(ListKind kind, List<Relay.Entry> entries);
+    }
+
+    /** A receiver as listed. */
+    private record Target(long number, String uid, InetSocketAddress address, int destination, int kind,
+            boolean ready) { }
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Listener listener;
+    private final Map<String, Long> numbers = new HashMap<>();
+    private final Map<Long, Target> targets = new HashMap<>();
+    private final Map<Long, Target> gone = new LinkedHashMap<>();
+    private long nextNumber = 1;
+    private long version;
+    private int failures;
+    private Channel channel;
+    private long lastLine;
+
+    Directory(EventLoop loop, Config config, Listener listener) {
+        this.loop = loop;
+        this.config = config;
+        this.listener = listener;
+    }
+
+    /** Starts from the list that this sender last had, then watches. */
+    void start() {
+        take(config.known(), ListKind.CACHED);
+        open();
+        loop.scheduleWithFixedDelay(this::checkSilence, 500, 500, TimeUnit.MILLISECONDS);
+    }
+
+    /** Where to call an endpoint, null if it is no longer known. */
+    Receivers.Route route(long number) {
+        Target target = targets.getOrDefault(number, gone.get(number));
+        if (target == null) {
+            return null;
+        }
+        List<Relay.Kind> kinds = config.settings().kinds();
+        boolean apart = target.kind() < kinds.size() && kinds.get(target.kind()).routesApart();
+        return new Receivers.Route(number, target.address(), apart ? "route " + number : target.destination());
+    }
+
+    int messagesPerCall(long number) {
+        Target target = targets.getOrDefault(number, gone.get(number));
+        List<Relay.Kind> kinds = config.settings().kinds();
+        return target == null || target.kind() >= kinds.size() ? 1
+                : Math.max(1, kinds.get(target.kind()).messagesPerCall());
+    }
+
+    String uid(long number) {
+        Target target = targets.getOrDefault(number, gone.get(number));
+        return target == null ? "" : target.uid();
+    }
+
+    boolean ready(long number) {
+        Target target = targets.get(number);
+        return target != null && target.ready();
+    }
+
+    /** The number of a uid; the same for as long as the process lives. */
+    long number(String uid) {
+        return numbers.computeIfAbsent(uid, u -> nextNumber++);
+    }
+
+    // ---- The list. ----
+
+    private void take(JsonObject news, ListKind kind) {
+        JsonElement all = news.get("targets");
+        if (all == null || !all.isJsonArray()) {
+            return;
+        }
+        List<Relay.Entry> entries = new ArrayList<>();
+        if (kind != ListKind.DELTA) {
+            targets.values().forEach(this::bury);
+            targets.clear();
+        }
+        for (JsonElement item : all.getAsJsonArray()) {
+            try {
+                entries.add(entry(item.getAsJsonObject()));
+            } catch (RuntimeException e) {
+                Log.warn("discovery: skipped an entry: " + e.getMessage());
+            }
+        }
+        if (news.has("rev")) {
+            version = news.get("rev").getAsLong();
+        }
+        listener.listed(kind, entries);
+    }
+
+    private Relay.Entry entry(JsonObject item) {
+        String uid = item.get("uid").getAsString();
+        Listed state = switch (item.get("state").getAsString()) {
+            case "Ready" -> Listed.READY;
+            case "Terminating" -> Listed.DRAINING;
+            case "Gone" -> Listed.GONE;
+            default -> throw new IllegalArgumentException("unknown state of " + uid);
+        };
+        int destination = item.get("pod_group").getAsInt();
+        int kind = item.has("model") ? Math.max(0, config.kinds().indexOf(item.get("model").getAsString())) : 0;
+        int zone = item.has("az") ? Math.max(0, config.zones().indexOf(item.get("az").getAsString())) : 0;
+        double weight = item.has("capacity_hint") ? item.get("capacity_hint").getAsDouble() : 1;
+        InetSocketAddress address = Config.address(item.get("endpoint").getAsString());
+        long number = number(uid);
+        Target target = new Target(number, uid, address, destination, kind, state == Listed.READY);
+        if (state == Listed.GONE) {
+            targets.remove(number);
+            bury(target);
+        } else {
+            targets.put(number, target);
+            gone.remove(number);
+        }
+        return new Relay.Entry(number, destination, state, weight, zone, kind);
+    }
+
+    /** What has left the list may still have calls out; the oldest are forgotten. */
+    private void bury(Target target) {
+        gone.put(target.number(), target);
+        if (gone.size() > MOST_GONE) {
+            Target oldest = gone.remove(gone.keySet().iterator().next());
+            numbers.remove(oldest.uid());
+        }
+    }
+
+    // ---- The watch. ----
+
+    private void open() {
+        lastLine = System.nanoTime();
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        fresh.pipeline().addLast(new HttpClientCodec(), new Watch());
+                    }
+                });
+        channel = bootstrap.connect(config.discovery()).addListener(done -> {
+            if (!done.isSuccess()) {
+                reopenLater();
+            }
+        }).channel();
+    }
+
+    private void reopenLater() {
+        long pause = Math.min(PAUSE_MOST_MS, PAUSE_MS << Math.min(failures++, 8));
+        loop.schedule(this::open, pause, TimeUnit.MILLISECONDS);
+    }
+
+    /** A cut network says nothing: the connection stays open, and only the missing lines tell. */
+    private void checkSilence() {
+        if (channel.isActive() && System.nanoTime() - lastLine > SILENCE_MS * 1_000_000) {
+            channel.close();
+        }
+    }
+
+    /** Reads one watch line by line. */
+    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
+        private final ByteBuf pending = Unpooled.buffer(1_024);
+        private boolean good;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/api/targets?follow=1&since=" + version);
+            request.headers().set(HttpHeaderNames.HOST, config.discovery().getAddress().getHostAddress());
+            context.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+            if (!part.decoderResult().isSuccess()) {
+                context.close();
+                return;
+            }
+            if (part instanceof HttpResponse response) {
+                good = response.status().code() == 200;
+            }
+            if (part instanceof HttpContent content && good) {
+                lastLine = System.nanoTime();
+                failures = 0;
+                pending.discardReadBytes().writeBytes(content.content());
+                readLines();
+            }
+            if (part instanceof LastHttpContent || !good || pending.readableBytes() > LONGEST_LINE) {
+                context.close();
+            }
+        }
+
+        private void readLines() {
+            int length = pending.bytesBefore((byte) '\n');
+            while (length >= 0) {
+                String line = pending.readCharSequence(length, StandardCharsets.UTF_8).toString().strip();
+                pending.skipBytes(1);
+                if (!line.isEmpty()) {
+                    readLine(line);
+                }
+                length = pending.bytesBefore((byte) '\n');
+            }
+        }
+
+        private void readLine(String line) {
+            try {
+                JsonObject news = JsonParser.parseString(line).getAsJsonObject();
+                boolean all = news.has("all") && news.get("all").getAsBoolean();
+                take(news, all ? ListKind.FULL : ListKind.DELTA);
+            } catch (RuntimeException e) {
+                Log.warn("discovery: skipped a line: " + e.getMessage());
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            reopenLater();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sumacferry/net/Held.java
@@ -0,0 +1,84 @@
+package sumacferry.net;
+
+import com.google.gson.JsonObject;
+
+/** A message that this sender has taken on, and what must survive a restart to end it. */
+final class Held {
+    private static final byte[] EMPTY = new byte[0];
+
+    /** Number in the module and in the journal; grows in the order of acceptance. */
+    final long number;
+    final String id;
+    /** Idempotency key, empty where the class has none. */
+    final String idempotencyKey;
+    final String className;
+    /** Key of the order, 0 for none. */
+    final long key;
+    final int destination;
+    /** Wall time in milliseconds, as it must mean the same after a restart. */
+    final long deadline;
+    byte[] body;
+    int attempts;
+    /** Wall time at which the first attempt that may have run was sent, 0 where none may have, and where. */
+    long doubtSince;
+    String doubtAt = "";
+    /** Whether an attempt is out; in a message read from the journal, whether one was at the end. */
+    boolean out;
+    long sentAt;
+    String sentTo = "";
+    /** The notice that ends it, until it is answered; null while the message goes on. */
+    String notice;
+
+    Held(long number, String id, String idempotencyKey, String className, long key, int destination,
+            long deadline, byte[] body) {
+        this.number = number;
+        this.id = id;
+        this.idempotencyKey = idempotencyKey;
+        this.className = className;
+        this.key = key;
+        this.destination = destination;
+        this.deadline = deadline;
+        this.body = body;
+    }
+
+    void attempt(String uid, long wall) {
+        attempts++;
+        out = true;
+        sentAt = wall;
+        sentTo = uid;
+    }
+
+    void outcome(boolean mayHaveRun) {
+        out = false;
+        if (mayHaveRun && doubtSince == 0) {
+            doubtSince = sentAt;
+            doubtAt = sentTo;
+        }
+    }
+
+    /** An ended message keeps no body: only its notice is owed. */
+    void end(String line) {
+        notice = line;
+        body = EMPTY;
+    }
+
+    String failed() {
+        return status("failed").toString();
+    }
+
+    /** The advice is in milliseconds, 0 for none. */
+    String returned(long after) {
+        JsonObject status = status("returned");
+        if (after > 0) {
+            status.addProperty("after_ms", after);
+        }
+        return status.toString();
+    }
+
+    private JsonObject status(String state) {
+        JsonObject status = new JsonObject();
+        status.addProperty("id", id);
+        status.addProperty("state", state);
+        return status;
+    }
+}
--- /dev/null
+++ b/src/main/java/sumacferry/net/Journal.java
@@ -0,0 +1,347 @@
+package sumacferry.net;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.zip.CRC32;
+
+/**
+ * What this sender owes, in a folder that outlasts its process: records with length and checksum, each
+ * written before the effect that it tells of. What the kernel has outlasts the process, so nothing is synced.
+ *
+ * <p>Every message reserves room for its later records, so that once taken on it can always be ended. A
+ * file that has grown is rewritten with what is still owed; both copies count towards the budget.
+ */
+final class Journal implements Closeable {
+    private static final int HEAD = 8;
+    private static final int LARGEST = 1 << 18;
+    /** Room for the attempts, outcomes and end of one message. */
+    private static final int LATER = 1_600;
+    /** Ids of ended messages are remembered, as a client may hand one in twice when its connection closes. */
+    private static final int REMEMBERED = 512;
+    private static final int REMEMBERED_BYTES = REMEMBERED * 96;
+    private static final long REWRITE_LEAST = 256 * 1024;
+
+    private final Path folder;
+    private final long budget;
+    private final Map<Long, Held> live = new LinkedHashMap<>();
+    private final Set<String> ended = new LinkedHashSet<>();
+    private final Set<String> liveIds = new LinkedHashSet<>();
+    private FileChannel file;
+    private long size;
+    private long reserved = REMEMBERED_BYTES;
+    private long next = 1;
+
+    private Journal(Path folder, long budget) {
+        this.folder = folder;
+        this.budget = budget - 4_096;
+    }
+
+    /** Opens or begins the journal; a tail that was torn by the process's end is cut off. */
+    static Journal open(Path folder, long budget) throws IOException {
+        Journal journal = new Journal(folder, budget);
+        Files.createDirectories(folder);
+        Files.deleteIfExists(journal.path("journal.new"));
+        journal.file = FileChannel.open(journal.path("journal"), StandardOpenOption.CREATE,
+                StandardOpenOption.READ, StandardOpenOption.WRITE);
+        journal.recover();
+        return journal;
+    }
+
+    /** Messages that have not been concluded, in the order of acceptance. */
+    Collection<Held> live() {
+        return live.values();
+    }
+
+    long nextNumber() {
+        return next++;
+    }
+
+    /** Whether this id was taken on, now or not long ago. */
+    boolean knows(String id) {
+        return liveIds.contains(id) || ended.contains(id);
+    }
+
+    /** Takes a message on; false where the budget or the disk has no room for it. */
+    boolean accept(Held m) {
+        if (2 * (reserved + reserve(m)) + REWRITE_LEAST / 4 > budget) {
+            return false;
+        }
+        if (!append(accepted(m))) {
+            return false;
+        }
+        add(m);
+        return true;
+    }
+
+    /** To be called before the attempt's first byte; false where it could not be written. */
+    boolean attempt(Held m, String uid, long wall) {
+        byte[] record = record('T', out -> {
+            out.writeLong(m.number);
+            out.writeLong(wall);
+            out.writeUTF(uid);
+        });
+        if (!append(record)) {
+            return false;
+        }
+        m.attempt(uid, wall);
+        return true;
+    }
+
+    void outcome(Held m, boolean mayHaveRun) {
+        m.outcome(mayHaveRun);
+        append(record('O', out -> {
+            out.writeLong(m.number);
+            out.writeBoolean(mayHaveRun);
+        }));
+    }
+
+    /** The end is decided and its notice owed. */
+    void end(Held m, String notice) {
+        m.end(notice);
+        append(ending(m));
+    }
+
+    /** Nothing more is owed: it was delivered, or its notice has been answered. */
+    void conclude(Held m) {
+        append(record('N', out -> out.writeLong(m.number)));
+        drop(m);
+    }
+
+    @Override
+    public void close() throws IOException {
+        file.close();
+    }
+
+    // ---- Records. ----
+
+    private interface Content {
+        void write(DataOutputStream out) throws IOException;
+    }
+
+    private static byte[] record(char type, Content content) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(type);
+            content.write(out);
+        } catch (IOException e) {
+            throw new IllegalArgumentException(e);
+        }
+        byte[] payload = bytes.toByteArray();
+        return ByteBuffer.allocate(HEAD + payload.length).putInt(payload.length).putInt(checksum(payload))
+                .put(payload).array();
+    }
+
+    private static int checksum(byte[] payload) {
+        CRC32 crc = new CRC32();
+        crc.update(payload);
+        return (int) crc.getValue();
+    }
+
+    private static byte[] accepted(Held m) {
+        return record('A', out -> {
+            out.writeLong(m.number);
+            out.writeUTF(m.id);
+            out.writeUTF(m.idempotencyKey);
+            out.writeUTF(m.className);
+            out.writeLong(m.key);
+            out.writeInt(m.destination);
+            out.writeLong(m.deadline);
+            out.writeInt(m.body.length);
+            out.write(m.body);
+        });
+    }
+
+    private static byte[] ending(Held m) {
+        return record('E', out -> {
+            out.writeLong(m.number);
+            out.writeUTF(m.notice);
+        });
+    }
+
+    /** All that attempts have left behind, for a rewritten file. */
+    private static byte[] standing(Held m) {
+        return record('S', out -> {
+            out.writeLong(m.number);
+            out.writeInt(m.attempts);
+            out.writeLong(m.doubtSince);
+            out.writeUTF(m.doubtAt);
+            out.writeBoolean(m.out);
+            out.writeLong(m.sentAt);
+            out.writeUTF(m.sentTo);
+        });
+    }
+
+    private void replay(byte[] payload) throws IOException {
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload));
+        int type = in.readByte();
+        if (type == 'K') {
+            remember(in.readUTF());
+            return;
+        }
+        long number = in.readLong();
+        next = Math.max(next, number + 1);
+        if (type == 'A') {
+            add(new Held(number, in.readUTF(), in.readUTF(), in.readUTF(), in.readLong(), in.readInt(),
+                    in.readLong(), in.readNBytes(in.readInt())));
+            return;
+        }
+        Held m = live.get(number);
+        if (m == null) {
+            return;
+        }
+        switch (type) {
+            case 'T' -> {
+                long wall = in.readLong();
+                m.attempt(in.readUTF(), wall);
+            }
+            case 'O' -> m.outcome(in.readBoolean());
+            case 'E' -> m.end(in.readUTF());
+            case 'N' -> drop(m);
+            case 'S' -> {
+                m.attempts = in.readInt();
+                m.doubtSince = in.readLong();
+                m.doubtAt = in.readUTF();
+                m.out = in.readBoolean();
+                m.sentAt = in.readLong();
+                m.sentTo = in.readUTF();
+            }
+            default -> throw new IOException("unknown record " + type);
+        }
+    }
+
+    private void recover() throws IOException {
+        long length = file.size();
+        ByteBuffer head = ByteBuffer.allocate(HEAD);
+        while (size + HEAD <= length) {
+            if (!fill(head.clear())) {
+                break;
+            }
+            int bytes = head.getInt(0);
+            if (bytes <= 0 || bytes > LARGEST || size + HEAD + bytes > length) {
+                break;
+            }
+            ByteBuffer payload = ByteBuffer.allocate(bytes);
+            if (!fill(payload) || checksum(payload.array()) != head.getInt(4)) {
+                break;
+            }
+            replay(payload.array());
+            size += HEAD + bytes;
+        }
+        if (size < length) {
+            Log.warn("journal: cut off a torn tail of " + (length - size) + " bytes");
+            file.truncate(size);
+        }
+        file.position(size);
+    }
+
+    private boolean fill(ByteBuffer buffer) throws IOException {
+        while (buffer.hasRemaining()) {
+            if (file.read(buffer) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // ---- Room. ----
+
+    private static long reserve(Held m) {
+        return 160 + m.body.length + 3L * (m.id.length() + m.idempotencyKey.length()) + LATER;
+    }
+
+    private void add(Held m) {
+        live.put(m.number, m);
+        liveIds.add(m.id);
+        reserved += reserve(m);
+    }
+
+    private void drop(Held m) {
+        live.remove(m.number);
+        liveIds.remove(m.id);
+        remember(m.id);
+        reserved = REMEMBERED_BYTES;
+        live.values().forEach(other -> reserved += reserve(other));
+    }
+
+    private void remember(String id) {
+        ended.add(id);
+        if (ended.size() > REMEMBERED) {
+            ended.remove(ended.iterator().next());
+        }
+    }
+
+    private boolean append(byte[] record) {
+        try {
+            if (size + record.length + reserved > budget
+                    || size > REWRITE_LEAST && size > 4 * reserved) {
+                rewrite();
+            }
+            ByteBuffer bytes = ByteBuffer.wrap(record);
+            while (bytes.hasRemaining()) {
+                file.write(bytes);
+            }
+            size += record.length;
+            return true;
+        } catch (IOException e) {
+            Log.warn("journal: " + e);
+            undo();
+            return false;
+        }
+    }
+
+    /** Half a record would hide every later one from the next start. */
+    private void undo() {
+        try {
+            file.truncate(size);
+            file.position(size);
+        } catch (IOException e) {
+            Log.warn("journal: cannot cut off half a record: " + e);
+        }
+    }
+
+    private void rewrite() throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (String id : ended) {
+            bytes.write(record('K', out -> out.writeUTF(id)));
+        }
+        for (Held m : live.values()) {
+            bytes.write(accepted(m));
+            if (m.attempts > 0) {
+                bytes.write(standing(m));
+            }
+            if (m.notice != null) {
+                bytes.write(ending(m));
+            }
+        }
+        FileChannel fresh = FileChannel.open(path("journal.new"), StandardOpenOption.CREATE,
+                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
+        ByteBuffer buffer = ByteBuffer.wrap(bytes.toByteArray());
+        long length = buffer.remaining();
+        while (buffer.hasRemaining()) {
+            fresh.write(buffer);
+        }
+        Files.move(path("journal.new"), path("journal"), StandardCopyOption.ATOMIC_MOVE);
+        file.close();
+        file = fresh;
+        size = length;
+    }
+
+    private Path path(String name) {
+        return folder.resolve(name);
+    }
+}
--- /dev/null
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -0,0 +1,384 @@
+package sumacferry.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import sumacferry.Policy;
+import sumacferry.Relay;
+import sumacferry.Relay.Ending;
+import sumacferry.Relay.Event;
+
+/**
+ * The real sender: carries out on sockets what the module decides. One event loop owns the module and all
+ * state. What one pass of the loop brings is collected, the module is stepped once, then its actions are
+ * carried out: acceptances first, as nothing may leave for a message that the journal does not have.
+ */
+public final class Sender {
+
+    private final Config config;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final Journal journal;
+    private final Relay module;
+    private final Recorder recorder = new Recorder();
+    private final Directory directory;
+    private final Receivers receivers;
+    private final Notices notices;
+    private final ClientServer clients;
+    private final Map<Long, Held> held = new HashMap<>();
+    /** Messages handed in since the last turn, with their waiting clients. */
+    private final Map<Long, Arriving> arriving = new LinkedHashMap<>();
+    private final List<Event> events = new ArrayList<>();
+    private boolean turnDue;
+    private InetSocketAddress bound;
+
+    private record Arriving(Held message, ClientServer.Reply reply) { }
+
+    private Sender(Config config) throws IOException {
+        this.config = config;
+        Relay.Settings settings = config.settings();
+        journal = Journal.open(config.state(), config.diskBytes());
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        module = new Policy(settings, true);
+        directory = new Directory(loop, config, this::onListing);
+        receivers = new Receivers(loop, this::onResult, settings.limits().connectTimeout(),
+                settings.limits().idleConnectionLife(), config.sockets() / 4, config.reportNames());
+        notices = new Notices(loop, config.discovery(), this::onNoticeAnswered);
+        clients = new ClientServer(loop, this::onSubmission, config.sockets() / 3, config.classes());
+    }
+
+    /** Serves until the process is told to end. */
+    public static void run(Map<String, String> environment) throws IOException {
+        Sender sender = new Sender(Config.read(environment));
+        sender.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(sender::terminate, "terminate"));
+    }
+
+    /** Starts on its own loop; tests use it too. */
+    static Sender start(Config config) throws IOException {
+        Sender sender = new Sender(config);
+        sender.start();
+        return sender;
+    }
+
+    private void start() throws IOException {
+        try {
+            loop.submit(this::recover).sync();
+            bound = clients.listen(config.listen());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while starting", e);
+        } catch (Exception e) {
+            stop();
+            throw new IOException("cannot start: " + e.getMessage(), e);
+        }
+        Log.warn(config.name() + " is ready at " + bound);
+    }
+
+    InetSocketAddress address() {
+        return bound;
+    }
+
+    /** Ends at once, as a kill would but for the journal's file being closed. */
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        try {
+            journal.close();
+        } catch (IOException e) {
+            Log.warn("journal: " + e);
+        }
+    }
+
+    // ---- Clock. ----
+
+    private static long now() {
+        return System.nanoTime() / 1_000 - START + 1_000_000;
+    }
+
+    private static final long START = System.nanoTime() / 1_000;
+
+    /** Wall time in milliseconds: for what must survive a restart. */
+    private static long wall() {
+        return System.currentTimeMillis();
+    }
+
+    // ---- Recovery. ----
+
+    private void recover() {
+        directory.start();
+        for (Held m : List.copyOf(journal.live())) {
+            int type = config.classes().indexOf(m.className);
+            if (m.notice == null && type < 0) {
+                journal.end(m, m.failed());
+            }
+            if (m.notice != null) {
+                notices.send(m);
+                continue;
+            }
+            boolean cutOff = m.out;
+            if (cutOff) {
+                journal.outcome(m, true);
+            }
+            held.put(m.number, m);
+            long age = m.doubtSince == 0 ? -1 : Math.max(0, (wall() - m.doubtSince) * 1_000);
+            events.add(new Event.Resumed(m.number, type, m.key, (m.deadline - wall()) * 1_000, m.destination,
+                    m.attempts, age, m.doubtAt.isEmpty() ? 0 : directory.number(m.doubtAt), cutOff));
+        }
+        if (!events.isEmpty()) {
+            Log.warn("resumed " + held.size() + " messages");
+        }
+        turnSoon();
+    }
+
+    // ---- What comes in. ----
+
+    private void onSubmission(ClientServer.Submission s, ClientServer.Reply reply) {
+        boolean known = journal.knows(s.id());
+        for (Arriving other : arriving.values()) {
+            known |= other.message().id.equals(s.id());
+        }
+        if (known) {
+            reply.ok();
+            return;
+        }
+        if (held.size() + arriving.size() >= config.settings().limits().openMessages()) {
+            reply.busy(0);
+            return;
+        }
+        Held m = new Held(journal.nextNumber(), s.id(), s.idempotencyKey(), s.className(), s.key(),
+                s.destination(), wall() + s.timeLeft(), s.body());
+        arriving.put(m.number, new Arriving(m, reply));
+        note(new Event.Arrival(m.number, config.classes().indexOf(s.className()), 0, s.key(),
+                s.timeLeft() * 1_000, s.destination()));
+    }
+
+    private void onListing(Relay.ListKind kind, List<Relay.Entry> entries) {
+        receivers.bar(route -> !directory.ready(route.endpoint()));
+        note(new Event.Listing(kind, entries));
+    }
+
+    private void onResult(Receivers.Result r) {
+        Held m = r.message();
+        if (r.closed()) {
+            journal.conclude(m);
+            held.remove(m.number);
+        } else if (held.containsKey(m.number)) {
+            journal.outcome(m, r.ending() != Ending.FULL && r.ending() != Ending.CONNECT_FAILED
+                    && r.ending() != Ending.MOOT);
+        }
+        note(new Event.Outcome(m.number, r.attempt(), r.endpoint(), r.ending(), r.took(), r.closed(),
+                r.toldWait(), r.report()));
+    }
+
+    private void onNoticeAnswered(Held m) {
+        journal.conclude(m);
+        note(new Event.Concluded(m.number));
+    }
+
+    private void note(Event event) {
+        events.add(event);
+        turnSoon();
+    }
+
+    private void turnSoon() {
+        if (!turnDue) {
+            turnDue = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    // ---- The turn. ----
+
+    private void turn() {
+        turnDue = false;
+        long now = now();
+        List<Event> batch = List.copyOf(events);
+        events.clear();
+        batch.forEach(event -> module.step(now, event, recorder));
+        module.step(now, new Event.Turn(), recorder);
+        List<Action> actions = List.copyOf(recorder.actions);
+        recorder.actions.clear();
+        takeOn(actions);
+        actions.forEach(this::answer);
+        startCalls(now, actions);
+        actions.forEach(this::other);
+    }
+
+    /** Refusals in the arrival's own turn go to the waiting client; all others are taken on. */
+    private void takeOn(List<Action> actions) {
+        for (Action action : actions) {
+            Arriving refused = action instanceof Refuse r ? arriving.remove(r.id())
+                    : action instanceof Fail f ? arriving.remove(f.id()) : null;
+            if (refused != null) {
+                refused.reply().busy(action instanceof Refuse r ? millis(r.retryAfter()) : 0);
+                note(new Event.Concluded(refused.message().number));
+            }
+        }
+        for (Arriving taken : arriving.values()) {
+            Held m = taken.message();
+            if (taken.reply().wanted() && journal.accept(m)) {
+                held.put(m.number, m);
+                taken.reply().ok();
+            } else {
+                taken.reply().busy(0);
+                note(new Event.Withdrawn(m.number));
+            }
+        }
+        arriving.clear();
+    }
+
+    private void answer(Action action) {
+        if (action instanceof Refuse r && held.containsKey(r.id())) {
+            end(r.id(), held.get(r.id()).returned(millis(r.retryAfter())));
+        } else if (action instanceof Fail f && held.containsKey(f.id())) {
+            end(f.id(), held.get(f.id()).failed());
+        }
+    }
+
+    private void end(long number, String notice) {
+        Held m = held.remove(number);
+        journal.end(m, notice);
+        notices.send(m);
+    }
+
+    private static long millis(long micros) {
+        return (micros + 999) / 1_000;
+    }
+
+    /** Sends of one turn to one endpoint travel as one call, as far as its kind takes several messages. */
+    private void startCalls(long now, List<Action> actions) {
+        Map<Long, List<Send>> open = new LinkedHashMap<>();
+        for (Action action : actions) {
+            if (action instanceof Send s) {
+                List<Send> group = open.computeIfAbsent(s.endpoint(), e -> new ArrayList<>());
+                group.add(s);
+                if (group.size() >= directory.messagesPerCall(s.endpoint())) {
+                    startCall(now, open.remove(s.endpoint()));
+                }
+            }
+        }
+        open.values().forEach(group -> startCall(now, group));
+    }
+
+    private void startCall(long now, List<Send> group) {
+        long endpoint = group.get(0).endpoint();
+        Receivers.Route route = directory.route(endpoint);
+        List<Receivers.Item> items = new ArrayList<>();
+        long giveUpAt = now;
+        for (Send s : group) {
+            Held m = held.get(s.id());
+            if (m != null && route != null && journal.attempt(m, directory.uid(endpoint), wall())) {
+                items.add(new Receivers.Item(m, m.attempts - 1));
+                giveUpAt = Math.max(giveUpAt, s.giveUpAt());
+            } else if (m != null) {
+                m.attempts++;
+                note(new Event.Outcome(m.number, m.attempts - 1, endpoint, Ending.MOOT, 0, false, 0, List.of()));
+            } else {
+                note(new Event.Outcome(s.id(), 0, endpoint, Ending.MOOT, 0, true, 0, List.of()));
+            }
+        }
+        if (!items.isEmpty()) {
+            receivers.start(route, items, giveUpAt - now());
+        }
+    }
+
+    private void other(Action action) {
+        if (action instanceof Cancel c && held.containsKey(c.id())) {
+            receivers.cancel(held.get(c.id()), c.attempt());
+        } else if (action instanceof CloseIdle c) {
+            receivers.closeIdle(c.endpoint());
+        } else if (action instanceof Wake w) {
+            loop.schedule(() -> note(new Event.TimerDue(w.token())), w.delay(), TimeUnit.MICROSECONDS);
+        } else if (action instanceof Note n) {
+            Log.warn("module: " + n.text());
+        }
+    }
+
+    // ---- The end. ----
+
+    /** Runs in the shutdown hook: the process ends when this returns. */
+    private void terminate() {
+        CountDownLatch done = new CountDownLatch(1);
+        try {
+            done.await(1, TimeUnit.HOURS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // ---- Actions. ----
+
+    private sealed interface Action { }
+
+    private record Send(long id, long endpoint, long giveUpAt) implements Action { }
+
+    private record Refuse(long id, long retryAfter) implements Action { }
+
+    private record Fail(long id) implements Action { }
+
+    private record Cancel(long id, int attempt) implements Action { }
+
+    private record CloseIdle(long endpoint) implements Action { }
+
+    private record Wake(long delay, long token) implements Action { }
+
+    private record Note(String text) implements Action { }
+
+    /** Collects what the module decides during a turn. */
+    private static final class Recorder implements Relay.Actions {
+        private final List<Action> actions = new ArrayList<>();
+
+        @Override
+        public void send(long id, long endpoint, long giveUpAt) {
+            actions.add(new Send(id, endpoint, giveUpAt));
+        }
+
+        @Override
+        public void refuse(long id, long retryAfter) {
+            actions.add(new Refuse(id, retryAfter));
+        }
+
+        @Override
+        public void fail(long id) {
+            actions.add(new Fail(id));
+        }
+
+        @Override
+        public void cancel(long id, int attempt) {
+            actions.add(new Cancel(id, attempt));
+        }
+
+        @Override
+        public void closeIdle(long endpoint) {
+            actions.add(new CloseIdle(endpoint));
+        }
+
+        @Override
+        public void wake(long delay, long token) {
+            actions.add(new Wake(delay, token));
+        }
+
+        /** The directory is watched from the start, and again whenever that ends. */
+        @Override
+        public void follow() {
+        }
+
+        @Override
+        public void log(String text) {
+            actions.add(new Note(text));
+        }
+    }
+}
--- a/src/main/java/sumacferry/wire/BadInput.java
+++ b/src/main/java/sumacferry/wire/BadInput.java
@@ -1,10 +1,11 @@
 package sumacferry.wire;
 
 /** What came in cannot be read; the message says what and where. */
-final class BadInput extends RuntimeException {
+public final class BadInput extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    BadInput(String message) {
+    /** The message is shown to the operator as it is. */
+    public BadInput(String message) {
         super(message);
     }
 }
--- a/src/main/java/sumacferry/wire/Facts.java
+++ b/src/main/java/sumacferry/wire/Facts.java
@@ -9,8 +9,8 @@
 
 import sumacferry.Relay;
 
-/** Reads the path=value settings of an instance. */
-final class Facts {
+/** Reads the path=value settings of an instance; the real sender flattens its JSON to the same paths. */
+public final class Facts {
     private final Map<String, String> values = new HashMap<>();
 
     Facts(String text) {
@@ -22,8 +22,13 @@
         }
     }
 
+    /** Settings that already are pairs of path and value. */
+    public Facts(Map<String, String> values) {
+        this.values.putAll(values);
+    }
+
     /** The settings in the module's own terms. */
-    Relay.Settings settings(long seed) {
+    public Relay.Settings settings(long seed) {
         return new Relay.Settings(seed, whole("balancers"), whole("az", 0), micros("tick_us"),
                 text("membership_mode").equals("on_request"), real("over_share_worth", 1),
                 lateWorth(), weightKind(), items("lanes", this::messageClass),
@@ -109,7 +114,13 @@
         return out;
     }
 
-    private List<String> list(String path) {
+    /** Names of the classes in the order of their indexes. */
+    public List<String> classNames() {
+        return items("lanes", i -> text("lanes." + i + ".name"));
+    }
+
+    /** A list of plain values; empty where the setting is absent. */
+    public List<String> list(String path) {
         String value = values.getOrDefault(path, "");
         return value.isEmpty() ? List.of() : List.of(value.split(","));
     }
--- a/src/main/java/sumacferry/wire/Main.java
+++ b/src/main/java/sumacferry/wire/Main.java
@@ -8,18 +8,36 @@
 import java.io.IOException;
 
 import sumacferry.Policy;
+import sumacferry.net.Sender;
 
-/** Command line of the adapter. */
+/** Command line: the adapter on the simulator's wire, or the real sender. */
 public final class Main {
     private Main() {
     }
 
-    /** Serves the wire on standard input and output until the input ends. */
+    /** {@code wirehost} serves the wire on standard input and output, {@code serve} runs the real sender. */
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar sumacferry.jar wirehost");
+        if (args.length != 1 || !args[0].equals("wirehost") && !args[0].equals("serve")) {
+            System.err.println("usage: java -jar sumacferry.jar wirehost|serve");
             System.exit(2);
         }
+        if (args[0].equals("serve")) {
+            serve();
+        } else {
+            hostWire();
+        }
+    }
+
+    private static void serve() {
+        try {
+            Sender.run(System.getenv());
+        } catch (BadInput | IOException e) {
+            System.err.println("sumacferry: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static void hostWire() {
         try (BufferedInputStream in =
                         new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16);
                 BufferedOutputStream out =
