--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -139,7 +139,7 @@
     private long wakeAt = NEVER;
     private long timerAt = NEVER;
 
-    /** A sender with nothing but its settings; they are checked here. Its answers are final as they are given. */
+    /** A sender with nothing but its settings; they are checked here. Answers are final as they are given. */
     public Policy(Settings settings) {
         this(settings, false);
     }
