Give up and call off the messages of one call together

Cause: a call's messages had give-up times of their own, but the sender closes one connection for all. Now the module gives one time for a call and calls it off whole. Also: no unsafe attempt starts whose outcome would come after the kill (Stopping); endpoints that have gone and unknown destinations are not kept for good; a request's total size is bounded; a defect in one event does not end the process.

--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -102,6 +102,11 @@
     /** First pause before a failed subscription is renewed. */
     private static final long FOLLOW_PAUSE = 300_000;
 
+    /** Unsafe calls start until so many expected latencies before the process ends. */
+    private static final double LAST_CALLS = 3;
+    /** So many destinations are kept without a look at which still matter. */
+    private static final int DESTINATIONS = 1_024;
+
     /** Pauses double no more often than this. */
     private static final int MOST_DOUBLINGS = 3;
     private static final long NEVER = Long.MAX_VALUE;
@@ -136,6 +141,7 @@
     private double trustedIdle;
     private double freshLost;
     private double idleLost;
+    private long stopsAt = NEVER;
     private long wakeAt = NEVER;
     private long timerAt = NEVER;
 
@@ -179,6 +185,8 @@
             onOutcome(now, e, actions);
         } else if (event instanceof Event.Resumed e) {
             onResumed(now, e);
+        } else if (event instanceof Event.Stopping e) {
+            stopsAt = now + e.timeLeft();
         } else if (event instanceof Event.Concluded e) {
             onConcluded(now, e.id());
         } else if (event instanceof Event.Withdrawn e) {
@@ -196,6 +204,10 @@
         if (messages.containsKey(e.id())) {
             return;
         }
+        if (destinations.size() > DESTINATIONS) {
+            destinations.values().removeIf(d -> d.endpoints.isEmpty()
+                    && messages.values().stream().noneMatch(m -> m.destination == d));
+        }
         Message m = take(now, e.id(), e.messageClass(), e.key(), e.timeLeft(), e.destination());
         m.worth *= withinShare(now, e.tenant()) ? 1 : settings.overShareWorth();
         arrivals.add(m);
@@ -276,6 +288,7 @@
             if (call.endpoint.inFlight == 0 && unconnected > CROWDED) {
                 closeIdle(call.endpoint, SELDOM * trustedIdle, actions);
             }
+            dropIfGone(call.endpoint);
             if (call.endpoint.scope.calls.isEmpty()) {
                 busy.remove(call.endpoint.scope);
                 call.endpoint.scope.members.forEach(point -> point.lost = 0);
@@ -344,12 +357,14 @@
         List<Endpoint> touched = new ArrayList<>(e.kind() == ListKind.DELTA ? List.of() : endpoints.values());
         touched.forEach(known -> known.state = Listed.GONE);
         e.entries().forEach(entry -> touched.add(update(entry)));
-        for (Endpoint known : touched) {
-            if (known.state == Listed.GONE && known.inFlight == 0) {
-                endpoints.remove(known.id);
-                known.destination.endpoints.remove(known);
-                known.scope.members.remove(known);
-            }
+        touched.forEach(this::dropIfGone);
+    }
+
+    private void dropIfGone(Endpoint known) {
+        if (known.state == Listed.GONE && known.inFlight == 0) {
+            endpoints.remove(known.id, known);
+            known.destination.endpoints.remove(known);
+            known.scope.members.remove(known);
         }
     }
 
@@ -565,11 +580,12 @@
         }
         ready.sort(Comparator.comparingDouble((Message m) -> -m.index));
         Map<Destination, Call> filling = new HashMap<>();
+        List<Call> started = new ArrayList<>();
         for (Message m : ready) {
             Call open = filling.get(m.destination);
             boolean joins = open != null && open.messages < open.endpoint.messagesPerCall;
-            if (joins && remembered(m, open.endpoint)) {
-                send(now, m, open, actions);
+            if (joins && remembered(m, open.endpoint) && endsInTime(now, m, open.endpoint)) {
+                load(m, open);
                 continue;
             }
             if (slotsUsed >= settings.limits().slots()) {
@@ -579,9 +595,11 @@
             if (point != null) {
                 Call call = startCall(now, point, actions);
                 filling.put(m.destination, call);
-                send(now, m, call, actions);
+                started.add(call);
+                load(m, call);
             }
         }
+        started.forEach(call -> send(now, call, actions));
     }
 
     private boolean hasTurn(long now, Message m) {
@@ -598,7 +616,8 @@
         double bestCost = Double.POSITIVE_INFINITY;
         long opens = NEVER;
         for (Endpoint point : m.destination.endpoints) {
-            if (point.state != Listed.READY || !remembered(m, point)) {
+            boolean usable = point.state == Listed.READY && remembered(m, point);
+            if (!usable || !endsInTime(now, m, point)) {
                 continue;
             }
             long at = opensAt(now, point.scope);
@@ -615,6 +634,12 @@
         return best;
     }
 
+    /** Before the process ends, no unsafe attempt starts whose outcome it may not see: that would lose it. */
+    private boolean endsInTime(long now, Message m, Endpoint point) {
+        return stopsAt == NEVER || m.type.effect() != Effect.UNSAFE
+                || now + LAST_CALLS * Math.max(serviceTime(m), present(now, point.scope)) < stopsAt;
+    }
+
     private double cost(long now, Message m, Endpoint point) {
         boolean warm = (point.inFlight > 0 || now - point.lastUse < trustedIdle)
                 && point.inFlight < point.connections * Math.max(1, settings.limits().callsPerConnection());
@@ -644,12 +669,23 @@
         return call;
     }
 
-    private void send(long now, Message m, Call call, Actions actions) {
+    private void load(Message m, Call call) {
         call.messages++;
         call.waiting++;
+        call.load.add(m);
+        call.unsafe |= m.type.effect() == Effect.UNSAFE;
         m.attempts++;
         m.out = call;
-        actions.send(m.id, call.endpoint.id, giveUpAt(now, m, call));
+    }
+
+    /**
+     * All messages of a call are given up together, with its least patient one: their connection is closed
+     * then. Left open for the others, a resend of it would be a second copy. Harm: an unsafe one ends
+     * with it; waiting for that one instead costs more where calls hang.
+     */
+    private void send(long now, Call call, Actions actions) {
+        long giveUp = call.load.stream().mapToLong(m -> giveUpAt(now, m, call)).min().orElse(now);
+        call.load.forEach(m -> actions.send(m.id, call.endpoint.id, giveUp));
     }
 
     /** Unsafe attempts run to the end, as giving one up loses the message. */
@@ -785,12 +821,13 @@
                 && messages.values().stream().anyMatch(m -> m.out == null && m.notBefore <= now);
         for (Message m : messages.values()) {
             if (m.out != null && m.out.silent && !m.calledOff && settings.limits().cancel()) {
-                Scope scope = m.out.endpoint.scope;
-                boolean unsafe = m.type.effect() == Effect.UNSAFE;
-                boolean due = pressed && now - m.out.sentAt > (unsafe ? PATIENCE : 1) * silence(scope)
-                        || !unsafe && scope.breaker == Breaker.OPEN;
-                if (due) {
+                Call call = m.out;
+                Scope scope = call.endpoint.scope;
+                boolean due = pressed && now - call.sentAt > (call.unsafe ? PATIENCE : 1) * silence(scope)
+                        || !call.unsafe && scope.breaker == Breaker.OPEN;
+                if (due || call.calledOff) {
                     m.calledOff = true;
+                    call.calledOff = true;
                     pressed = false;
                     actions.cancel(m.id, m.attempts - 1);
                 }
--- a/src/main/java/sumacferry/Relay.java
+++ b/src/main/java/sumacferry/Relay.java
@@ -82,6 +82,9 @@
         record Resumed(long id, int messageClass, long key, long timeLeft, int destination, int attempts,
                 long doubtAge, long doubtEndpoint, boolean cutOff) implements Event { }
 
+        /** The process will be ended after {@code timeLeft}; what is held then resumes in the next one. */
+        record Stopping(long timeLeft) implements Event { }
+
         /** The final answer of a message has reached whom it was for: its key's turn passes on. */
         record Concluded(long id) implements Event { }
 
@@ -113,7 +116,10 @@
 
     /** What a sender can do. */
     interface Actions {
-        /** Starts an attempt, given up at {@code giveUpAt} on the clock. */
+        /**
+         * Starts an attempt, given up at {@code giveUpAt} on the clock. Sends of one turn to one endpoint may
+         * travel as one call; their times are the same.
+         */
         void send(long id, long endpoint, long giveUpAt);
 
         /** Final answer: another try does no harm; {@code retryAfter} is advice, 0 for none. */
@@ -122,7 +128,7 @@
         /** Final answer: nothing is said of the effect. */
         void fail(long id);
 
-        /** Stops waiting for an attempt. */
+        /** Stops waiting for an attempt; all messages of its call are called off together. */
         void cancel(long id, int attempt);
 
         /** Shuts the idle connections to an endpoint; calls in flight are not touched. */
--- a/src/main/java/sumacferry/State.java
+++ b/src/main/java/sumacferry/State.java
@@ -38,12 +38,14 @@
     static final class Call {
         Endpoint endpoint;
         long sentAt;
+        final List<Message> load = new ArrayList<>(1);
         int messages;
         int waiting;
         boolean noted;
         boolean silent;
         /** One of its messages may not be repeated. */
         boolean unsafe;
+        boolean calledOff;
         /** How long the connection it may have reused had lain idle, 0 for a fresh one. */
         long idleBefore;
     }
--- a/src/main/java/sumacferry/net/Config.java
+++ b/src/main/java/sumacferry/net/Config.java
@@ -67,7 +67,8 @@
     }
 
     private static long seed(JsonObject json) {
-        return json.has("seed") ? Long.parseUnsignedLong(json.get("seed").getAsString(), 16) : System.nanoTime();
+        return json.has("seed") ? Long.parseUnsignedLong(json.get("seed").getAsString(), 16)
+                : System.nanoTime();
     }
 
     /** Nested settings to the paths of the simulator's wire, values spelled as there. */
--- a/src/main/java/sumacferry/net/Directory.java
+++ b/src/main/java/sumacferry/net/Directory.java
@@ -88,7 +88,8 @@
         }
         List<Relay.Kind> kinds = config.settings().kinds();
         boolean apart = target.kind() < kinds.size() && kinds.get(target.kind()).routesApart();
-        return new Receivers.Route(number, target.address(), apart ? "route " + number : target.destination());
+        return new Receivers.Route(number, target.address(), 
+                apart ? "route " + number : target.destination());
     }
 
     int messagesPerCall(long number) {
@@ -147,8 +148,8 @@
             default -> throw new IllegalArgumentException("unknown state of " + uid);
         };
         int destination = item.get("pod_group").getAsInt();
-        int kind = item.has("model") ? Math.max(0, config.kinds().indexOf(item.get("model").getAsString())) : 0;
-        int zone = item.has("az") ? Math.max(0, config.zones().indexOf(item.get("az").getAsString())) : 0;
+        int kind = item.has("model") ? index(config.kinds(), item.get("model")) : 0;
+        int zone = item.has("az") ? index(config.zones(), item.get("az")) : 0;
         double weight = item.has("capacity_hint") ? item.get("capacity_hint").getAsDouble() : 1;
         InetSocketAddress address = Config.address(item.get("endpoint").getAsString());
         long number = number(uid);
@@ -163,6 +164,10 @@
         return new Relay.Entry(number, destination, state, weight, zone, kind);
     }
 
+    private static int index(List<String> names, JsonElement name) {
+        return Math.max(0, names.indexOf(name.getAsString()));
+    }
+
     /** What has left the list may still have calls out; the oldest are forgotten. */
     private void bury(Target target) {
         gone.put(target.number(), target);
--- a/src/main/java/sumacferry/net/Journal.java
+++ b/src/main/java/sumacferry/net/Journal.java
@@ -332,8 +332,14 @@
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
         ByteBuffer buffer = ByteBuffer.wrap(bytes.toByteArray());
         long length = buffer.remaining();
-        while (buffer.hasRemaining()) {
-            fresh.write(buffer);
+        try {
+            while (buffer.hasRemaining()) {
+                fresh.write(buffer);
+            }
+        } catch (IOException e) {
+            fresh.close();
+            Files.deleteIfExists(path("journal.new"));
+            throw e;
         }
         Files.move(path("journal.new"), path("journal"), StandardCopyOption.ATOMIC_MOVE);
         file.close();
--- a/src/main/java/sumacferry/net/Receivers.java
+++ b/src/main/java/sumacferry/net/Receivers.java
@@ -133,7 +133,8 @@
      * rules count from a call's bytes, and connecting may take longer than their grace.
      */
     void bar(Predicate<Route> routes) {
-        calls.stream().filter(call -> !call.written && routes.test(call.route)).forEach(call -> call.barred = true);
+        calls.stream().filter(call -> !call.written && routes.test(call.route))
+                .forEach(call -> call.barred = true);
     }
 
     int out() {
@@ -293,7 +294,8 @@
             for (Item item : call.items) {
                 Held m = item.message();
                 String key = m.idempotencyKey.isEmpty() ? "-" : m.idempotencyKey;
-                body.writeCharSequence(m.id + " " + key + " " + m.body.length + "\r\n", StandardCharsets.ISO_8859_1);
+                String head = m.id + " " + key + " " + m.body.length + "\r\n";
+                body.writeCharSequence(head, StandardCharsets.ISO_8859_1);
                 body.writeBytes(m.body);
                 body.writeCharSequence("\r\n", StandardCharsets.ISO_8859_1);
             }
@@ -386,7 +388,8 @@
         for (String pair : header.split(",")) {
             int eq = pair.indexOf('=');
             try {
-                values.put(pair.substring(0, Math.max(0, eq)).strip(), Double.parseDouble(pair.substring(eq + 1)));
+                values.put(pair.substring(0, Math.max(0, eq)).strip(),
+                        Double.parseDouble(pair.substring(eq + 1)));
             } catch (NumberFormatException e) {
                 return List.of();
             }
--- a/src/main/java/sumacferry/net/Resp.java
+++ b/src/main/java/sumacferry/net/Resp.java
@@ -14,6 +14,7 @@
  */
 final class Resp extends ByteToMessageDecoder {
     static final int LARGEST_VALUE = 1 << 16;
+    private static final int LARGEST_REQUEST = LARGEST_VALUE + 4_096;
     private static final int MOST_VALUES = 16;
     private static final int LONGEST_LINE = 4_096;
 
@@ -23,6 +24,7 @@
     private final List<byte[]> values = new ArrayList<>();
     private int missing = -1;
     private int length = -1;
+    private long total;
     private long skip;
     private String error;
     private boolean dead;
@@ -91,11 +93,12 @@
             }
         } else if (!line.startsWith("$") || n < 0 || n > 1L << 29) {
             fail("Protocol error: invalid bulk length", out);
-        } else if (n > LARGEST_VALUE) {
+        } else if (n > LARGEST_VALUE || total + n > LARGEST_REQUEST) {
             error = "value over 64 KiB";
             skip = n + 2;
         } else {
             length = (int) n;
+            total += n;
         }
     }
 
@@ -114,6 +117,7 @@
             values.clear();
             missing = -1;
             error = null;
+            total = 0;
         }
     }
 
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -27,6 +27,11 @@
  */
 public final class Sender {
 
+    /** Microseconds from SIGTERM to SIGKILL at least, less a margin. */
+    private static final long UNTIL_KILLED = 3_600_000;
+    /** Origin of the module's clock. */
+    private static final long START = System.nanoTime() / 1_000 - 1_000_000;
+
     private final Config config;
     private final EventLoopGroup group;
     private final EventLoop loop;
@@ -105,11 +110,9 @@
     // ---- Clock. ----
 
     private static long now() {
-        return System.nanoTime() / 1_000 - START + 1_000_000;
+        return System.nanoTime() / 1_000 - START;
     }
 
-    private static final long START = System.nanoTime() / 1_000;
-
     /** Wall time in milliseconds: for what must survive a restart. */
     private static long wall() {
         return System.currentTimeMillis();
@@ -137,9 +140,7 @@
             events.add(new Event.Resumed(m.number, type, m.key, (m.deadline - wall()) * 1_000, m.destination,
                     m.attempts, age, m.doubtAt.isEmpty() ? 0 : directory.number(m.doubtAt), cutOff));
         }
-        if (!events.isEmpty()) {
-            Log.warn("resumed " + held.size() + " messages");
-        }
+        Log.warn("resumed " + held.size() + " messages");
         turnSoon();
     }
 
@@ -147,13 +148,15 @@
 
     private void onSubmission(ClientServer.Submission s, ClientServer.Reply reply) {
         boolean known = journal.knows(s.id());
-        for (Arriving other : arriving.values()) {
-            known |= other.message().id.equals(s.id());
-        }
         if (known) {
             reply.ok();
             return;
         }
+        if (arriving.values().stream().anyMatch(other -> other.message().id.equals(s.id()))) {
+            // Its twin is answered in the turn that is due: only then is it known what to answer here.
+            loop.execute(() -> onSubmission(s, reply));
+            return;
+        }
         if (held.size() + arriving.size() >= config.settings().limits().openMessages()) {
             reply.busy(0);
             return;
@@ -207,8 +210,8 @@
         long now = now();
         List<Event> batch = List.copyOf(events);
         events.clear();
-        batch.forEach(event -> module.step(now, event, recorder));
-        module.step(now, new Event.Turn(), recorder);
+        batch.forEach(event -> step(now, event));
+        step(now, new Event.Turn());
         List<Action> actions = List.copyOf(recorder.actions);
         recorder.actions.clear();
         takeOn(actions);
@@ -217,6 +220,15 @@
         actions.forEach(this::other);
     }
 
+    /** A defect that one event brings to light must not end the others' messages with the process. */
+    private void step(long now, Event event) {
+        try {
+            module.step(now, event, recorder);
+        } catch (RuntimeException e) {
+            Log.warn("module: " + event + ": " + e + " at " + e.getStackTrace()[0]);
+        }
+    }
+
     /** Refusals in the arrival's own turn go to the waiting client; all others are taken on. */
     private void takeOn(List<Action> actions) {
         for (Action action : actions) {
@@ -285,7 +297,8 @@
                 giveUpAt = Math.max(giveUpAt, s.giveUpAt());
             } else if (m != null) {
                 m.attempts++;
-                note(new Event.Outcome(m.number, m.attempts - 1, endpoint, Ending.MOOT, 0, false, 0, List.of()));
+                note(new Event.Outcome(m.number, m.attempts - 1, endpoint, Ending.MOOT, 0, false, 0,
+                        List.of()));
             } else {
                 note(new Event.Outcome(s.id(), 0, endpoint, Ending.MOOT, 0, true, 0, List.of()));
             }
@@ -309,11 +322,14 @@
 
     // ---- The end. ----
 
-    /** Runs in the shutdown hook: the process ends when this returns. */
+    /**
+     * Runs in the shutdown hook, at whose return the process would end. It goes on serving until it is killed:
+     * clients keep their connections, and what is held then is in the journal.
+     */
     private void terminate() {
-        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> note(new Event.Stopping(UNTIL_KILLED)));
         try {
-            done.await(1, TimeUnit.HOURS);
+            new CountDownLatch(1).await(1, TimeUnit.HOURS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
