--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -97,6 +97,16 @@
         return bound;
     }
 
+    /** How many messages this sender owes an end, pending notices included. */
+    int owed() {
+        return loop.submit(() -> journal.live().size()).syncUninterruptibly().getNow();
+    }
+
+    /** Whether a receiver is listed as ready. */
+    boolean ready(String uid) {
+        return loop.submit(() -> directory.ready(directory.number(uid))).syncUninterruptibly().getNow();
+    }
+
     /** Ends at once, as a kill would but for the journal's file being closed. */
     void stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- /dev/null
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -0,0 +1,388 @@
+package sumacferry.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static sumacferry.net.World.await;
+import static sumacferry.net.World.ok;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import sumacferry.wire.BadInput;
+
+/** The whole sender between fakes on loopback sockets. */
+class SenderTest {
+    private static final String NO_KEY = "0000000000000000";
+    private static final String KEY = "7f3a9c21e0b4d655";
+    private static final String A = World.ID + "1";
+    private static final String B = World.ID + "2";
+
+    @TempDir
+    Path folder;
+    private World world;
+    private Sender sender;
+
+    @BeforeEach
+    void build() throws IOException {
+        world = new World(folder);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        if (sender != null) {
+            sender.stop();
+        }
+        world.close();
+    }
+
+    private World.Client started() throws IOException {
+        sender = world.start();
+        return world.client(sender);
+    }
+
+    private void restart() throws IOException {
+        sender.stop();
+        sender = world.start();
+    }
+
+    private int calls() {
+        return world.receiver.requests.size();
+    }
+
+    private boolean concluded() {
+        return sender.owed() == 0;
+    }
+
+    // ---- Calls and their outcomes. ----
+
+    @Test
+    void deliversWithIdKeyBodyAndTimeout() throws IOException {
+        World.Client client = started();
+        assertEquals("+PONG", client.ask("PING"));
+        assertEquals("+OK", client.submit("keyed", A, KEY));
+        await(this::concluded);
+        World.Request call = world.receiver.requests.get(0);
+        assertTrue(call.head().startsWith("POST /receive HTTP/1.1"), call.head());
+        assertEquals(A, call.header("X-Request-ID"));
+        assertEquals("5c0f" + A, call.header("Idempotency-Key"));
+        assertTrue(call.header("X-Timeout").matches("[1-9][0-9]*m"), call.head());
+        assertEquals("body of " + A, call.body());
+        assertEquals(List.of(), world.notices);
+    }
+
+    @Test
+    void repeatsAnErrorOnlyWhereThatIsHarmless() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> calls() == 1 ? ok(500, "") : ok(200, "");
+        client.submit("safe", A, NO_KEY);
+        await(() -> calls() == 2 && concluded());
+        world.receiver.answers = r -> ok(500, "");
+        client.submit("unsafe", B, NO_KEY);
+        await(() -> world.notices.contains("{\"id\":\"" + B + "\",\"state\":\"failed\"}"));
+        assertEquals(3, calls());
+    }
+
+    @Test
+    void sendsUnsafeAgainAfterARefusalThatNeverRan() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> calls() == 1 ? ok(503, "") : ok(200, "");
+        client.submit("unsafe", A, NO_KEY);
+        await(() -> calls() == 2 && concluded());
+        assertEquals(List.of(), world.notices);
+    }
+
+    @Test
+    void takesOverAsTheEndAndSpentAsOwed() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> ok(410, "");
+        client.submit("unsafe", A, NO_KEY);
+        await(this::concluded);
+        assertEquals(List.of(), world.notices);
+        world.receiver.answers = r -> ok(504, "");
+        client.submit("safe", B, NO_KEY, 2_000, 7);
+        await(() -> world.notices.stream().anyMatch(n -> n.contains(B)));
+    }
+
+    /** A connection that breaks after the call's last byte proves nothing. */
+    @Test
+    void failsUnsafeAfterAReset() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> {
+            closeQuietly(r);
+            return null;
+        };
+        client.submit("unsafe", A, NO_KEY);
+        await(() -> world.notices.contains("{\"id\":\"" + A + "\",\"state\":\"failed\"}"));
+        assertEquals(1, calls());
+    }
+
+    /** Whatever cannot be read may stand for a call that has run. */
+    @Test
+    void failsUnsafeAfterAnAnswerThatCannotBeRead() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> "SPDY/9 what\r\n\r\n";
+        client.submit("unsafe", A, NO_KEY);
+        await(() -> world.notices.contains("{\"id\":\"" + A + "\",\"state\":\"failed\"}"));
+        assertEquals(1, calls());
+    }
+
+    @Test
+    void endsAnUnansweredMessageWhenItsTimeIsUpAndClosesTheConnection() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> null;
+        client.submit("unsafe", A, NO_KEY, 600, 7);
+        await(() -> world.notices.contains("{\"id\":\"" + A + "\",\"state\":\"failed\"}"));
+        await(() -> world.receiver.sockets.get(0).isClosed());
+    }
+
+    @Test
+    void returnsWhatNeverFoundAReceiver() throws IOException {
+        World.Client client = started();
+        assertEquals("+OK", client.submit("unsafe", A, NO_KEY, 600, 8));
+        await(() -> world.notices.stream().anyMatch(n -> n.contains(A) && n.contains("\"returned\"")));
+        assertEquals(0, calls());
+    }
+
+    @Test
+    void keepsOneConnectionForCallsInTurn() throws IOException {
+        World.Client client = started();
+        for (int i = 0; i < 5; i++) {
+            client.submit("safe", World.ID + i, NO_KEY);
+            await(this::concluded);
+        }
+        assertEquals(5, calls());
+        assertEquals(1, world.receiver.sockets.size());
+    }
+
+    /** While a wait lasts nothing goes to that destination, for any message. */
+    @Test
+    void heedsAToldWait() throws IOException {
+        World.Client client = started();
+        long[] told = new long[1];
+        world.receiver.answers = r -> {
+            if (told[0] == 0) {
+                told[0] = System.nanoTime();
+                return ok(429, "", "Retry-After: 0.7");
+            }
+            return ok(200, "");
+        };
+        client.submit("safe", A, NO_KEY);
+        await(() -> told[0] != 0);
+        client.submit("unsafe", B, NO_KEY);
+        await(() -> calls() >= 2);
+        assertTrue(System.nanoTime() - told[0] >= 700_000_000L, "sent inside the wait");
+        await(this::concluded);
+    }
+
+    @Test
+    void sendsNothingNewToADrainingReceiver() throws IOException {
+        World.Client client = started();
+        client.submit("safe", A, NO_KEY);
+        await(this::concluded);
+        world.announce("this is no line of discovery\n");
+        world.announce(world.list(3, false, "Terminating"));
+        await(() -> !sender.ready("s-1"));
+        client.submit("safe", B, NO_KEY, 700, 7);
+        await(() -> world.notices.stream().anyMatch(n -> n.contains(B)));
+        assertEquals(1, calls());
+    }
+
+    @Test
+    void gathersMessagesOfOneTurnInOneCall() throws IOException {
+        world.perCall = 5;
+        world.slots = 1;
+        World.Client client = started();
+        world.receiver.answers = r -> {
+            StringBuilder body = new StringBuilder();
+            r.body().lines().filter(l -> l.startsWith(World.ID)).forEach(l -> body.append(l, 0, 16)
+                    .append(l.startsWith(B) ? " refused\r\n" : " delivered\r\n"));
+            return r.head().contains("receive-many") ? ok(200, body.toString()) : ok(200, "");
+        };
+        client.raw(World.command("SUBMIT", NO_KEY, A, "c=safe,d=8000,dest=7", "one")
+                + World.command("SUBMIT", NO_KEY, B, "c=unsafe,d=8000,k=77,dest=7", "two"));
+        client.answer();
+        await(() -> calls() == 2 && concluded());
+        List<String> lines = world.receiver.requests.get(0).body().lines().sorted().toList();
+        assertEquals(List.of(A + " - 3", B + " 77 3", "one", "two"), lines);
+        assertEquals(B, world.receiver.requests.get(1).header("X-Request-ID"));
+    }
+
+    // ---- Order. ----
+
+    /** The second of a key goes only when the first is over, which a notice is when it has been answered. */
+    @Test
+    void keepsOrderUntilTheNoticeIsAnsweredAndRepeatsIt() throws IOException {
+        World.Client client = started();
+        world.noticeAnswers = r -> world.notices.size() < 2 ? ok(500, "") : ok(204, "");
+        world.receiver.answers = r -> r.header("X-Request-ID").equals(A) ? null : ok(200, "");
+        client.submit("keyed", A, KEY, 500, 7);
+        client.submit("keyed", B, KEY);
+        await(() -> calls() == 2 && concluded());
+        assertEquals(2, world.notices.stream().filter(n -> n.contains(A)).count());
+        assertEquals(B, world.receiver.requests.get(1).header("X-Request-ID"));
+    }
+
+    @Test
+    void keepsOrderOverARestart() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> null;
+        client.submit("keyed", A, KEY);
+        client.submit("keyed", B, KEY);
+        await(() -> calls() == 1);
+        world.receiver.answers = r -> ok(200, "");
+        restart();
+        await(() -> calls() == 3 && concluded());
+        assertEquals(List.of(A, A, B),
+                world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).toList());
+    }
+
+    // ---- Restarts. ----
+
+    /** A call that was out at the kill may have run: only what may be repeated goes again. */
+    @Test
+    void resumesByClassAfterAKillInTheMiddleOfACall() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> null;
+        String c = World.ID + "3";
+        client.submit("safe", A, NO_KEY);
+        client.submit("unsafe", B, NO_KEY);
+        client.submit("keyed", c, KEY);
+        await(() -> calls() == 3);
+        world.receiver.answers = r -> ok(200, "");
+        restart();
+        await(this::concluded);
+        assertEquals(List.of("{\"id\":\"" + B + "\",\"state\":\"failed\"}"), world.notices);
+        assertEquals(List.of(2L, 1L, 2L), List.of(callsFor(A), callsFor(B), callsFor(c)));
+    }
+
+    @Test
+    void sendsPendingNoticesAgainAfterARestart() throws IOException {
+        World.Client client = started();
+        world.noticeAnswers = r -> null;
+        client.submit("unsafe", A, NO_KEY, 300, 8);
+        await(() -> !world.notices.isEmpty());
+        world.noticeAnswers = r -> ok(204, "");
+        restart();
+        await(this::concluded);
+        assertEquals(2, world.notices.stream().filter(n -> n.contains(A)).count());
+    }
+
+    @Test
+    void answersAKnownIdWithoutASecondMessage() throws IOException {
+        World.Client client = started();
+        client.submit("safe", A, NO_KEY);
+        await(this::concluded);
+        assertEquals("+OK", client.submit("safe", A, NO_KEY));
+        restart();
+        client = world.client(sender);
+        assertEquals("+OK", client.submit("safe", A, NO_KEY));
+        assertEquals("+OK", client.submit("safe", B, NO_KEY));
+        await(this::concluded);
+        assertEquals(List.of(1L, 1L), List.of(callsFor(A), callsFor(B)));
+    }
+
+    /** A kill may tear the last record: what came before it still counts. */
+    @Test
+    void cutsOffATornTail() throws IOException {
+        World.Client client = started();
+        client.submit("safe", A, NO_KEY, 8_000, 8);
+        sender.stop();
+        Path journal = folder.resolve("state").resolve("journal");
+        long whole = Files.size(journal);
+        Files.write(journal, new byte[] {0, 0, 0, 90, 1, 2, 3, 4, 'A', 0}, StandardOpenOption.APPEND);
+        sender = world.start();
+        assertEquals(1, sender.owed());
+        assertEquals(whole, Files.size(journal));
+    }
+
+    // ---- Room. ----
+
+    @Test
+    void refusesAboveItsRoom() throws IOException {
+        world.openCap = 10;
+        World.Client client = started();
+        int taken = 0;
+        for (int i = 0; i < 12; i++) {
+            String answer = client.submit("safe", World.ID + (char) ('a' + i), NO_KEY, 8_000, 8);
+            assertTrue(answer.equals("+OK") || answer.startsWith("-BUSY"), answer);
+            taken += answer.equals("+OK") ? 1 : 0;
+        }
+        assertTrue(taken >= 5 && taken <= 10, "took " + taken);
+    }
+
+    /** A full disk budget turns messages away; what was taken on is still ended, within the budget. */
+    @Test
+    void refusesWhenTheDiskBudgetIsSpent() throws IOException {
+        world.diskMb = 0.4;
+        World.Client client = started();
+        String body = "x".repeat(20_000);
+        int taken = 0;
+        int refused = 0;
+        for (int i = 0; i < 20; i++) {
+            String answer = client.ask("SUBMIT", NO_KEY, World.ID + (char) ('a' + i), "c=safe,d=2000,dest=8", body);
+            taken += answer.equals("+OK") ? 1 : 0;
+            refused += answer.startsWith("-BUSY") ? 1 : 0;
+        }
+        assertTrue(taken > 0 && refused > 0 && taken + refused == 20, taken + " taken, " + refused + " refused");
+        int expected = taken;
+        await(() -> world.notices.size() == expected && concluded());
+        try (var files = Files.list(folder.resolve("state"))) {
+            assertTrue(files.mapToLong(f -> f.toFile().length()).sum() <= 400_000);
+        }
+    }
+
+    // ---- Bad input. ----
+
+    @Test
+    void answersBadSubmissionsWithTheReason() throws IOException {
+        World.Client client = started();
+        World.Client other = world.client(sender);
+        assertTrue(client.submit("odd", A, NO_KEY).startsWith("-ERR unknown class"));
+        assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=soon,dest=7", "").startsWith("-ERR bad number d"));
+        assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=NaN,dest=7", "").startsWith("-ERR bad number d"));
+        assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=9,dest=x", "").startsWith("-ERR bad number dest"));
+        assertTrue(client.ask("SUBMIT", "xyz", A, "c=safe,d=9,dest=7", "").startsWith("-ERR bad key"));
+        assertTrue(client.ask("SUBMIT", NO_KEY, A).startsWith("-ERR"));
+        String large = "x".repeat((1 << 16) + 1);
+        assertEquals("-ERR value over 64 KiB", client.ask("SUBMIT", NO_KEY, A, "c=safe,d=9,dest=7", large));
+        assertEquals("+OK", client.submit("safe", A, NO_KEY));
+        assertTrue(client.raw("*2\r\n$-7\r\n").startsWith("-ERR Protocol error"));
+        assertThrows(IOException.class, client::answer);
+        assertEquals("+OK", other.submit("safe", B, NO_KEY));
+        await(this::concluded);
+        assertEquals(2, calls());
+    }
+
+    @Test
+    void namesWhatIsWrongWithTheConfiguration() throws IOException {
+        assertThrows(BadInput.class, () -> Config.read(Map.of()));
+        Path file = folder.resolve("broken.json");
+        Files.writeString(file, "{\"settings\":");
+        Map<String, String> broken = Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.toString());
+        assertTrue(assertThrows(BadInput.class, () -> Config.read(broken)).getMessage().contains("broken.json"));
+        assertFalse(Config.read(world.environment()).classes().isEmpty());
+    }
+
+    private long callsFor(String id) {
+        return world.receiver.requests.stream().filter(r -> r.header("X-Request-ID").equals(id)).count();
+    }
+
+    private static void closeQuietly(World.Request r) {
+        try {
+            r.socket().close();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sumacferry/net/World.java
@@ -0,0 +1,279 @@
+package sumacferry.net;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Small fakes of a sender's surroundings on loopback sockets: a receiver, discovery and clients. */
+final class World implements Closeable {
+    static final String ID = "9b1f03aa5c7e2d4";
+
+    /** One request as a fake server read it. */
+    record Request(String head, String body, Socket socket) {
+        String header(String name) {
+            for (String line : head.split("\r\n")) {
+                if (line.toLowerCase().startsWith(name.toLowerCase() + ":")) {
+                    return line.substring(name.length() + 1).strip();
+                }
+            }
+            return "";
+        }
+    }
+
+    /** Answers HTTP requests by a function; null leaves a request without an answer. */
+    static final class Http implements Closeable {
+        final List<Request> requests = new CopyOnWriteArrayList<>();
+        final List<Socket> sockets = new CopyOnWriteArrayList<>();
+        volatile Function<Request, String> answers;
+        private final ServerSocket server;
+
+        Http(Function<Request, String> answers) throws IOException {
+            this.answers = answers;
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            daemon(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    sockets.add(socket);
+                    daemon(() -> serve(socket));
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        }
+
+        private void serve(Socket socket) {
+            try (socket) {
+                InputStream in = new BufferedInputStream(socket.getInputStream());
+                while (true) {
+                    String head = line(in, "\r\n\r\n");
+                    int length = head.toLowerCase().contains("content-length:")
+                            ? Integer.parseInt(new Request(head, "", socket).header("Content-Length")) : 0;
+                    String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+                    Request request = new Request(head, body, socket);
+                    requests.add(request);
+                    String answer = answers.apply(request);
+                    if (answer != null) {
+                        write(socket, answer);
+                    }
+                }
+            } catch (IOException e) {
+                // The other side has closed.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** A client's connection. */
+    static final class Client implements Closeable {
+        private final Socket socket;
+        private final InputStream in;
+
+        Client(Sender sender) throws IOException {
+            socket = new Socket(sender.address().getAddress(), sender.address().getPort());
+            socket.setSoTimeout(10_000);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        String raw(String request) throws IOException {
+            write(socket, request);
+            return answer();
+        }
+
+        String answer() throws IOException {
+            return line(in, "\r\n");
+        }
+
+        String ask(String... words) throws IOException {
+            return raw(command(words));
+        }
+
+        /** Hands in a message of a class with eight seconds to live, for destination 7. */
+        String submit(String className, String id, String key) throws IOException {
+            return submit(className, id, key, 8_000, 7);
+        }
+
+        String submit(String className, String id, String key, long time, int destination) throws IOException {
+            return ask("SUBMIT", key, id, "c=" + className + ",d=" + time + ",k=5c0f" + id + ",dest=" + destination,
+                    "body of " + id);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    final Path folder;
+    final Http receiver;
+    final Http discovery;
+    final List<String> notices = new CopyOnWriteArrayList<>();
+    volatile Function<Request, String> noticeAnswers = r -> ok(204, "");
+    private final List<Closeable> open = new ArrayList<>();
+    int slots = 4;
+    int openCap = 50;
+    int perCall = 1;
+    double diskMb = 3;
+    private volatile Socket watch;
+
+    World(Path folder) throws IOException {
+        this.folder = folder;
+        receiver = new Http(r -> ok(200, ""));
+        discovery = new Http(this::discover);
+        open.add(receiver);
+        open.add(discovery);
+    }
+
+    private String discover(Request r) {
+        if (r.head().startsWith("POST /status")) {
+            r.body().lines().forEach(notices::add);
+            return noticeAnswers.apply(r);
+        }
+        watch = r.socket();
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list(2, true, "Ready"));
+    }
+
+    /** A line to whoever watches. */
+    void announce(String line) throws IOException {
+        await(() -> watch != null);
+        write(watch, chunk(line));
+    }
+
+    String list(int version, boolean all, String state) {
+        return "{\"rev\":" + version + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"s-1\",\"endpoint\":\""
+                + receiver.address() + "\",\"az\":\"a\",\"model\":\"std\",\"pod_group\":7,\"state\":\"" + state
+                + "\",\"capacity_hint\":1.0,\"boot_ms\":0}]}\n";
+    }
+
+    Sender start() throws IOException {
+        return Sender.start(Config.read(environment()));
+    }
+
+    Map<String, String> environment() throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":%s},"known":%s,
+                 "settings":{"balancers":1,"az":0,"tick_us":5000,"membership_mode":"pushed",
+                  "kinds":["std"],"zones":["a"],"reporting":{"how":"inline","names":["x0","x1"]},
+                  "family_info":{"calls_out":%d,"late":"even","per_call":[%d],"routes_apart":[false]},
+                  "allowed":{"open_cap":%d,"max_attempts":12,"parallel_tries":false,"cancel":true,
+                   "retry_after":true,"max_retry_after_us":3000000,"streams_per_conn":1,
+                   "keepalive_us":15000000,"connect_timeout_us":1000000},
+                  "rules":{"answer_slack_us":20000,"ask_within_us":10000000,"start_capacity":0.13,
+                   "cold_us":14000000,"fall_multiple":2.5,"fall_us":1500000,"settle_after_doubt_us":100000},
+                  "lanes":[
+                   {"name":"safe","effect":"pure","importance":2,"goal_time_us":100000,"deadline_us":20000000},
+                   {"name":"keyed","effect":"token","dedup_scope":"all","importance":1,"goal_time_us":100000,
+                    "deadline_us":20000000,"key_ttl_us":5000000,"sequential":true},
+                   {"name":"unsafe","effect":"side_effect","importance":4,"goal_time_us":100000,
+                    "deadline_us":20000000}]}}
+                """.formatted(discovery.address(), diskMb, list(1, true, "Ready"), slots, perCall, openCap));
+        return Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString());
+    }
+
+    Client client(Sender sender) throws IOException {
+        Client client = new Client(sender);
+        open.add(client);
+        return client;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Closeable item : open) {
+            item.close();
+        }
+    }
+
+    static String ok(int status, String body, String... headers) {
+        StringBuilder answer = new StringBuilder("HTTP/1.1 " + status + " X\r\n");
+        for (String header : headers) {
+            answer.append(header).append("\r\n");
+        }
+        return answer + (status == 204 ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
+    }
+
+    static String command(String... words) {
+        StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return text.toString();
+    }
+
+    /** Waits for a condition; the bound only keeps a failing test from hanging. */
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (!condition.getAsBoolean() && System.nanoTime() < end) {
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+        assertTrue(condition.getAsBoolean(), "waited in vain");
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String line(InputStream in, String end) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        while (true) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("closed");
+            }
+            bytes.write(b);
+            String text = bytes.toString(StandardCharsets.ISO_8859_1);
+            if (text.endsWith(end)) {
+                return text.substring(0, text.length() - end.length());
+            }
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
