--- a/src/test/java/sumacferry/PolicyTest.java
+++ b/src/test/java/sumacferry/PolicyTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
@@ -387,4 +388,93 @@
         s.pass(20_000_000);
         return s.sends;
     }
+
+    /** One connection carries a call: its messages are given up together, so none outlives its due date. */
+    @Test
+    void messagesOfOneCallAreGivenUpTogether() {
+        Script s = new Script(Script.settings(1, false, 5)).list(1, 1);
+        s.arrive(1, Script.SAFE, 1).arrive(2, Script.UNSAFE, 1).arrive(3, Script.KEYED, 1).turn();
+        assertEquals(3, s.sends.size());
+        assertEquals(1, s.sends.stream().map(Script.Send::giveUpAt).distinct().count());
+        s.pass(16_100_000);
+    }
+
+    /** An outcome that would come after the kill loses an unsafe message; a repeatable one resumes. */
+    @Test
+    void startsNoUnsafeAttemptJustBeforeTheProcessEnds() {
+        Script s = warmed(1, 1);
+        s.with(new Relay.Event.Stopping(100_000)).turn();
+        s.arrive(1, Script.UNSAFE, 1).arrive(2, Script.SAFE, 1).turn().pass(50_000);
+        assertEquals(0, s.sends.stream().filter(send -> send.id() == 1).count());
+        assertEquals(1, s.sends.stream().filter(send -> send.id() == 2).count());
+    }
+
+    @Test
+    void startsUnsafeAttemptsThatEndBeforeTheProcessDoes() {
+        Script s = warmed(1, 1);
+        s.with(new Relay.Event.Stopping(3_600_000)).turn();
+        s.arrive(1, Script.UNSAFE, 1).turn();
+        assertEquals(1, s.sends.stream().filter(send -> send.id() == 1).count());
+    }
+
+    /** Where answers travel, a key's turn passes on only when the answer has been received. */
+    @Test
+    void holdsTheKeysTurnUntilAnAnswerIsConcluded() {
+        List<Long> sent = new ArrayList<>();
+        List<Long> answered = new ArrayList<>();
+        Relay.Actions actions = recording(sent, answered);
+        Policy policy = new Policy(Script.settings(4, false, 1), true);
+        long now = Script.START;
+        policy.step(now, new Relay.Event.Listing(ListKind.FULL,
+                List.of(new Relay.Entry(10, 1, Listed.READY, 1, 0, 0))), actions);
+        policy.step(now, new Relay.Event.Arrival(1, Script.ORDERED, 0, 5, 9_000_000, 2), actions);
+        policy.step(now, new Relay.Event.Arrival(2, Script.ORDERED, 0, 5, 16_000_000, 1), actions);
+        policy.step(now, new Relay.Event.Turn(), actions);
+        policy.step(now + 8_900_000, new Relay.Event.Turn(), actions);
+        assertEquals(List.of(1L), answered);
+        assertEquals(List.of(), sent);
+        policy.step(now + 9_000_000, new Relay.Event.Concluded(1), actions);
+        policy.step(now + 9_000_000, new Relay.Event.Turn(), actions);
+        assertEquals(List.of(2L), sent);
+    }
+
+    /** What was out at a kill may have run: unsafe fails, keyed goes on only while its key is remembered. */
+    @Test
+    void resumesByClass() {
+        List<Long> sent = new ArrayList<>();
+        List<Long> answered = new ArrayList<>();
+        Relay.Actions actions = recording(sent, answered);
+        Policy policy = new Policy(Script.settings(8, false, 1), true);
+        long now = Script.START;
+        policy.step(now, new Relay.Event.Listing(ListKind.CACHED,
+                List.of(new Relay.Entry(10, 1, Listed.READY, 1, 0, 0))), actions);
+        resume(policy, now, 1, Script.UNSAFE, 1, 2_000_000, actions);
+        resume(policy, now, 2, Script.UNSAFE, 1, -1, actions);
+        resume(policy, now, 3, Script.KEYED, 1, 2_000_000, actions);
+        resume(policy, now, 4, Script.KEYED, 1, 6_500_000, actions);
+        resume(policy, now, 5, Script.SAFE, 1, 9_000_000, actions);
+        resume(policy, now, 6, Script.SAFE, 8, -1, actions);
+        policy.step(now, new Relay.Event.Turn(), actions);
+        assertEquals(List.of(2L, 3L, 5L), sent.stream().sorted().toList());
+        assertEquals(List.of(1L, 4L, 6L), answered.stream().sorted().toList());
+    }
+
+    private static void resume(Policy policy, long now, long id, int type, int attempts, long doubtAge,
+            Relay.Actions actions) {
+        policy.step(now, new Relay.Event.Resumed(id, type, 0, 10_000_000, 1, attempts, doubtAge, 10,
+                doubtAge >= 0), actions);
+    }
+
+    private static Relay.Actions recording(List<Long> sent, List<Long> answered) {
+        return new Relay.Actions() {
+            @Override public void send(long id, long endpoint, long giveUpAt) { sent.add(id); }
+            @Override public void refuse(long id, long retryAfter) { answered.add(id); }
+            @Override public void fail(long id) { answered.add(id); }
+            @Override public void cancel(long id, int attempt) { }
+            @Override public void closeIdle(long endpoint) { }
+            @Override public void wake(long delay, long token) { }
+            @Override public void follow() { }
+            @Override public void log(String text) { }
+        };
+    }
 }
