Give advice with every refusal; test silent watches and dead receivers

Cause: the early end of a held message returned it with no word on when to come back, though the wait ahead is known (settleDue passed 0).

--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -459,7 +459,7 @@
             }
             long end = m.due - Math.max(END_MARGIN, (long) serviceTime(m));
             if (now >= Math.min(end, repeatableUntil(m)) || m.attempts >= settings.limits().maxAttempts()) {
-                answer(now, m, 0, actions);
+                answer(now, m, predictedWait(now, m), actions);
             } else {
                 note(Math.min(end, repeatableUntil(m)));
                 sum += serviceTime(m);
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -198,6 +198,31 @@
         assertEquals(1, calls());
     }
 
+    /** A cut network says nothing: only missing lines tell that a watch is dead; the old list serves on. */
+    @Test
+    void reopensASilentWatchWithItsLastVersion() throws IOException {
+        World.Client client = started();
+        await(() -> watches("since=2") == 1);
+        client.submit("safe", A, NO_KEY);
+        await(this::concluded);
+        assertEquals(1, calls());
+    }
+
+    private long watches(String since) {
+        return world.discovery.requests.stream().filter(r -> r.head().contains(since)).count();
+    }
+
+    /** What never had a connection never ran: unsafe messages may be returned, not failed. */
+    @Test
+    void returnsUnsafeWhenNoConnectionComesUp() throws IOException {
+        World.Client client = started();
+        world.receiver.close();
+        assertEquals("+OK", client.submit("unsafe", A, NO_KEY, 900, 7));
+        await(() -> world.notices.stream().anyMatch(n -> n.contains(A) && n.contains("\"returned\"")));
+        await(this::concluded);
+        assertEquals(0, calls());
+    }
+
     @Test
     void gathersMessagesOfOneTurnInOneCall() throws IOException {
         world.perCall = 5;
