Take a stuck call for silent by its own age, and a called-off silent call for a failure

Ruled out: CPU (0.5 of a core only while starting), descriptors (200 of 256), connections (few resets), breakers (open where they should be). At fault: Policy.watch took a call for silent only where its endpoint had answered nothing since, so one answer in between kept it out for good; Policy.learn forgot a called-off call, so a silent endpoint looked as good as new.

The loopback test fails without the change (the unsafe calls run to the end of their time).

--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -789,19 +789,22 @@
         return Math.max(SILENT_LEAST, (long) (SILENT * usual));
     }
 
-    /** Silence opens the breaker before anything times out; one slow call among answered ones does not. */
+    /**
+     * Silence opens the breaker before anything times out; one slow call among answered ones does not, but
+     * it is silent all the same: what its endpoint has answered since does not bring its answer.
+     */
     private void watch(long now, Scope scope) {
         scope.members.forEach(point -> point.lost = 0);
         for (Call call : scope.calls) {
             long silentAt = call.sentAt + silence(scope);
             if (silentAt > now) {
                 note(silentAt);
-            } else if (call.sentAt >= call.endpoint.lastOk) {
-                call.endpoint.lost++;
-                if (!call.silent) {
-                    call.silent = true;
-                    judgeConnection(call, true);
-                }
+                continue;
+            }
+            call.endpoint.lost += call.sentAt >= call.endpoint.lastOk ? 1 : 0;
+            if (!call.silent) {
+                call.silent = true;
+                judgeConnection(call, true);
             }
         }
         if (!scope.calls.isEmpty() && scope.breaker != Breaker.OPEN && failed(now, scope)) {
@@ -866,7 +869,12 @@
         switch (e.ending()) {
             case OK -> onOk(now, call, e);
             case FULL -> onFull(now, m, call, e.toldWait(), wasTrial);
-            case MOOT, CANCELLED -> { }
+            case MOOT -> { }
+            case CANCELLED -> {
+                if (call.silent && call.sentAt >= call.endpoint.lastOk) {
+                    onFailure(now, call, e.ending(), wasTrial);
+                }
+            }
             default -> onFailure(now, call, e.ending(), wasTrial);
         }
     }
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -223,6 +223,40 @@
         assertEquals(0, calls());
     }
 
+    /**
+     * Calls that are stuck while their receiver answers later ones hold their slots no longer than silent ones do:
+     * else a few of them stop all deliveries until their time is up.
+     */
+    @Test
+    void callsOffStuckCallsWhileOthersAreAnswered() throws IOException {
+        world.slots = 3;
+        World.Client client = started();
+        world.receiver.answers = r -> {
+            if (r.header("X-Request-ID").equals(A) || r.header("X-Request-ID").equals(B)) {
+                return null;
+            }
+            pause(150);
+            return ok(200, "");
+        };
+        assertEquals("+OK", client.submit("unsafe", A, NO_KEY, 20_000, 7));
+        assertEquals("+OK", client.submit("unsafe", B, NO_KEY, 20_000, 7));
+        await(() -> calls() == 2);
+        for (int i = 0; i < 40; i++) {
+            assertEquals("+OK", client.submit("safe", World.ID + "x" + i, NO_KEY, 20_000, 7));
+        }
+        await(() -> !world.notices.isEmpty());
+        assertTrue(sender.owed() > 2, "only when nothing waited any more");
+        assertTrue(world.notices.get(0).contains("failed"), world.notices.get(0));
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void gathersMessagesOfOneTurnInOneCall() throws IOException {
         world.perCall = 5;
