Read answers in a reader of their own: first line kept, bounded, and quiet before reuse

Cause: HttpObjectAggregator drops the status of an answer whose head or body is spoilt, so a delivered message was taken to have failed; an answer that stops in the middle held its slot for seconds; surplus bytes behind an answer stayed in the decoder or the socket and were taken for the next call's answer (Receivers.channelRead0, keep); Netty hands on raw bytes behind a 101. Reports took NaN and negative values (Receivers.report). Reuse: a connection carries another call only after 20 ms without a byte behind its answer, which also lets the close of connections that end right after an answer be seen first. Connections to receivers and clients are bounded together by the descriptors in the configuration.

--- a/src/main/java/sumacferry/net/Config.java
+++ b/src/main/java/sumacferry/net/Config.java
@@ -25,6 +25,20 @@
         long diskBytes, JsonObject known, Relay.Settings settings, List<String> classes, List<String> zones,
         List<String> kinds, List<String> reportNames) {
 
+    /** Descriptors of the process itself: libraries, journal, discovery, notices, the listening socket. */
+    private static final int OWN_DESCRIPTORS = 40;
+    /** Usual clients may hold a third of all descriptors; others must not be able to take those places. */
+    private static final double CLIENT_SHARE = 0.55;
+
+    int mostClients() {
+        return (int) Math.max(1, CLIENT_SHARE * (sockets - OWN_DESCRIPTORS));
+    }
+
+    /** Connections to receivers, with and without a call. */
+    int mostToReceivers() {
+        return Math.max(1, sockets - OWN_DESCRIPTORS - mostClients());
+    }
+
     /** Reads the file that the environment names; where both tell something, the environment holds. */
     static Config read(Map<String, String> environment) throws IOException {
         String file = environment.get("GW_CONFIG");
--- a/src/main/java/sumacferry/net/Receivers.java
+++ b/src/main/java/sumacferry/net/Receivers.java
@@ -18,20 +18,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 
@@ -39,7 +33,11 @@
 
 /** Carries out calls to receivers over kept-alive connections, one call at a time on each. */
 final class Receivers {
-    private static final int LARGEST_ANSWER = 1 << 17;
+    /**
+     * An answered connection is watched for this long before it carries another call: what comes behind an answer
+     * would else be taken for the next one's, and a connection that is closed after its answer would lose it.
+     */
+    private static final long QUIET_MS = 20;
     /** A receiver closes idle connections at its limit; one that crosses that would read as a reset. */
     private static final double IDLE_SHARE = 0.8;
 
@@ -81,20 +79,21 @@
     private final Listener listener;
     private final long connectMicros;
     private final long idleNanos;
-    private final int mostIdle;
+    private final int mostOpen;
     private final List<String> reportNames;
     private final Map<Long, Deque<Connection>> idle = new HashMap<>();
     private final Set<Connection> idleByAge = new LinkedHashSet<>();
+    private int open;
     private final Set<Call> calls = new LinkedHashSet<>();
     private final Map<Long, Call> byMessage = new HashMap<>();
 
-    Receivers(EventLoop loop, Listener listener, long connectMicros, long idleMicros, int mostIdle,
+    Receivers(EventLoop loop, Listener listener, long connectMicros, long idleMicros, int mostOpen,
             List<String> reportNames) {
         this.loop = loop;
         this.listener = listener;
         this.connectMicros = connectMicros;
         this.idleNanos = (long) (idleMicros * 1_000 * IDLE_SHARE);
-        this.mostIdle = mostIdle;
+        this.mostOpen = mostOpen;
         this.reportNames = reportNames;
     }
 
@@ -137,8 +136,8 @@
                 .forEach(call -> call.barred = true);
     }
 
-    int out() {
-        return calls.size();
+    int kept() {
+        return idle.values().stream().mapToInt(Deque::size).sum();
     }
 
     // ---- Connections. ----
@@ -157,25 +156,25 @@
         return null;
     }
 
+    /** Keeps an answered connection, out of use until it has been quiet for a while. */
     private void keep(Connection connection) {
         connection.idleSince = System.nanoTime();
-        idle.computeIfAbsent(connection.endpoint, e -> new ArrayDeque<>()).addLast(connection);
         idleByAge.add(connection);
         connection.idleTimer = loop.schedule(() -> {
-            connection.channel.close();
-            forget(connection);
-        }, idleNanos, TimeUnit.NANOSECONDS);
-        if (idleByAge.size() > mostIdle) {
-            Connection oldest = idleByAge.iterator().next();
-            oldest.channel.close();
-            forget(oldest);
-        }
+            idle.computeIfAbsent(connection.endpoint, e -> new ArrayDeque<>()).addLast(connection);
+            connection.idleTimer = loop.schedule(() -> drop(connection), idleNanos, TimeUnit.NANOSECONDS);
+        }, QUIET_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void drop(Connection connection) {
+        forget(connection);
+        connection.channel.close();
     }
 
     private void forget(Connection connection) {
         if (idleByAge.remove(connection)) {
             connection.idleTimer.cancel(false);
-            Deque<Connection> pool = idle.get(connection.endpoint);
+            Deque<Connection> pool = idle.getOrDefault(connection.endpoint, new ArrayDeque<>());
             pool.remove(connection);
             if (pool.isEmpty()) {
                 idle.remove(connection.endpoint);
@@ -184,9 +183,18 @@
     }
 
     private void connect(Call call) {
+        if (open >= mostOpen && !idleByAge.isEmpty()) {
+            drop(idleByAge.iterator().next());
+        }
+        if (open >= mostOpen) {
+            // Later, as the caller is in the middle of starting calls.
+            loop.execute(() -> abandon(call, Ending.MOOT));
+            return;
+        }
         Connection connection = new Connection(call.route.endpoint(), call.route.address());
         call.connection = connection;
         connection.call = call;
+        open++;
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectMicros / 1_000))
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -194,11 +202,14 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         connection.channel = channel;
-                        channel.pipeline().addLast(new HttpClientCodec(4_096, 16_384, 16_384),
-                                new HttpObjectAggregator(LARGEST_ANSWER), connection);
+                        channel.closeFuture().addListener(closed -> open--);
+                        connection.reader.install(channel.pipeline());
                     }
                 })
                 .connect(call.route.address()).addListener(done -> {
+                    if (connection.channel == null) {
+                        open--;
+                    }
                     if (call.done) {
                         if (connection.channel != null) {
                             connection.channel.close();
@@ -212,9 +223,10 @@
     }
 
     /** A connection to one endpoint. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection implements AnswerReader.Listener {
         final long endpoint;
         final InetSocketAddress address;
+        final AnswerReader reader = new AnswerReader(this);
         Channel channel;
         Call call;
         long idleSince;
@@ -235,6 +247,7 @@
                 return;
             }
             next.written = true;
+            reader.expect();
             channel.writeAndFlush(request(next)).addListener(sent -> {
                 if (!sent.isSuccess() && !next.done) {
                     channel.close();
@@ -243,34 +256,29 @@
             });
         }
 
+        /** A call may go out anew at once: a connection that is of no more use has to be closed before. */
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            boolean readable = response.decoderResult().isSuccess();
-            if (readable && response.status().code() < 200) {
-                return;
-            }
-            Call answered = call;
+        public void answered(AnswerReader.Answer answer) {
+            Call done = call;
             call = null;
-            if (answered == null || answered.done) {
-                forget(this);
-                context.close();
-                return;
-            }
-            if (!readable) {
-                context.close();
-                finish(answered, Ending.RESET, 0, List.of());
-                return;
-            }
-            if (HttpUtil.isKeepAlive(response)) {
+            if (done == null || done.done) {
+                channel.close();
+            } else if (answer.reusable()) {
                 keep(this);
+                answer(done, answer);
             } else {
-                context.close();
+                done.done = true;
+                channel.close().addListener(closed -> answer(done, answer));
             }
-            answer(answered, response);
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext context) {
+        public void strayed() {
+            drop(this);
+        }
+
+        @Override
+        public void ended() {
             forget(this);
             Call lost = call;
             call = null;
@@ -278,11 +286,6 @@
                 finish(lost, lost.written ? Ending.RESET : Ending.CONNECT_FAILED, 0, List.of());
             }
         }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
     }
 
     // ---- The call on the wire. ----
@@ -318,16 +321,28 @@
         return request;
     }
 
-    private void answer(Call call, FullHttpResponse response) {
-        List<Double> report = report(response.headers().get("X-Server-Load"));
-        long wait = wait(response.headers().get(HttpHeaderNames.RETRY_AFTER));
+    /**
+     * Where an answer is spoilt the call may have run, and that is all that can be known, unless its first line
+     * delivers the one message that it carried.
+     */
+    private void answer(Call call, AnswerReader.Answer answer) {
+        boolean many = call.items.size() > 1;
+        int status = answer.status();
+        if (!answer.whole()) {
+            boolean delivered = status == 200 && !many;
+            release(call);
+            call.items.forEach(item -> tell(call, item, delivered ? Ending.OK : Ending.RESET, delivered, 0,
+                    List.of()));
+            return;
+        }
+        List<Double> report = report(answer.headers().get("X-Server-Load"));
+        long wait = wait(answer.headers().get(HttpHeaderNames.RETRY_AFTER));
         if (wait > 0) {
             bar(route -> route.waitGroup().equals(call.route.waitGroup()));
         }
-        int status = response.status().code();
-        if (status == 200 && call.items.size() > 1) {
-            release(call);
-            Map<String, String> ends = ends(response.content().toString(StandardCharsets.ISO_8859_1));
+        release(call);
+        if (status == 200 && many) {
+            Map<String, String> ends = ends(answer.body(), call);
             for (Item item : call.items) {
                 String end = ends.getOrDefault(item.message().id, "");
                 tell(call, item, ending(end), end.equals("delivered") || end.equals("over"), wait, report);
@@ -337,14 +352,13 @@
         Ending ending = switch (status) {
             case 200 -> Ending.OK;
             case 429, 413 -> Ending.FULL;
-            case 503 -> "1".equals(response.headers().get("Slots-Taken")) ? Ending.MOOT : Ending.FULL;
+            case 503 -> "1".equals(answer.headers().get("Slots-Taken")) ? Ending.MOOT : Ending.FULL;
             case 504, 410 -> Ending.MOOT;
             default -> Ending.ERROR;
         };
-        if (status != 200 && status != 429 && status != 503 && status != 500) {
+        if (ending == Ending.ERROR && status != 500 || status == 413) {
             Log.warn("receiver " + call.route.address() + " answered " + status);
         }
-        release(call);
         call.items.forEach(item -> tell(call, item, ending, status == 200 || status == 410, wait, report));
     }
 
@@ -359,24 +373,23 @@
         };
     }
 
-    private static Map<String, String> ends(String body) {
+    /** The end of each message, none at all where an answer does not name each just once: it is cut or spoilt. */
+    private static Map<String, String> ends(String body, Call call) {
         Map<String, String> ends = new HashMap<>();
         for (String line : body.split("\r?\n")) {
             int space = line.indexOf(' ');
-            if (space > 0) {
-                ends.put(line.substring(0, space), line.substring(space + 1).strip());
+            if (space > 0 && ends.put(line.substring(0, space), line.substring(space + 1).strip()) != null) {
+                return Map.of();
             }
         }
-        return ends;
+        boolean all = call.items.stream()
+                .allMatch(item -> ending(ends.getOrDefault(item.message().id, "")) != Ending.RESET);
+        return all ? ends : Map.of();
     }
 
     private static long wait(String seconds) {
-        try {
-            double value = seconds == null ? 0 : Double.parseDouble(seconds.strip());
-            return value > 0 && value < 3_600 ? (long) Math.ceil(value * 1e6) : 0;
-        } catch (NumberFormatException e) {
-            return 0;
-        }
+        double value = seconds == null ? 0 : Decimals.parse(seconds.strip());
+        return value > 0 && value < 3_600 ? (long) Math.ceil(value * 1e6) : 0;
     }
 
     /** The values in the order of the settings; empty where the header is absent or cannot be read. */
@@ -387,12 +400,11 @@
         Map<String, Double> values = new HashMap<>();
         for (String pair : header.split(",")) {
             int eq = pair.indexOf('=');
-            try {
-                values.put(pair.substring(0, Math.max(0, eq)).strip(),
-                        Double.parseDouble(pair.substring(eq + 1)));
-            } catch (NumberFormatException e) {
+            double value = Decimals.parse(pair.substring(eq + 1).strip());
+            if (eq < 0 || value < 0) {
                 return List.of();
             }
+            values.put(pair.substring(0, eq).strip(), value);
         }
         List<Double> report = new ArrayList<>();
         reportNames.forEach(name -> report.add(values.getOrDefault(name, 0.0)));
@@ -407,6 +419,14 @@
             return;
         }
         call.done = true;
+        boolean delivered = call.written && call.items.size() == 1 && call.connection.reader.firstLine() == 200;
+        if (delivered) {
+            call.connection.channel.close().addListener(closed -> {
+                release(call);
+                call.items.forEach(item -> tell(call, item, Ending.OK, true, 0, List.of()));
+            });
+            return;
+        }
         Channel channel = call.connection == null ? null : call.connection.channel;
         if (channel == null) {
             settle(call, ending);
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -61,9 +61,9 @@
         module = new Policy(settings, true);
         directory = new Directory(loop, config, this::onListing);
         receivers = new Receivers(loop, this::onResult, settings.limits().connectTimeout(),
-                settings.limits().idleConnectionLife(), config.sockets() / 4, config.reportNames());
+                settings.limits().idleConnectionLife(), config.mostToReceivers(), config.reportNames());
         notices = new Notices(loop, config.discovery(), this::onNoticeAnswered);
-        clients = new ClientServer(loop, this::onSubmission, config.sockets() / 3, config.classes());
+        clients = new ClientServer(loop, this::onSubmission, config.mostClients(), config.classes());
     }
 
     /** Serves until the process is told to end; {@code hangup} tells when to read the configuration again. */
@@ -104,6 +104,11 @@
         return loop.submit(() -> journal.live().size()).syncUninterruptibly().getNow();
     }
 
+    /** How many connections to receivers stand ready for another call. */
+    int kept() {
+        return loop.submit(receivers::kept).syncUninterruptibly().getNow();
+    }
+
     /** Whether a receiver is listed as ready. */
     boolean ready(String uid) {
         return loop.submit(() -> directory.ready(directory.number(uid))).syncUninterruptibly().getNow();
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -159,7 +159,7 @@
         World.Client client = started();
         for (int i = 0; i < 5; i++) {
             client.submit("safe", World.ID + i, NO_KEY);
-            await(this::concluded);
+            await(() -> concluded() && sender.kept() == 1);
         }
         assertEquals(5, calls());
         assertEquals(1, world.receiver.sockets.size());
