End silent and stuck clients, turn bad ones away when they announce it, keep usual ones

Cause: no limit in time on a connection that says nothing or stops in a request (ClientServer.Session), errors for large values only after all bytes were skipped (Resp.decode), the longest idle evicted first, an error lost to the reset where input was unread, text() outside the try, doubles in Java's spelling, destinations that nobody lists. Also: one timer for the module in place of one per wake, arriving ids in a set, connections to a receiver that is gone closed, room for unfinished requests bounded for all connections together.

CPU is still at half a core in some seconds.

--- a/src/main/java/sumacferry/net/ClientServer.java
+++ b/src/main/java/sumacferry/net/ClientServer.java
@@ -10,22 +10,39 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.Future;
 
 /** Serves clients: reads what they hand in and gives each request its answer, in order. */
 final class ClientServer {
     private static final int LONGEST_NAME = 128;
     private static final int MOST_WAITING = 64;
+    /** For the first request of a connection, and from the first byte of each later one. */
+    private static final long REQUEST_MS = 2_000;
+    /** A connection without a request is closed after this. */
+    private static final long IDLE_MS = 60_000;
+    private static final long SWEEP_MS = 5_000;
+    /** After a request that makes no sense the next is read only after a pause, doubled with each in a row. */
+    private static final long PAUSE_MS = 50;
+    private static final int MOST_BAD = 16;
+    /**
+     * A connection that is ended for what it sent goes on being read for a while, as closing it with input unread
+     * would reset it, and the error might never arrive; but only for so long and so many bytes.
+     */
+    private static final long LINGER_MS = 1_000;
+    private static final long LINGER_BYTES = 1 << 18;
 
     /** A message as handed in; {@code timeLeft} in milliseconds. */
     record Submission(long key, String id, String className, long timeLeft, int destination,
@@ -40,13 +57,17 @@
     private final Acceptor acceptor;
     private final int mostConnections;
     private final Set<String> classNames;
-    private final Set<Session> sessions = new LinkedHashSet<>();
+    private final Resp.Room room;
+    /** Those that have sent a good request, in the order of last use, and those that have not, by age. */
+    private final Set<Session> usual = new LinkedHashSet<>();
+    private final Set<Session> unproven = new LinkedHashSet<>();
     private Channel server;
 
-    ClientServer(EventLoop loop, Acceptor acceptor, int mostConnections, List<String> classNames) {
+    ClientServer(EventLoop loop, Acceptor acceptor, int mostConnections, long roomBytes, List<String> classNames) {
         this.loop = loop;
         this.acceptor = acceptor;
         this.mostConnections = mostConnections;
+        room = new Resp.Room(roomBytes);
         this.classNames = Set.copyOf(classNames);
     }
 
@@ -58,26 +79,32 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new Resp(), new Session());
+                        Resp resp = new Resp(room);
+                        channel.pipeline().addLast(resp, new Session(resp));
                     }
                 }).bind(address).sync().channel();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) server.localAddress();
     }
 
-    /** Takes no new connections. */
-    void stopListening() {
-        server.close();
-    }
-
-    /** Ends connections between requests, so that their clients turn to other senders. */
-    void closeIdle() {
-        for (Session session : List.copyOf(sessions)) {
+    private void sweep() {
+        long now = System.nanoTime();
+        for (Session session : List.copyOf(usual)) {
+            if (now - session.lastUse < IDLE_MS * 1_000_000) {
+                return;
+            }
             if (session.waiting.isEmpty()) {
                 session.channel.close();
             }
         }
     }
 
+    /** One too many: first goes who has never sent a good request, then who has sent none for longest. */
+    private void makeRoom(Session latest) {
+        Stream.concat(unproven.stream(), usual.stream()).filter(s -> s.waiting.isEmpty() && s != latest).findFirst()
+                .orElse(latest).channel.close();
+    }
+
     /** The place of one answer in its connection's order. */
     static final class Reply {
         private final Session session;
@@ -114,56 +141,131 @@
 
     private final class Session extends SimpleChannelInboundHandler<Resp.Request> {
         private final Deque<Reply> waiting = new ArrayDeque<>();
+        private final Resp resp;
         private Channel channel;
+        private long lastUse = System.nanoTime();
+        private Future<?> deadline;
+        private int bad;
+        private boolean paused;
+        private boolean ending;
+
+        Session(Resp resp) {
+            this.resp = resp;
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
-            sessions.add(this);
-            if (sessions.size() > mostConnections) {
-                sessions.stream().filter(s -> s.waiting.isEmpty() && s != this).findFirst()
-                        .ifPresentOrElse(s -> s.channel.close(), channel::close);
+            unproven.add(this);
+            startDeadline();
+            if (unproven.size() + usual.size() > mostConnections) {
+                makeRoom(this);
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            sessions.remove(this);
+            unproven.remove(this);
+            usual.remove(this);
+            stopDeadline();
+        }
+
+        private void startDeadline() {
+            deadline = loop.schedule(() -> end("no whole request in time"), REQUEST_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void stopDeadline() {
+            if (deadline != null) {
+                deadline.cancel(false);
+                deadline = null;
+            }
+        }
+
+        /** Ends the connection with an error behind what is still owed on it. */
+        private void end(String reason) {
+            if (!ending) {
+                Reply reply = new Reply(this);
+                waiting.add(reply);
+                endWith(reply, reason);
+            }
+        }
+
+        private void endWith(Reply reply, String reason) {
+            ending = true;
+            stopDeadline();
+            resp.stop();
+            reply.last = true;
+            reply.error(reason);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Resp.Request request) {
-            // Order of last use, so that the connection idle for longest goes first when there are too many.
-            sessions.remove(this);
-            sessions.add(this);
+            if (ending) {
+                return;
+            }
+            stopDeadline();
             Reply reply = new Reply(this);
             waiting.add(reply);
-            if (waiting.size() > MOST_WAITING) {
-                context.channel().config().setAutoRead(false);
+            if (request.fatal()) {
+                endWith(reply, request.error());
+            } else if (waiting.size() > MOST_WAITING) {
+                endWith(reply, "too many requests at once");
+            } else {
+                command(request.values(), reply);
             }
-            reply.last = request.fatal();
-            if (request.error() != null) {
-                reply.error(request.error());
-                return;
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (ending && resp.discarded() > LINGER_BYTES) {
+                context.close();
+            } else if (!ending && deadline == null && resp.unfinished()) {
+                startDeadline();
             }
-            command(request.values(), reply);
         }
 
         private void command(List<byte[]> values, Reply reply) {
-            String name = values.isEmpty() ? "" : text(values.get(0)).toUpperCase(Locale.ROOT);
-            switch (name) {
-                case "PING" -> reply.give("+PONG\r\n");
-                case "SUBMIT" -> {
-                    Submission submission;
-                    try {
-                        submission = parse(values);
-                    } catch (IllegalArgumentException e) {
-                        reply.error(e.getMessage());
-                        return;
+            try {
+                String name = values.isEmpty() ? "" : text(values.get(0)).toUpperCase(Locale.ROOT);
+                switch (name) {
+                    case "PING" -> {
+                        good();
+                        reply.give("+PONG\r\n");
+                    }
+                    case "SUBMIT" -> {
+                        Submission submission = parse(values);
+                        good();
+                        acceptor.submitted(submission, reply);
                     }
-                    acceptor.submitted(submission, reply);
+                    default -> throw new IllegalArgumentException("unknown command");
                 }
-                default -> reply.error("unknown command");
+            } catch (IllegalArgumentException e) {
+                bad(reply, e.getMessage());
+            }
+        }
+
+        private void good() {
+            bad = 0;
+            lastUse = System.nanoTime();
+            unproven.remove(this);
+            usual.remove(this);
+            usual.add(this);
+        }
+
+        /** A client that sends the same again as soon as it is turned away must not take the others' time. */
+        private void bad(Reply reply, String reason) {
+            if (++bad >= MOST_BAD) {
+                endWith(reply, reason);
+                return;
+            }
+            reply.error(reason);
+            if (!paused) {
+                paused = true;
+                channel.config().setAutoRead(false);
+                loop.schedule(() -> {
+                    paused = false;
+                    channel.config().setAutoRead(true);
+                }, PAUSE_MS << Math.min(bad - 1, 4), TimeUnit.MILLISECONDS);
             }
         }
 
@@ -173,15 +275,26 @@
                 Reply reply = waiting.poll();
                 var sent = channel.write(Unpooled.copiedBuffer(reply.text, StandardCharsets.ISO_8859_1));
                 if (reply.last) {
-                    sent.addListener(ChannelFutureListener.CLOSE);
+                    sent.addListener(done -> linger());
                 }
                 written = true;
             }
             if (written) {
                 channel.flush();
-                if (waiting.size() <= MOST_WAITING) {
-                    channel.config().setAutoRead(true);
-                }
+            }
+        }
+
+        private void linger() {
+            ((SocketChannel) channel).shutdownOutput();
+            channel.config().setAutoRead(true);
+            loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+
+        /** A client that does not read its answers is not read either. */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (!paused) {
+                channel.config().setAutoRead(channel.isWritable());
             }
         }
 
@@ -231,13 +344,9 @@
     }
 
     private static long number(String text, String name, long most) {
-        try {
-            double value = Double.parseDouble(text == null ? "" : text);
-            require(value >= 0 && value <= most, "bad number " + name);
-            return (long) value;
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("bad number " + name);
-        }
+        double value = Decimals.parse(text);
+        require(value >= 0 && value <= most, "bad number " + name);
+        return (long) value;
     }
 
     private static void require(boolean holds, String reason) {
--- a/src/main/java/sumacferry/net/Config.java
+++ b/src/main/java/sumacferry/net/Config.java
@@ -22,7 +22,7 @@
 
 /** All that a sender is told at its start. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets,
-        long diskBytes, JsonObject known, Relay.Settings settings, List<String> classes, List<String> zones,
+        long memoryBytes, long diskBytes, JsonObject known, Relay.Settings settings, List<String> classes, List<String> zones,
         List<String> kinds, List<String> reportNames) {
 
     /** Descriptors of the process itself: libraries, journal, discovery, notices, the listening socket. */
@@ -30,6 +30,11 @@
     /** Usual clients may hold a third of all descriptors; others must not be able to take those places. */
     private static final double CLIENT_SHARE = 0.55;
 
+    /** Bytes for requests that are not whole yet: a small part, as all else has to fit beside them. */
+    long requestBytes() {
+        return memoryBytes / 32;
+    }
+
     int mostClients() {
         return (int) Math.max(1, CLIENT_SHARE * (sockets - OWN_DESCRIPTORS));
     }
@@ -81,6 +86,7 @@
                 address(environment.containsKey("GW_DISCOVERY") ? environment.get("GW_DISCOVERY")
                         : json.get("discovery").getAsString()),
                 Path.of(state), limits.get("sockets").getAsInt(),
+                (long) ((limits.has("memory_mb") ? limits.get("memory_mb").getAsDouble() : 64) * 1_000_000),
                 (long) (limits.get("disk_mb").getAsDouble() * 1_000_000),
                 known != null && known.isJsonObject() ? known.getAsJsonObject() : new JsonObject(),
                 facts.settings(seed(json)), facts.classNames(), facts.list("zones"), facts.list("kinds"),
--- a/src/main/java/sumacferry/net/Directory.java
+++ b/src/main/java/sumacferry/net/Directory.java
@@ -4,9 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.google.gson.JsonElement;
@@ -47,6 +49,7 @@
     private static final long PAUSE_MOST_MS = 2_000;
     private static final int LONGEST_LINE = 1 << 20;
     private static final int MOST_GONE = 1_024;
+    private static final int LONGEST_UID = 128;
 
     /** News for the module. */
     interface Listener {
@@ -63,6 +66,9 @@
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, Target> targets = new HashMap<>();
     private final Map<Long, Target> gone = new LinkedHashMap<>();
+    /** Every destination that was ever listed; there are no more than its numbers. */
+    private final Set<Integer> destinations = new HashSet<>();
+    private boolean current;
     private long nextNumber = 1;
     private long version;
     private InetSocketAddress address;
@@ -114,6 +120,16 @@
         return target != null && target.ready();
     }
 
+    /** Whether it has left the list. */
+    boolean gone(long number) {
+        return !targets.containsKey(number);
+    }
+
+    /** Whether a destination is or was listed; before the first list has come any may turn out to be. */
+    boolean listed(int destination) {
+        return !current || destinations.contains(destination);
+    }
+
     /** The number of a uid; the same for as long as the process lives. */
     long number(String uid) {
         return numbers.computeIfAbsent(uid, u -> nextNumber++);
@@ -126,6 +142,9 @@
         if (all == null || !all.isJsonArray()) {
             return;
         }
+        if (news.has("rev")) {
+            version = news.get("rev").getAsLong();
+        }
         List<Relay.Entry> entries = new ArrayList<>();
         if (kind != ListKind.DELTA) {
             targets.values().forEach(this::bury);
@@ -138,9 +157,7 @@
                 Log.warn("discovery: skipped an entry: " + e.getMessage());
             }
         }
-        if (news.has("rev")) {
-            version = news.get("rev").getAsLong();
-        }
+        current |= kind != ListKind.CACHED;
         listener.listed(kind, entries);
     }
 
@@ -157,6 +174,10 @@
         int zone = item.has("az") ? index(config.zones(), item.get("az")) : 0;
         double weight = item.has("capacity_hint") ? item.get("capacity_hint").getAsDouble() : 1;
         InetSocketAddress address = Config.address(item.get("endpoint").getAsString());
+        if (destination < 0 || destination > 0xffff || uid.length() > LONGEST_UID) {
+            throw new IllegalArgumentException("bad destination or uid");
+        }
+        destinations.add(destination);
         long number = number(uid);
         Target target = new Target(number, uid, address, destination, kind, state == Listed.READY);
         if (state == Listed.GONE) {
--- a/src/main/java/sumacferry/net/Receivers.java
+++ b/src/main/java/sumacferry/net/Receivers.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
@@ -120,10 +121,11 @@
         }
     }
 
-    void closeIdle(long endpoint) {
-        for (Connection connection : List.copyOf(idle.getOrDefault(endpoint, new ArrayDeque<>()))) {
-            connection.channel.close();
-            forget(connection);
+    void closeIdle(LongPredicate endpoints) {
+        for (Connection connection : List.copyOf(idleByAge)) {
+            if (endpoints.test(connection.endpoint)) {
+                drop(connection);
+            }
         }
     }
 
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -4,9 +4,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -14,6 +16,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 
 import sumacferry.Policy;
 import sumacferry.Relay;
@@ -46,7 +49,9 @@
     private final Map<Long, Held> held = new HashMap<>();
     /** Messages handed in since the last turn, with their waiting clients. */
     private final Map<Long, Arriving> arriving = new LinkedHashMap<>();
+    private final Set<String> arrivingIds = new HashSet<>();
     private final List<Event> events = new ArrayList<>();
+    private Future<?> timer;
     private boolean turnDue;
     private InetSocketAddress bound;
 
@@ -63,7 +68,8 @@
         receivers = new Receivers(loop, this::onResult, settings.limits().connectTimeout(),
                 settings.limits().idleConnectionLife(), config.mostToReceivers(), config.reportNames());
         notices = new Notices(loop, config.discovery(), this::onNoticeAnswered);
-        clients = new ClientServer(loop, this::onSubmission, config.mostClients(), config.classes());
+        clients = new ClientServer(loop, this::onSubmission, config.mostClients(), config.requestBytes(),
+                config.classes());
     }
 
     /** Serves until the process is told to end; {@code hangup} tells when to read the configuration again. */
@@ -169,7 +175,11 @@
             reply.ok();
             return;
         }
-        if (arriving.values().stream().anyMatch(other -> other.message().id.equals(s.id()))) {
+        if (!directory.listed(s.destination())) {
+            reply.error("unknown destination");
+            return;
+        }
+        if (arrivingIds.contains(s.id())) {
             // Its twin is answered in the turn that is due: only then is it known what to answer here.
             loop.execute(() -> onSubmission(s, reply));
             return;
@@ -181,12 +191,15 @@
         Held m = new Held(journal.nextNumber(), s.id(), s.idempotencyKey(), s.className(), s.key(),
                 s.destination(), wall() + s.timeLeft(), s.body());
         arriving.put(m.number, new Arriving(m, reply));
+        arrivingIds.add(m.id);
         note(new Event.Arrival(m.number, config.classes().indexOf(s.className()), 0, s.key(),
                 s.timeLeft() * 1_000, s.destination()));
     }
 
     private void onListing(Relay.ListKind kind, List<Relay.Entry> entries) {
         receivers.bar(route -> !directory.ready(route.endpoint()));
+        // Whoever comes to the address of one that is gone shall inherit nothing of it.
+        receivers.closeIdle(directory::gone);
         note(new Event.Listing(kind, entries));
     }
 
@@ -267,6 +280,7 @@
             }
         }
         arriving.clear();
+        arrivingIds.clear();
     }
 
     private void answer(Action action) {
@@ -329,9 +343,13 @@
         if (action instanceof Cancel c && held.containsKey(c.id())) {
             receivers.cancel(held.get(c.id()), c.attempt());
         } else if (action instanceof CloseIdle c) {
-            receivers.closeIdle(c.endpoint());
+            receivers.closeIdle(endpoint -> endpoint == c.endpoint());
         } else if (action instanceof Wake w) {
-            loop.schedule(() -> note(new Event.TimerDue(w.token())), w.delay(), TimeUnit.MICROSECONDS);
+            // The module keeps one timer: a new one is due earlier and stands in for the one before.
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            timer = loop.schedule(() -> note(new Event.TimerDue(w.token())), w.delay(), TimeUnit.MICROSECONDS);
         } else if (action instanceof Note n) {
             Log.warn("module: " + n.text());
         }
--- /dev/null
+++ b/src/test/java/sumacferry/net/BadClientsTest.java
@@ -0,0 +1,136 @@
+package sumacferry.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static sumacferry.net.World.await;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that are silent, stuck or senseless get an error or a close, and take nothing from the others. */
+class BadClientsTest {
+    private static final String NO_KEY = "0000000000000000";
+
+    @TempDir
+    Path folder;
+    private World world;
+    private Sender sender;
+
+    @BeforeEach
+    void build() throws IOException {
+        world = new World(folder);
+        sender = world.start();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        sender.stop();
+        world.close();
+    }
+
+    private static void closes(World.Client client) {
+        assertThrows(IOException.class, () -> {
+            while (true) {
+                client.answer();
+            }
+        });
+    }
+
+    /** Whatever has no end gets an error and a close while the client still waits. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\r\n\r\n", "*0\r\n", "*2\r\n$4\r\nPI", "*1\r\n$100\r\nhalf", "PING"})
+    void endsWhatIsNotFinished(String start) throws IOException {
+        World.Client client = world.client(sender);
+        assertEquals("-ERR no whole request in time", client.raw(start));
+        closes(client);
+    }
+
+    /** A good request buys no time for the next one that is stuck; between requests there is no such limit. */
+    @Test
+    void endsALaterRequestThatIsNotFinished() throws IOException {
+        World.Client client = world.client(sender);
+        assertEquals("+PONG", client.ask("PING"));
+        assertEquals("-ERR no whole request in time", client.raw("*2\r\n$4\r\n"));
+        closes(client);
+    }
+
+    /** What cannot be taken is turned away when it is announced, and the error arrives though more is on its way. */
+    @ParameterizedTest
+    @ValueSource(strings = {"*1\r\n$60000000\r\n", "*1\r\n$-1\r\n", "*1\r\n$9999999999999999999\r\n",
+        "*-1\r\n", "*4000000\r\n", "*1\r\n:4\r\n"})
+    void turnsAwayWhatIsAnnounced(String start) throws IOException {
+        World.Client client = world.client(sender);
+        String answer = client.raw(start + "x".repeat(150_000));
+        assertTrue(answer.startsWith("-ERR Protocol error"), answer);
+        closes(client);
+    }
+
+    @Test
+    void turnsAwayALineWithoutEnd() throws IOException {
+        World.Client client = world.client(sender);
+        assertEquals("-ERR Protocol error: too long a line", client.raw("x".repeat(9_000)));
+        closes(client);
+    }
+
+    /** The same nonsense over and over is answered for a while, then the connection ends. */
+    @Test
+    void endsAClientThatOnlySendsNonsense() throws IOException {
+        World.Client client = world.client(sender);
+        int errors = 0;
+        assertEquals("-ERR unknown command", client.raw("NONSENSE\r\n".repeat(500)));
+        try {
+            while (true) {
+                assertEquals("-ERR unknown command", client.answer());
+                errors++;
+            }
+        } catch (IOException closed) {
+            assertTrue(errors < 100, errors + " errors");
+        }
+    }
+
+    /** Hundreds that connect and say nothing must not push out one that is usual, though it was idle for longer. */
+    @Test
+    void keepsUsualClientsWhenOthersOnlyConnect() throws IOException {
+        World.Client usual = world.client(sender);
+        assertEquals("+PONG", usual.ask("PING"));
+        List<World.Client> silent = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            silent.add(world.client(sender));
+        }
+        closes(silent.get(0));
+        assertEquals("+OK", usual.submit("safe", World.ID + "1", NO_KEY));
+        await(() -> sender.owed() == 0);
+        assertEquals("+PONG", world.client(sender).ask("PING"));
+    }
+
+    /** Room for requests that are not whole is bounded for all connections together, and given back. */
+    @Test
+    void boundsWhatUnfinishedRequestsHold() throws IOException {
+        List<World.Client> clients = new ArrayList<>();
+        String large = "*1\r\n$65536\r\n";
+        for (int i = 0; i < 110; i++) {
+            World.Client client = world.client(sender);
+            client.write(large);
+            clients.add(client);
+        }
+        World.Client last = clients.get(clients.size() - 1);
+        assertEquals("-ERR Protocol error: too many large requests at once", last.answer());
+        World.Client usual = world.client(sender);
+        assertEquals("+OK", usual.submit("safe", World.ID + "1", NO_KEY));
+        for (World.Client client : clients) {
+            client.close();
+        }
+        String body = "x".repeat(60_000);
+        await(() -> world.tryClient(sender).tryAsk("SUBMIT", NO_KEY, World.ID + "2", "c=safe,d=8000,dest=7", body).equals("+OK"));
+    }
+}
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -201,9 +201,9 @@
     /** A cut network says nothing: only missing lines tell that a watch is dead; the old list serves on. */
     @Test
     void reopensASilentWatchWithItsLastVersion() throws IOException {
-        World.Client client = started();
+        started();
         await(() -> watches("since=2") == 1);
-        client.submit("safe", A, NO_KEY);
+        world.client(sender).submit("safe", A, NO_KEY);
         await(this::concluded);
         assertEquals(1, calls());
     }
@@ -407,14 +407,19 @@
     void answersBadSubmissionsWithTheReason() throws IOException {
         World.Client client = started();
         World.Client other = world.client(sender);
+        assertEquals("+PONG", other.ask("PING"));
         assertTrue(client.submit("odd", A, NO_KEY).startsWith("-ERR unknown class"));
         assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=soon,dest=7", "").startsWith("-ERR bad number d"));
         assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=NaN,dest=7", "").startsWith("-ERR bad number d"));
         assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=9,dest=x", "").startsWith("-ERR bad number dest"));
         assertTrue(client.ask("SUBMIT", "xyz", A, "c=safe,d=9,dest=7", "").startsWith("-ERR bad key"));
         assertTrue(client.ask("SUBMIT", NO_KEY, A).startsWith("-ERR"));
-        String large = "x".repeat((1 << 16) + 1);
-        assertEquals("-ERR value over 64 KiB", client.ask("SUBMIT", NO_KEY, A, "c=safe,d=9,dest=7", large));
+        for (String number : new String[] {"12d", "0x1p3", "-1", "Infinity"}) {
+            assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=" + number + ",dest=7", "").startsWith("-ERR bad number d"));
+        }
+        await(() -> sender.ready("s-1") && world.watched());
+        assertEquals("-ERR unknown destination", client.submit("safe", A, NO_KEY, 900, 9));
+        assertTrue(client.ask("S".repeat(2_000)).startsWith("-ERR too long a word"));
         assertEquals("+OK", client.submit("safe", A, NO_KEY));
         assertTrue(client.raw("*2\r\n$-7\r\n").startsWith("-ERR Protocol error"));
         assertThrows(IOException.class, client::answer);
--- a/src/test/java/sumacferry/net/SpoiltAnswersTest.java
+++ b/src/test/java/sumacferry/net/SpoiltAnswersTest.java
@@ -141,6 +141,7 @@
             world.slots = 1;
             World.Client client = answering(r -> {
                 if (r.header("X-Request-ID").startsWith(World.ID + "b")) {
+                    pause(60);
                     return ok(500, "");
                 }
                 String good = ok(200, "");
@@ -162,13 +163,21 @@
         }
     }
 
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Writes once more, right behind the answer but in a packet of its own. */
     private static void later(World.Request r, String text) {
         Thread thread = new Thread(() -> {
+            pause(3);
             try {
-                Thread.sleep(3);
                 r.socket().getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-            } catch (IOException | InterruptedException e) {
+            } catch (IOException e) {
                 // The sender has closed the connection.
             }
         });
--- a/src/test/java/sumacferry/net/World.java
+++ b/src/test/java/sumacferry/net/World.java
@@ -115,10 +115,23 @@
         }
 
         String raw(String request) throws IOException {
-            write(socket, request);
+            write(request);
             return answer();
         }
 
+        void write(String text) throws IOException {
+            World.write(socket, text);
+        }
+
+        /** As {@link #ask}, for use in conditions. */
+        String tryAsk(String... words) {
+            try {
+                return ask(words);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }
+
         String answer() throws IOException {
             return line(in, "\r\n");
         }
@@ -191,16 +204,22 @@
         environment();
     }
 
+    boolean watched() {
+        return watch != null;
+    }
+
     /** A line to whoever watches. */
     void announce(String line) throws IOException {
         await(() -> watch != null);
         write(watch, chunk(line));
     }
 
+    /** One receiver for destination 7 in this state, and one for 8 that wants nothing new. */
     String list(int version, boolean all, String state) {
         return "{\"rev\":" + version + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"s-1\",\"endpoint\":\""
                 + receiver.address() + "\",\"az\":\"a\",\"model\":\"std\",\"pod_group\":7,\"state\":\"" + state
-                + "\",\"capacity_hint\":1.0,\"boot_ms\":0}]}\n";
+                + "\",\"capacity_hint\":1.0,\"boot_ms\":0},{\"uid\":\"s-8\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"a\","
+                + "\"model\":\"std\",\"pod_group\":8,\"state\":\"Terminating\"}]}\n";
     }
 
     Sender start() throws IOException {
@@ -236,6 +255,15 @@
         return client;
     }
 
+    /** As {@link #client}, for use in conditions. */
+    Client tryClient(Sender sender) {
+        try {
+            return client(sender);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         for (Closeable item : open) {
@@ -292,7 +320,7 @@
         }
     }
 
-    private static void write(Socket socket, String text) throws IOException {
+    static void write(Socket socket, String text) throws IOException {
         OutputStream out = socket.getOutputStream();
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
