--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -385,7 +385,10 @@
         }
         point.zone = entry.zone();
         point.state = entry.state();
-        point.scope.weight = settings.weights() == WeightKind.NONE ? 0 : entry.weight();
+        if (settings.weights() != WeightKind.NONE) {
+            // Where the list tells none, a limit that was reported must outlast the next change of the list.
+            point.scope.weight = entry.weight();
+        }
         return point;
     }
 
--- a/src/main/java/sumacferry/net/Journal.java
+++ b/src/main/java/sumacferry/net/Journal.java
@@ -1,12 +1,15 @@
 package sumacferry.net;
 
+import java.io.BufferedOutputStream;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,12 +32,16 @@
 final class Journal implements Closeable {
     private static final int HEAD = 8;
     private static final int LARGEST = 1 << 18;
-    /** Room for the attempts, outcomes and end of one message. */
-    private static final int LATER = 1_600;
+    /**
+     * Room for all that can stand of one message behind its acceptance: a rewrite keeps one record of its attempts,
+     * however many there were, with two uids of up to 128 characters, and its notice.
+     */
+    private static final int LATER = 640;
     /** Ids of ended messages are remembered, as a client may hand one in twice when its connection closes. */
     private static final int REMEMBERED = 512;
     private static final int REMEMBERED_BYTES = REMEMBERED * 96;
     private static final long REWRITE_LEAST = 256 * 1024;
+    private static final int REWRITE_BUFFER = 16 * 1024;
 
     private final Path folder;
     private final long budget;
@@ -112,7 +119,9 @@
 
     /** The end is decided and its notice owed. */
     void end(Held m, String notice) {
+        reserved -= reserve(m);
         m.end(notice);
+        reserved += reserve(m);
         append(ending(m));
     }
 
@@ -210,7 +219,11 @@
                 m.attempt(in.readUTF(), wall);
             }
             case 'O' -> m.outcome(in.readBoolean());
-            case 'E' -> m.end(in.readUTF());
+            case 'E' -> {
+                reserved -= reserve(m);
+                m.end(in.readUTF());
+                reserved += reserve(m);
+            }
             case 'N' -> drop(m);
             case 'S' -> {
                 m.attempts = in.readInt();
@@ -274,8 +287,7 @@
         live.remove(m.number);
         liveIds.remove(m.id);
         remember(m.id);
-        reserved = REMEMBERED_BYTES;
-        live.values().forEach(other -> reserved += reserve(other));
+        reserved -= reserve(m);
     }
 
     private void remember(String id) {
@@ -314,34 +326,34 @@
         }
     }
 
+    /** Written through a small buffer: the heap has no room for a second copy of all that is owed. */
     private void rewrite() throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        for (String id : ended) {
-            bytes.write(record('K', out -> out.writeUTF(id)));
-        }
-        for (Held m : live.values()) {
-            bytes.write(accepted(m));
-            if (m.attempts > 0) {
-                bytes.write(standing(m));
-            }
-            if (m.notice != null) {
-                bytes.write(ending(m));
-            }
-        }
-        FileChannel fresh = FileChannel.open(path("journal.new"), StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
-        ByteBuffer buffer = ByteBuffer.wrap(bytes.toByteArray());
-        long length = buffer.remaining();
+        Path path = path("journal.new");
+        FileChannel fresh = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
+                StandardOpenOption.WRITE);
+        long length;
         try {
-            while (buffer.hasRemaining()) {
-                fresh.write(buffer);
+            OutputStream out = new BufferedOutputStream(Channels.newOutputStream(fresh), REWRITE_BUFFER);
+            for (String id : ended) {
+                out.write(record('K', record -> record.writeUTF(id)));
+            }
+            for (Held m : live.values()) {
+                out.write(accepted(m));
+                if (m.attempts > 0) {
+                    out.write(standing(m));
+                }
+                if (m.notice != null) {
+                    out.write(ending(m));
+                }
             }
+            out.flush();
+            length = fresh.position();
+            Files.move(path, path("journal"), StandardCopyOption.ATOMIC_MOVE);
         } catch (IOException e) {
             fresh.close();
-            Files.deleteIfExists(path("journal.new"));
+            Files.deleteIfExists(path);
             throw e;
         }
-        Files.move(path("journal.new"), path("journal"), StandardCopyOption.ATOMIC_MOVE);
         file.close();
         file = fresh;
         size = length;
--- a/src/main/java/sumacferry/net/Log.java
+++ b/src/main/java/sumacferry/net/Log.java
@@ -1,17 +1,31 @@
 package sumacferry.net;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /** The sender's log on standard error. */
 final class Log {
-    private static final int MOST = 2_000;
-    private static int written;
+    private static final int MOST_OF_A_KIND = 200;
+    private static final int MOST_KINDS = 64;
+    private static final int LONGEST = 500;
+    private static final Map<String, Integer> written = new HashMap<>();
 
     private Log() {
     }
 
-    /** Bounded, so that a flood of bad input cannot fill the disk of whoever keeps the log. */
-    static void warn(String text) {
-        if (written++ < MOST) {
-            System.err.println(System.currentTimeMillis() + " " + text);
+    /**
+     * Bounded for each kind of line, as its first words tell, so that a flood of bad input neither fills the disk
+     * of whoever keeps the log nor takes the place of other lines.
+     */
+    static synchronized void warn(String text) {
+        int blank = text.indexOf(' ');
+        String kind = blank < 0 ? text : text.substring(0, blank);
+        if (!written.containsKey(kind) && written.size() >= MOST_KINDS) {
+            kind = "";
+        }
+        if (written.merge(kind, 1, Integer::sum) <= MOST_OF_A_KIND) {
+            System.err.println(System.currentTimeMillis() + " "
+                    + text.substring(0, Math.min(LONGEST, text.length())).replaceAll("\\p{Cntrl}", "?"));
         }
     }
 }
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -33,6 +33,8 @@
 
     /** Microseconds from SIGTERM to SIGKILL at least, less a margin. */
     private static final long UNTIL_KILLED = 3_600_000;
+    /** Between two turns the loop has this many times what the first one took. */
+    private static final int REST = 4;
     /** Origin of the module's clock. */
     private static final long START = System.nanoTime() / 1_000 - 1_000_000;
 
@@ -53,6 +55,8 @@
     private final List<Event> events = new ArrayList<>();
     private Future<?> timer;
     private boolean turnDue;
+    private long turnEnded;
+    private long turnTook;
     private InetSocketAddress bound;
 
     private record Arriving(Held message, ClientServer.Reply reply) { }
@@ -226,10 +230,19 @@
         turnSoon();
     }
 
+    /**
+     * At once while the module is quick. Under load, when a turn takes long, what comes in is gathered for a while, a
+     * tick at most: the module looks at all that is held in each turn, and must leave the loop its time.
+     */
     private void turnSoon() {
         if (!turnDue) {
             turnDue = true;
-            loop.execute(this::turn);
+            long due = turnEnded + Math.min(turnTook * REST, config.settings().tick()) - now();
+            if (due > 0) {
+                loop.schedule(this::turn, due, TimeUnit.MICROSECONDS);
+            } else {
+                loop.execute(this::turn);
+            }
         }
     }
 
@@ -248,6 +261,8 @@
         actions.forEach(this::answer);
         startCalls(now, actions);
         actions.forEach(this::other);
+        turnEnded = now();
+        turnTook = turnEnded - now;
     }
 
     /** A defect that one event brings to light must not end the others' messages with the process. */
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -165,6 +165,32 @@
         assertEquals(1, world.receiver.sockets.size());
     }
 
+    /** A receiver closes idle connections at its limit; a call that crosses that is lost, so the sender is first. */
+    @Test
+    void closesIdleConnectionsInTime() throws IOException {
+        world.keepAlive = 700_000;
+        World.Client client = started();
+        client.submit("safe", A, NO_KEY);
+        await(() -> concluded() && sender.kept() == 1);
+        await(() -> world.receiver.sockets.get(0).isClosed());
+        assertEquals(0, sender.kept());
+    }
+
+    /** Whoever comes to the address of one that is gone gets connections of its own. */
+    @Test
+    void leavesNothingToTheNextAtAnAddress() throws IOException {
+        World.Client client = started();
+        client.submit("safe", A, NO_KEY);
+        await(() -> concluded() && sender.kept() == 1 && world.watched());
+        world.announce(world.list(3, false, "Gone"));
+        world.announce(world.list(4, false, "Ready", "s-2"));
+        await(() -> world.receiver.sockets.get(0).isClosed() && sender.ready("s-2"));
+        client.submit("safe", B, NO_KEY);
+        await(this::concluded);
+        assertEquals(2, world.receiver.sockets.size());
+        assertEquals(2, calls());
+    }
+
     /** While a wait lasts nothing goes to that destination, for any message. */
     @Test
     void heedsAToldWait() throws IOException {
--- a/src/test/java/sumacferry/net/World.java
+++ b/src/test/java/sumacferry/net/World.java
@@ -168,6 +168,7 @@
     int openCap = 50;
     int perCall = 1;
     double diskMb = 3;
+    long keepAlive = 15_000_000;
     /** Where the file says discovery is, if elsewhere. */
     String discoveryAddress;
     private volatile Socket watch;
@@ -216,7 +217,11 @@
 
     /** One receiver for destination 7 in this state, and one for 8 that wants nothing new. */
     String list(int version, boolean all, String state) {
-        return "{\"rev\":" + version + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"s-1\",\"endpoint\":\""
+        return list(version, all, state, "s-1");
+    }
+
+    String list(int version, boolean all, String state, String uid) {
+        return "{\"rev\":" + version + ",\"all\":" + all + ",\"targets\":[{\"uid\":\"" + uid + "\",\"endpoint\":\""
                 + receiver.address() + "\",\"az\":\"a\",\"model\":\"std\",\"pod_group\":7,\"state\":\"" + state
                 + "\",\"capacity_hint\":1.0,\"boot_ms\":0},{\"uid\":\"s-8\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"a\","
                 + "\"model\":\"std\",\"pod_group\":8,\"state\":\"Terminating\"}]}\n";
@@ -236,7 +241,7 @@
                   "family_info":{"calls_out":%d,"late":"even","per_call":[%d],"routes_apart":[false]},
                   "allowed":{"open_cap":%d,"max_attempts":12,"parallel_tries":false,"cancel":true,
                    "retry_after":true,"max_retry_after_us":3000000,"streams_per_conn":1,
-                   "keepalive_us":15000000,"connect_timeout_us":1000000},
+                   "keepalive_us":%d,"connect_timeout_us":1000000},
                   "rules":{"answer_slack_us":20000,"ask_within_us":10000000,"start_capacity":0.13,
                    "cold_us":14000000,"fall_multiple":2.5,"fall_us":1500000,"settle_after_doubt_us":100000},
                   "lanes":[
@@ -245,7 +250,7 @@
                     "deadline_us":20000000,"key_ttl_us":5000000,"sequential":true},
                    {"name":"unsafe","effect":"side_effect","importance":4,"goal_time_us":100000,
                     "deadline_us":20000000}]}}
-                """.formatted(discoveryAddress, diskMb, list(1, true, "Ready"), slots, perCall, openCap));
+                """.formatted(discoveryAddress, diskMb, list(1, true, "Ready"), slots, perCall, openCap, keepAlive));
         return Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString());
     }
 
