Judge kept connections by their own idle time, and no endpoint by their resets

Ruled out: CPU, descriptors, slots (28, not all in use). At fault: Policy.startCall takes the time since an endpoint's last use for the idle time of the connection, while the pool may hand out one that is far older; Policy.learn took a reset of a kept connection for a failure of its endpoint; update() apart, nothing told the module which connection a call went over.

The loopback test fails without the change.

--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -86,6 +86,8 @@
     private static final double STALE = 0.1;
     /** Part of the connections' life by which each answer raises the idle time that is trusted. */
     private static final double IDLE_RAISE = 0.002;
+    /** The same where the idle time of each call's connection is told, as a factor. */
+    private static final double TOLD_RAISE = 1.03;
     /** Share of calls without connection from which tables of connections are taken to be full. */
     private static final double CROWDED = 0.01;
     /** Part of the trusted idle time from which a gap shows that a table's place is held to little use. */
@@ -139,6 +141,9 @@
     private double unconnected;
     /** How long an idle connection is trusted, and shares of calls lost on fresh and on idle ones. */
     private double trustedIdle;
+    private double toldTrust;
+    /** The caller knows each connection's idle time and keeps to {@code trustedIdle} by itself. */
+    private boolean idleTold;
     private double freshLost;
     private double idleLost;
     private long stopsAt = NEVER;
@@ -449,6 +454,10 @@
         admit(now, actions);
         busy.forEach(scope -> watch(now, scope));
         callOff(now, actions);
+        if (trustedIdle != toldTrust) {
+            toldTrust = trustedIdle;
+            actions.trustIdle((long) trustedIdle);
+        }
         choose(now, actions);
         setTimer(now, actions);
     }
@@ -661,7 +670,9 @@
         slotsUsed++;
         if (point.inFlight++ == 0) {
             point.gap = now - point.lastUse;
-            closeIdle(point, trustedIdle, actions);
+            if (!idleTold) {
+                closeIdle(point, trustedIdle, actions);
+            }
             call.idleBefore = point.connections > 0 ? point.gap : 0;
         }
         point.connections = Math.max(point.connections,
@@ -719,12 +730,16 @@
      * Calls lost on connections that had lain idle, more than on fresh ones, show that idle ones are dropped
      * unseen; they are shut before use. It covers firewalls and restarts too. Harm: more handshakes.
      */
-    private void judgeConnection(Call call, boolean lost) {
+    private void judgeConnection(Call call, boolean lost, boolean told) {
         double life = settings.limits().idleConnectionLife();
         double seen = lost ? 1 : 0;
         freshLost += call.idleBefore == 0 ? FAST_POOLED * (seen - freshLost) : 0;
         idleLost += call.idleBefore > 0 ? FAST_POOLED * (seen - idleLost) : 0;
-        if (!lost) {
+        if (!lost && told) {
+            // Only what was in use again after nearly so long shows that more can be trusted.
+            trustedIdle *= call.idleBefore > trustedIdle / 2 ? TOLD_RAISE : 1;
+            trustedIdle = Math.min(life, trustedIdle);
+        } else if (!lost) {
             trustedIdle = Math.min(life, trustedIdle + IDLE_RAISE * life);
         } else if (call.idleBefore > 0 && idleLost > freshLost + STALE) {
             trustedIdle = Math.min(trustedIdle, call.idleBefore / 2.0);
@@ -807,7 +822,7 @@
             call.endpoint.lost += call.sentAt >= call.endpoint.lastOk ? 1 : 0;
             if (!call.silent) {
                 call.silent = true;
-                judgeConnection(call, true);
+                judgeConnection(call, true, false);
             }
         }
         if (!scope.calls.isEmpty() && scope.breaker != Breaker.OPEN && failed(now, scope)) {
@@ -864,8 +879,13 @@
         if (wasTrial) {
             scope.trial = null;
         }
+        boolean told = e.idle() >= 0;
+        idleTold |= told;
+        if (told) {
+            call.idleBefore = e.idle();
+        }
         if (!call.silent) {
-            judgeConnection(call, e.ending() == Ending.RESET || e.ending() == Ending.TIMEOUT);
+            judgeConnection(call, e.ending() == Ending.RESET || e.ending() == Ending.TIMEOUT, told);
         }
         unconnected += FAST_POOLED * ((e.ending() == Ending.CONNECT_FAILED ? 1 : 0) - unconnected);
         m.destination.odds += FAST * ((e.ending() == Ending.OK ? 1 : 0) - m.destination.odds);
@@ -878,7 +898,12 @@
                     onFailure(now, call, e.ending(), wasTrial);
                 }
             }
-            default -> onFailure(now, call, e.ending(), wasTrial);
+            default -> {
+                // A kept connection that is reset tells of itself; a sick endpoint shows on a fresh one.
+                if (e.ending() != Ending.RESET || !told || e.idle() == 0 || wasTrial) {
+                    onFailure(now, call, e.ending(), wasTrial);
+                }
+            }
         }
     }
 
--- a/src/main/java/sumacferry/Relay.java
+++ b/src/main/java/sumacferry/Relay.java
@@ -88,9 +88,18 @@
         /** The final answer of a message has reached whom it was for: its key's turn passes on. */
         record Concluded(long id) implements Event { }
 
-        /** An attempt ended; {@code toldWait} is the told wait or 0, {@code report} may be empty. */
+        /**
+         * An attempt ended; {@code toldWait} is the told wait or 0, {@code report} may be empty. {@code idle} is how
+         * long its connection had lain idle before, 0 for a fresh one, -1 where the caller does not know.
+         */
         record Outcome(long id, int attempt, long endpoint, Ending ending, long took, boolean closed,
-                long toldWait, List<Double> report) implements Event { }
+                long toldWait, List<Double> report, long idle) implements Event {
+
+            public Outcome(long id, int attempt, long endpoint, Ending ending, long took, boolean closed,
+                    long toldWait, List<Double> report) {
+                this(id, attempt, endpoint, ending, took, closed, toldWait, report, -1);
+            }
+        }
 
         /** A streamed answer began: the attempt now belongs to the client. */
         record StreamStarted(long id, int attempt) implements Event { }
@@ -134,6 +143,13 @@
         /** Shuts the idle connections to an endpoint; calls in flight are not touched. */
         void closeIdle(long endpoint);
 
+        /**
+         * Messages that may not be repeated are not to go over connections that have lain idle for longer; callers
+         * that pool none pass over it.
+         */
+        default void trustIdle(long longest) {
+        }
+
         /** Asks for a timer. */
         void wake(long delay, long token);
 
--- a/src/main/java/sumacferry/net/Receivers.java
+++ b/src/main/java/sumacferry/net/Receivers.java
@@ -47,7 +47,7 @@
 
     /** What became of one message's attempt; times in microseconds. */
     record Result(Held message, int attempt, long endpoint, Ending ending, long took, boolean closed,
-            long toldWait, List<Double> report) { }
+            long toldWait, List<Double> report, long idle) { }
 
     /** Where results go, on the event loop. */
     interface Listener {
@@ -62,6 +62,8 @@
         final long giveUpAfter;
         Connection connection;
         boolean written;
+        /** How long its connection had lain idle in microseconds, 0 for a fresh one. */
+        long idle;
         boolean barred;
         boolean done;
         Future<?> timer;
@@ -98,15 +100,19 @@
         this.reportNames = reportNames;
     }
 
-    /** Starts a call; {@code giveUpAfter} microseconds later its connection is closed. */
-    void start(Route route, List<Item> items, long giveUpAfter) {
+    /**
+     * Starts a call; {@code giveUpAfter} microseconds later its connection is closed. It goes over no connection that
+     * has lain idle for longer than {@code longestIdle} microseconds.
+     */
+    void start(Route route, List<Item> items, long giveUpAfter, long longestIdle) {
         Call call = new Call(route, List.copyOf(items), giveUpAfter);
         calls.add(call);
         items.forEach(item -> byMessage.put(item.message().number, call));
         call.timer = loop.schedule(() -> abandon(call, call.written ? Ending.TIMEOUT : Ending.CONNECT_FAILED),
                 Math.max(0, giveUpAfter), TimeUnit.MICROSECONDS);
-        Connection warm = pollIdle(route);
+        Connection warm = pollIdle(route, Math.min(idleNanos, longestIdle * 1_000));
         if (warm != null) {
+            call.idle = Math.max(1, (System.nanoTime() - warm.idleSince) / 1_000);
             warm.carry(call);
         } else {
             connect(call);
@@ -144,16 +150,19 @@
 
     // ---- Connections. ----
 
-    private Connection pollIdle(Route route) {
+    /** The connection that was in use last; one that is too old for this call may do for another. */
+    private Connection pollIdle(Route route, long longestNanos) {
         Deque<Connection> pool = idle.getOrDefault(route.endpoint(), new ArrayDeque<>());
         while (!pool.isEmpty()) {
             Connection connection = pool.peekLast();
-            forget(connection);
-            boolean fresh = System.nanoTime() - connection.idleSince < idleNanos;
-            if (fresh && connection.channel.isActive() && connection.address.equals(route.address())) {
+            if (!connection.channel.isActive() || !connection.address.equals(route.address())) {
+                drop(connection);
+            } else if (System.nanoTime() - connection.idleSince < longestNanos) {
+                forget(connection);
                 return connection;
+            } else {
+                return null;
             }
-            connection.channel.close();
         }
         return null;
     }
@@ -458,7 +467,7 @@
 
     private void tell(Call call, Item item, Ending ending, boolean closed, long wait, List<Double> report) {
         listener.ended(new Result(item.message(), item.attempt(), call.route.endpoint(), ending, took(call),
-                closed, wait, report));
+                closed, wait, report, call.idle));
     }
 
     private static long took(Call call) {
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -33,6 +33,8 @@
 
     /** Microseconds from SIGTERM to SIGKILL at least, less a margin. */
     private static final long UNTIL_KILLED = 3_600_000;
+    /** In microseconds, and small enough to be told in nanoseconds. */
+    private static final long NO_LIMIT = 1L << 50;
     /** Between two turns the loop has this many times what the first one took. */
     private static final int REST = 4;
     /** Origin of the module's clock. */
@@ -217,7 +219,7 @@
                     && r.ending() != Ending.MOOT);
         }
         note(new Event.Outcome(m.number, r.attempt(), r.endpoint(), r.ending(), r.took(), r.closed(),
-                r.toldWait(), r.report()));
+                r.toldWait(), r.report(), r.idle()));
     }
 
     private void onNoticeAnswered(Held m) {
@@ -350,10 +352,16 @@
             }
         }
         if (!items.isEmpty()) {
-            receivers.start(route, items, giveUpAt - now());
+            boolean repeatable = items.stream().allMatch(item -> repeatable(item.message()));
+            receivers.start(route, items, giveUpAt - now(), repeatable ? NO_LIMIT : recorder.trusted);
         }
     }
 
+    private boolean repeatable(Held m) {
+        int type = config.classes().indexOf(m.className);
+        return config.settings().classes().get(type).effect() != Relay.Effect.UNSAFE;
+    }
+
     private void other(Action action) {
         if (action instanceof Cancel c && held.containsKey(c.id())) {
             receivers.cancel(held.get(c.id()), c.attempt());
@@ -424,6 +432,7 @@
     /** Collects what the module decides during a turn. */
     private static final class Recorder implements Relay.Actions {
         private final List<Action> actions = new ArrayList<>();
+        private long trusted = NO_LIMIT;
 
         @Override
         public void send(long id, long endpoint, long giveUpAt) {
@@ -450,6 +459,12 @@
             actions.add(new CloseIdle(endpoint));
         }
 
+        /** Needs no place among the actions: it holds for the calls of this turn and all later ones. */
+        @Override
+        public void trustIdle(long longest) {
+            trusted = longest;
+        }
+
         @Override
         public void wake(long delay, long token) {
             actions.add(new Wake(delay, token));
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -8,11 +8,14 @@
 import static sumacferry.net.World.ok;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -165,6 +168,32 @@
         assertEquals(1, world.receiver.sockets.size());
     }
 
+    /**
+     * Where kept connections turn out to be dead, what may not be repeated goes over fresh ones, and the resets are
+     * not held against the receiver.
+     */
+    @Test
+    void sendsUnsafeOverFreshConnectionsWhereKeptOnesAreDead() throws IOException {
+        World.Client client = started();
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
+        world.receiver.answers = r -> {
+            if (!used.add(r.socket())) {
+                closeQuietly(r);
+                return null;
+            }
+            return ok(200, "");
+        };
+        for (int i = 0; i < 8; i++) {
+            client.submit("safe", World.ID + "s" + i, NO_KEY);
+            await(() -> concluded() && sender.kept() == 1);
+        }
+        for (int i = 0; i < 4; i++) {
+            client.submit("unsafe", World.ID + "u" + i, NO_KEY);
+            await(() -> concluded() && sender.kept() >= 1);
+        }
+        assertEquals(List.of(), world.notices);
+    }
+
     /** A receiver closes idle connections at its limit; a call that crosses that is lost, so the sender is first. */
     @Test
     void closesIdleConnectionsInTime() throws IOException {
