Stay within the descriptors when hundreds connect at once, and never end the loop for a log line

At fault: ClientServer.makeRoom left the connection it closed in the set until its end was told, which comes after the pass of the loop, so all that one pass accepted pushed out the same one; and closed sockets keep their descriptors until the next pass, for which 40 in reserve were too few (64 now). Netty's log, unbounded besides, is off. Ruled out: memory (71 of 144 MB), a signal.

--- a/src/main/java/sumacferry/net/ClientServer.java
+++ b/src/main/java/sumacferry/net/ClientServer.java
@@ -99,10 +99,20 @@
         }
     }
 
-    /** One too many: first goes who has never sent a good request, then who has sent none for longest. */
+    /**
+     * One too many: first goes who has never sent a good request, then who has sent none for longest. It is forgotten
+     * here, as its end is told only after this pass of the loop, in which many more may have come.
+     */
     private void makeRoom(Session latest) {
-        Stream.concat(unproven.stream(), usual.stream()).filter(s -> s.waiting.isEmpty() && s != latest).findFirst()
-                .orElse(latest).channel.close();
+        Session leaving = Stream.concat(unproven.stream(), usual.stream())
+                .filter(s -> s.waiting.isEmpty() && s != latest).findFirst().orElse(latest);
+        unproven.remove(leaving);
+        usual.remove(leaving);
+        leaving.channel.close();
+    }
+
+    int connections() {
+        return unproven.size() + usual.size();
     }
 
     /** The place of one answer in its connection's order. */
@@ -158,7 +168,7 @@
             channel = context.channel();
             unproven.add(this);
             startDeadline();
-            if (unproven.size() + usual.size() > mostConnections) {
+            if (connections() > mostConnections) {
                 makeRoom(this);
             }
         }
@@ -200,7 +210,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Resp.Request request) {
-            if (ending) {
+            if (ending || !channel.isActive()) {
                 return;
             }
             stopDeadline();
--- a/src/main/java/sumacferry/net/Config.java
+++ b/src/main/java/sumacferry/net/Config.java
@@ -25,8 +25,11 @@
         long memoryBytes, long diskBytes, JsonObject known, Relay.Settings settings, List<String> classes, List<String> zones,
         List<String> kinds, List<String> reportNames) {
 
-    /** Descriptors of the process itself: libraries, journal, discovery, notices, the listening socket. */
-    private static final int OWN_DESCRIPTORS = 40;
+    /**
+     * Descriptors of the process itself (libraries, journal, discovery, notices, the listening socket), and of what one
+     * pass of the loop accepts and closes: a closed socket keeps its descriptor until the next pass.
+     */
+    private static final int OWN_DESCRIPTORS = 64;
     /** Usual clients may hold a third of all descriptors; others must not be able to take those places. */
     private static final double CLIENT_SHARE = 0.55;
 
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -40,6 +42,16 @@
     /** Origin of the module's clock. */
     private static final long START = System.nanoTime() / 1_000 - 1_000_000;
 
+    /**
+     * Netty's own log is off: it is not bounded, and with no descriptor left the first line of the JDK's logger cannot
+     * load its time zones and ends the event loop with an error.
+     */
+    private static final Logger NETTY = Logger.getLogger("io.netty");
+
+    static {
+        NETTY.setLevel(Level.OFF);
+    }
+
     private final Config config;
     private final EventLoopGroup group;
     private final EventLoop loop;
@@ -121,6 +133,16 @@
         return loop.submit(receivers::kept).syncUninterruptibly().getNow();
     }
 
+    /** Keeps the loop busy with other work meanwhile, as a full second of a slow machine would. */
+    void pauseFor(Runnable work) {
+        loop.submit(work).syncUninterruptibly();
+    }
+
+    /** How many connections of clients are open. */
+    int clients() {
+        return loop.submit(clients::connections).syncUninterruptibly().getNow();
+    }
+
     /** Whether a receiver is listed as ready. */
     boolean ready(String uid) {
         return loop.submit(() -> directory.ready(directory.number(uid))).syncUninterruptibly().getNow();
--- a/src/test/java/sumacferry/net/BadClientsTest.java
+++ b/src/test/java/sumacferry/net/BadClientsTest.java
@@ -113,6 +113,21 @@
         assertEquals("+PONG", world.client(sender).ask("PING"));
     }
 
+    /** Many that come in one pass of the loop must each push out another, or descriptors run out. */
+    @Test
+    void staysWithinItsConnectionsInABurst() throws IOException {
+        int most = Config.read(world.environment()).mostClients();
+        sender.pauseFor(() -> {
+            for (int i = 0; i < 300; i++) {
+                world.tryClient(sender);
+            }
+        });
+        for (int i = 0; i < 200; i++) {
+            assertTrue(sender.clients() <= most, "connections: " + sender.clients());
+        }
+        assertEquals("+PONG", world.client(sender).ask("PING"));
+    }
+
     /** Room for requests that are not whole is bounded for all connections together, and given back. */
     @Test
     void boundsWhatUnfinishedRequestsHold() throws IOException {
