Keep places for newcomers where usual clients stay; pause, not end, a connection with many requests

Clients that ask once and keep their connection filled all places, as only those without a good request were pushed out: any two newcomers of one pass pushed out each other (ClientServer.makeRoom). Now a quarter of the places is theirs. A connection with over 64 unanswered requests was ended with an error; usual clients may send that many, so it is read on when they are answered. The loopback test fails without the change.

--- a/src/main/java/sumacferry/net/ClientServer.java
+++ b/src/main/java/sumacferry/net/ClientServer.java
@@ -28,7 +28,11 @@
 /** Serves clients: reads what they hand in and gives each request its answer, in order. */
 final class ClientServer {
     private static final int LONGEST_NAME = 128;
-    private static final int MOST_WAITING = 64;
+    /** Share of the connections that those have which have not sent a good request yet. */
+    private static final double NEWCOMERS = 0.25;
+    /** With so many requests unanswered a connection is not read on; with more, all from one read, it ends. */
+    private static final int MANY_WAITING = 64;
+    private static final int MOST_WAITING = 4_096;
     /** For the first request of a connection, and from the first byte of each later one. */
     private static final long REQUEST_MS = 2_000;
     /** A connection without a request is closed after this. */
@@ -100,11 +104,14 @@
     }
 
     /**
-     * One too many: first goes who has never sent a good request, then who has sent none for longest. It is forgotten
+     * One too many: first goes who has never sent a good request, then who has sent none for longest; but newcomers
+     * have some places that the usual, idle for good, cannot fill, else they would push out each other. It is forgotten
      * here, as its end is told only after this pass of the loop, in which many more may have come.
      */
     private void makeRoom(Session latest) {
-        Session leaving = Stream.concat(unproven.stream(), usual.stream())
+        boolean crowd = unproven.size() > mostConnections * NEWCOMERS;
+        Session leaving = Stream.concat(crowd ? unproven.stream() : usual.stream(),
+                        crowd ? usual.stream() : unproven.stream())
                 .filter(s -> s.waiting.isEmpty() && s != latest).findFirst().orElse(latest);
         unproven.remove(leaving);
         usual.remove(leaving);
@@ -221,6 +228,9 @@
             } else if (waiting.size() > MOST_WAITING) {
                 endWith(reply, "too many requests at once");
             } else {
+                if (waiting.size() > MANY_WAITING) {
+                    channel.config().setAutoRead(false);
+                }
                 command(request.values(), reply);
             }
         }
@@ -291,6 +301,9 @@
             }
             if (written) {
                 channel.flush();
+                if (!paused && !ending && waiting.size() <= MANY_WAITING && channel.isWritable()) {
+                    channel.config().setAutoRead(true);
+                }
             }
         }
 
--- a/src/test/java/sumacferry/net/BadClientsTest.java
+++ b/src/test/java/sumacferry/net/BadClientsTest.java
@@ -128,6 +128,24 @@
         assertEquals("+PONG", world.client(sender).ask("PING"));
     }
 
+    /** Clients that asked once and stay must not leave newcomers so few places that these push out each other. */
+    @Test
+    void letsNewcomersInWhereOthersStay() throws IOException {
+        int most = Config.read(world.environment()).mostClients();
+        for (int i = 0; i < most; i++) {
+            assertEquals("+PONG", world.client(sender).ask("PING"));
+        }
+        List<World.Client> fresh = new ArrayList<>();
+        sender.pauseFor(() -> {
+            for (int i = 0; i < 8; i++) {
+                fresh.add(world.tryClient(sender));
+            }
+        });
+        for (World.Client client : fresh) {
+            assertEquals("+PONG", client.ask("PING"));
+        }
+    }
+
     /** Room for requests that are not whole is bounded for all connections together, and given back. */
     @Test
     void boundsWhatUnfinishedRequestsHold() throws IOException {
