In an outage risk what is cheapest to lose, try with what can wait, and remember it over a restart

With that mended, trials still failed for up to 10 s after the end of the outage: they carried the messages nearest their end, given up after 300 to 1000 ms, before a cold destination answers (0.9 to 1.5 s), and each such time-out counted against it (choose, learn). A sender that came back met the first answer with all slots, as the outage was forgotten, and kept the other one out (recover).

Ruled out: turns take under 3 ms (loop not the cause); the list is followed within 0.1 s over each SIGHUP; slots stood free all through the outage; other destinations lose hardly anything.

--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -48,6 +48,8 @@
     /** A call is silent after so many usual latencies, and after this span, as connecting is part of it. */
     private static final double SILENT = 6;
     private static final long SILENT_LEAST = 1_500_000;
+    /** A message with less than so many service times left may run out of time before a slow answer. */
+    private static final double AMPLE = 3;
     /** Share of the slots that silent calls may hold while messages wait, and how much longer unsafe ones. */
     private static final double SILENT_SLOTS = 0.2;
     private static final double PATIENCE = 2.5;
@@ -60,6 +62,10 @@
     /** First pause at a door shared by all: a turn for each sender, and a base where no wait was told. */
     private static final long TURN = 80_000;
     private static final long BACKOFF = 240_000;
+    /** Share of recent calls that ran and failed above which a destination is in doubt: two in a row. */
+    private static final double DOUBT = 0.25;
+    /** Share of its time left from which a message takes the risk of a destination in doubt. */
+    private static final double LAST_SHARE = 0.25;
     /** Share of the longest class's time after which an answer no longer tells that a destination is well. */
     private static final double OLD = 0.5;
     /** The longest pause between trials for each sender. */
@@ -126,6 +132,8 @@
     private final Map<Long, Endpoint> endpoints = new TreeMap<>();
     /** Scopes with calls out: a step walks these, however long the list is. */
     private final Set<Scope> busy = new LinkedHashSet<>();
+    /** Scopes whose breaker has turned since the last step. */
+    private final Set<Scope> turned = new LinkedHashSet<>();
     private final Map<Long, KeyTurn> turns = new HashMap<>();
     /** Answered messages whose key's turn waits for the answer to be concluded. */
     private final Map<Long, Message> concluding = new HashMap<>();
@@ -190,6 +198,8 @@
             onOutcome(now, e, actions);
         } else if (event instanceof Event.Resumed e) {
             onResumed(now, e);
+        } else if (event instanceof Event.Remembered e) {
+            onRemembered(now, e.memory(), e.memory().since() + e.age());
         } else if (event instanceof Event.Stopping e) {
             stopsAt = now + e.timeLeft();
         } else if (event instanceof Event.Concluded e) {
@@ -252,6 +262,48 @@
         }
     }
 
+    /**
+     * An outage or its end that an earlier process saw goes on in this one, else the first answer would let
+     * out all that is held, at a destination that is still cold. It covers crashes and planned restarts.
+     * Harm: a destination that is well again since is tried by one call first.
+     */
+    private void onRemembered(long now, Memory memory, long age) {
+        Endpoint point = endpoints.get(memory.endpoint());
+        if (memory.endpoint() != 0 && point == null || memory.health() == Health.WELL) {
+            return;
+        }
+        Destination destination = destination(memory.destination());
+        Scope scope = point == null ? destination.shared : point.scope;
+        scope.usual = memory.usual();
+        scope.present = memory.usual();
+        scope.formerPace = memory.pace();
+        if (memory.usual() > 0) {
+            destination.p = memory.usual();
+            destination.measured = true;
+        }
+        scope.breaker = memory.health() == Health.OUT ? Breaker.OPEN : Breaker.RAMP;
+        scope.openedAt = now - age;
+        scope.rampFrom = now - age;
+        scope.rampSent = now;
+        scope.trialAt = now;
+        scope.harm = memory.health() == Health.OUT ? 1 : 0;
+    }
+
+    /** What is to outlast the process changes with the breaker only, so it is seldom written. */
+    private void remember(long now, Actions actions) {
+        for (Scope scope : turned) {
+            Health health = switch (scope.breaker) {
+                case OPEN -> Health.OUT;
+                case RAMP -> Health.COLD;
+                case CLOSED -> Health.WELL;
+            };
+            long since = now - (health == Health.OUT ? scope.openedAt : scope.rampFrom);
+            actions.remember(new Memory(scope.destination, scope.endpoint, health, since, scope.formerPace,
+                    scope.usual));
+        }
+        turned.clear();
+    }
+
     private void onConcluded(long now, long id) {
         Message m = concluding.remove(id);
         if (m != null) {
@@ -260,7 +312,8 @@
     }
 
     private Destination destination(int number) {
-        return destinations.computeIfAbsent(number, n -> new Destination(new Scope(SENT_SPAN, SERVED_SPAN)));
+        return destinations.computeIfAbsent(number, 
+                n -> new Destination(new Scope(n, 0, SENT_SPAN, SERVED_SPAN)));
     }
 
     /** A sender sees only its own part of a tenant's traffic and takes an even part of its share. */
@@ -381,7 +434,8 @@
             point.destination = destination(entry.destination());
             Kind kind = settings.kinds().isEmpty() ? new Kind(false, 1)
                     : settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
-            point.scope = kind.routesApart() ? new Scope(SENT_SPAN, SERVED_SPAN) : point.destination.shared;
+            point.scope = !kind.routesApart() ? point.destination.shared
+                    : new Scope(entry.destination(), point.id, SENT_SPAN, SERVED_SPAN);
             point.messagesPerCall = Math.max(1, kind.messagesPerCall());
             endpoints.put(point.id, point);
             List<Endpoint> siblings = point.destination.endpoints;
@@ -459,6 +513,7 @@
             actions.trustIdle((long) trustedIdle);
         }
         choose(now, actions);
+        remember(now, actions);
         setTimer(now, actions);
     }
 
@@ -534,8 +589,9 @@
             if (point.state == Listed.READY && point.scope != last) {
                 last = point.scope;
                 cap += cap(now, last);
-                pace += last.breaker == Breaker.CLOSED
-                        ? last.pace * point.messagesPerCall : rampPace((1 + warmth(now, last)) / 2, last);
+                // Paces count calls: what waits behind a limit or a slow start fills them.
+                pace += point.messagesPerCall * (last.breaker == Breaker.CLOSED
+                        ? last.pace : rampPace((1 + warmth(now, last)) / 2, last));
                 opens = Math.min(opens, returnsAt(now, last));
             }
         }
@@ -591,13 +647,16 @@
             }
         }
         ready.sort(Comparator.comparingDouble((Message m) -> -m.index));
+        judgeRisks(now);
         Map<Destination, Call> filling = new HashMap<>();
         List<Call> started = new ArrayList<>();
         for (Message m : ready) {
             Call open = filling.get(m.destination);
-            boolean joins = open != null && open.messages < open.endpoint.messagesPerCall;
+            boolean joins = open != null && open.messages < open.endpoint.messagesPerCall
+                    && mayRisk(now, m, open.endpoint.scope) && sharesFate(now, m, open)
+                    && (m.type.effect() == Effect.SAFE || !probing(open.endpoint.scope));
             if (joins && remembered(m, open.endpoint) && endsInTime(now, m, open.endpoint)) {
-                load(m, open);
+                load(now, m, open);
                 continue;
             }
             if (slotsUsed >= settings.limits().slots()) {
@@ -608,12 +667,50 @@
                 Call call = startCall(now, point, actions);
                 filling.put(m.destination, call);
                 started.add(call);
-                load(m, call);
+                load(now, m, call);
             }
         }
         started.forEach(call -> send(now, call, actions));
     }
 
+    /** The least that a failed call costs or could cost among the messages for each destination. */
+    private void judgeRisks(long now) {
+        destinations.values().forEach(d -> d.leastRisk = Integer.MAX_VALUE);
+        for (Message m : messages.values()) {
+            boolean counts = m.out != null || maySend(now, m) && hasTurn(now, m);
+            if (counts) {
+                m.destination.leastRisk = Math.min(m.destination.leastRisk, risk(now, m));
+            }
+        }
+    }
+
+    /**
+     * While it is in doubt whether calls to a scope succeed, only those messages go whose failure costs
+     * least: a safe one is just sent again, a keyed one uses up the life of its key, an unsafe one is lost;
+     * and rather those with time to wait for a slow answer, as one given up early proves nothing.
+     * It covers trials in an outage of any kind, brown-outs, cold returns and what a new process finds.
+     * Harm: where most calls go on failing, unsafe messages wait for the last part of their time.
+     */
+    private boolean mayRisk(long now, Message m, Scope scope) {
+        boolean late = m.due - now < LAST_SHARE * m.type.deadline();
+        return risk(now, m) <= m.destination.leastRisk
+                || !probing(scope) && (scope.harm < DOUBT || late);
+    }
+
+    private int risk(long now, Message m) {
+        return m.type.effect() == Effect.UNSAFE ? 4 : m.type.effect().ordinal() + (hurried(now, m) ? 2 : 0);
+    }
+
+    /** Its time may run out before a slow answer: it would be given up before that is silence. */
+    private boolean hurried(long now, Message m) {
+        return m.due - now < Math.max(SILENT_LEAST, (long) (AMPLE * serviceTime(m)));
+    }
+
+    /** Nothing is known of a scope, or only that it failed: only safe messages share a call to it. */
+    private static boolean probing(Scope scope) {
+        return scope.breaker == Breaker.OPEN || scope.usual == 0;
+    }
+
     private boolean hasTurn(long now, Message m) {
         if (m.turn == null || m.turn.queue.peek() != m) {
             return m.turn == null;
@@ -628,7 +725,8 @@
         double bestCost = Double.POSITIVE_INFINITY;
         long opens = NEVER;
         for (Endpoint point : m.destination.endpoints) {
-            boolean usable = point.state == Listed.READY && remembered(m, point);
+            boolean usable = point.state == Listed.READY && remembered(m, point)
+                    && mayRisk(now, m, point.scope);
             if (!usable || !endsInTime(now, m, point)) {
                 continue;
             }
@@ -683,7 +781,13 @@
         return call;
     }
 
-    private void load(Message m, Call call) {
+    /** A call is given up with the first of its messages: those with time to wait must not fail by that. */
+    private boolean sharesFate(long now, Message m, Call call) {
+        return call.hurried == hurried(now, m);
+    }
+
+    private void load(long now, Message m, Call call) {
+        call.hurried |= hurried(now, m);
         call.messages++;
         call.waiting++;
         call.load.add(m);
@@ -752,7 +856,8 @@
         if (scope.breaker == Breaker.OPEN) {
             return scope.trial != null ? NEVER : Math.max(at, scope.trialAt);
         }
-        if (scope.calls.size() >= cap(now, scope)) {
+        // What never answered gets a call for each endpoint: after a restart all held would else go at once.
+        if (scope.calls.size() >= (scope.usual == 0 ? scope.members.size() : cap(now, scope))) {
             return NEVER;
         }
         if (scope.breaker == Breaker.RAMP && now - scope.rampFrom >= settings.rules().coldSpan()) {
@@ -889,6 +994,9 @@
         }
         unconnected += FAST_POOLED * ((e.ending() == Ending.CONNECT_FAILED ? 1 : 0) - unconnected);
         m.destination.odds += FAST * ((e.ending() == Ending.OK ? 1 : 0) - m.destination.odds);
+        if (!NEVER_RAN.contains(e.ending())) {
+            scope.harm += FAST * ((e.ending() == Ending.OK ? 0 : 1) - scope.harm);
+        }
         switch (e.ending()) {
             case OK -> onOk(now, call, e);
             case FULL -> onFull(now, m, call, e.toldWait(), wasTrial);
@@ -898,6 +1006,14 @@
                     onFailure(now, call, e.ending(), wasTrial);
                 }
             }
+            case TIMEOUT -> {
+                // Given up early for its messages' sake, it shows slowness at most: a trial is due again.
+                m.destination.p += FAST * Math.max(0, e.took() - m.destination.p);
+                scope.present += FAST * Math.max(0, e.took() - scope.present);
+                if (now - call.sentAt >= silence(scope)) {
+                    onFailure(now, call, e.ending(), wasTrial);
+                }
+            }
             default -> {
                 // A kept connection that is reset tells of itself; a sick endpoint shows on a fresh one.
                 if (e.ending() != Ending.RESET || !told || e.idle() == 0 || wasTrial) {
@@ -929,8 +1045,14 @@
         scope.trials = 0;
         if (scope.breaker == Breaker.OPEN) {
             scope.breaker = falseAlarm ? Breaker.CLOSED : Breaker.RAMP;
+            turned.add(scope);
             scope.rampFrom = now;
             scope.rampSent = now;
+            if (!falseAlarm) {
+                // What was usual before an outage tells little of a cold destination's first answers.
+                destination.p = Math.max(destination.p, took);
+                scope.present = Math.max(scope.present, took);
+            }
         }
         readReport(now, scope, e.report());
         if (!Double.isInfinite(scope.pace)) {
@@ -1001,6 +1123,7 @@
         }
         if (scope.breaker != Breaker.OPEN) {
             scope.openedAt = now;
+            turned.add(scope);
             scope.trial = null;
             scope.trials = 0;
         }
--- a/src/main/java/sumacferry/Relay.java
+++ b/src/main/java/sumacferry/Relay.java
@@ -68,6 +68,15 @@
     /** A line of the list of endpoints. */
     record Entry(long endpoint, int destination, Listed state, double weight, int zone, int kind) { }
 
+    /**
+     * What has to outlast the process of one destination, or of one endpoint where {@code endpoint} is not 0: that it is
+     * out, or has been and is cold, since {@code since} microseconds; the messages a second and the latency it had before.
+     */
+    record Memory(int destination, long endpoint, Health health, long since, double pace, double usual) { }
+
+    /** How a destination fares as far as a sender has seen. */
+    enum Health { WELL, OUT, COLD }
+
     /** Something that happened. */
     sealed interface Event {
         /** A new message; {@code timeLeft} is how long it may still be delivered. */
@@ -82,6 +91,9 @@
         record Resumed(long id, int messageClass, long key, long timeLeft, int destination, int attempts,
                 long doubtAge, long doubtEndpoint, boolean cutOff) implements Event { }
 
+        /** What an earlier process of this sender asked to be remembered, {@code age} ago; before what is resumed. */
+        record Remembered(Memory memory, long age) implements Event { }
+
         /** The process will be ended after {@code timeLeft}; what is held then resumes in the next one. */
         record Stopping(long timeLeft) implements Event { }
 
@@ -150,6 +162,10 @@
         default void trustIdle(long longest) {
         }
 
+        /** Replaces what was remembered of the same place; callers without a lasting store pass over it. */
+        default void remember(Memory memory) {
+        }
+
         /** Asks for a timer. */
         void wake(long delay, long token);
 
--- a/src/main/java/sumacferry/State.java
+++ b/src/main/java/sumacferry/State.java
@@ -45,6 +45,8 @@
         boolean silent;
         /** One of its messages may not be repeated. */
         boolean unsafe;
+        /** One of its messages has little time left, so that all are given up early. */
+        boolean hurried;
         boolean calledOff;
         /** How long the connection it may have reused had lain idle, 0 for a fresh one. */
         long idleBefore;
@@ -75,6 +77,8 @@
         boolean measured;
         /** Share of recent calls that were answered. */
         double odds = 1;
+        /** The least risk of a call among the messages for it; worked out anew in each choice. */
+        int leastRisk;
 
         Destination(Scope shared) {
             this.shared = shared;
@@ -114,6 +118,9 @@
 
     /** Health and limits of what shares one limit and one fate. */
     static final class Scope {
+        /** Whose it is: a destination's, or one endpoint's where that is not 0. */
+        final int destination;
+        final long endpoint;
         final List<Endpoint> members = new ArrayList<>();
         final List<Call> calls = new ArrayList<>();
         final Rate sent;
@@ -128,6 +135,8 @@
         long lastRefusal;
         int refusals;
         double weight;
+        /** Share of recent calls that may have run and were not answered as done. */
+        double harm;
         Breaker breaker = Breaker.CLOSED;
         int trials;
         long openedAt;
@@ -138,7 +147,9 @@
         double formerPace;
         long lastOk = Long.MIN_VALUE / 2;
 
-        Scope(double sentSpan, double servedSpan) {
+        Scope(int destination, long endpoint, double sentSpan, double servedSpan) {
+            this.destination = destination;
+            this.endpoint = endpoint;
             sent = new Rate(sentSpan);
             served = new Rate(servedSpan);
         }
--- a/src/main/java/sumacferry/net/Journal.java
+++ b/src/main/java/sumacferry/net/Journal.java
@@ -22,6 +22,8 @@
 import java.util.Set;
 import java.util.zip.CRC32;
 
+import sumacferry.Relay;
+
 /**
  * What this sender owes, in a folder that outlasts its process: records with length and checksum, each
  * written before the effect that it tells of. What the kernel has outlasts the process, so nothing is synced.
@@ -40,14 +42,21 @@
     /** Ids of ended messages are remembered, as a client may hand one in twice when its connection closes. */
     private static final int REMEMBERED = 512;
     private static final int REMEMBERED_BYTES = REMEMBERED * 96;
+    /** What is remembered of destinations, the longest unchanged forgotten first. */
+    private static final int MEMORIES = 128;
+    private static final int MEMORY_BYTES = 64;
     private static final long REWRITE_LEAST = 256 * 1024;
     private static final int REWRITE_BUFFER = 16 * 1024;
 
+    /** What the module wants to know of a place again, {@code uid} empty for a whole destination; wall time. */
+    record Memory(int destination, String uid, Relay.Health health, long since, double pace, double usual) { }
+
     private final Path folder;
     private final long budget;
     private final Map<Long, Held> live = new LinkedHashMap<>();
     private final Set<String> ended = new LinkedHashSet<>();
     private final Set<String> liveIds = new LinkedHashSet<>();
+    private final Map<String, Memory> memories = new LinkedHashMap<>();
     private FileChannel file;
     private long size;
     private long reserved = REMEMBERED_BYTES;
@@ -131,6 +140,16 @@
         drop(m);
     }
 
+    /** What was remembered of places, one for each. */
+    Collection<Memory> memories() {
+        return memories.values();
+    }
+
+    void remember(Memory memory) {
+        keep(memory);
+        append(remembered(memory));
+    }
+
     @Override
     public void close() throws IOException {
         file.close();
@@ -182,6 +201,17 @@
         });
     }
 
+    private static byte[] remembered(Memory memory) {
+        return record('M', out -> {
+            out.writeInt(memory.destination());
+            out.writeUTF(memory.uid());
+            out.writeUTF(memory.health().name());
+            out.writeLong(memory.since());
+            out.writeDouble(memory.pace());
+            out.writeDouble(memory.usual());
+        });
+    }
+
     /** All that attempts have left behind, for a rewritten file. */
     private static byte[] standing(Held m) {
         return record('S', out -> {
@@ -202,6 +232,11 @@
             remember(in.readUTF());
             return;
         }
+        if (type == 'M') {
+            keep(new Memory(in.readInt(), in.readUTF(), Relay.Health.valueOf(in.readUTF()), in.readLong(),
+                    in.readDouble(), in.readDouble()));
+            return;
+        }
         long number = in.readLong();
         next = Math.max(next, number + 1);
         if (type == 'A') {
@@ -290,6 +325,26 @@
         reserved -= reserve(m);
     }
 
+    /** That a place is well need not be kept. */
+    private void keep(Memory memory) {
+        String place = memory.destination() + " " + memory.uid();
+        forget(place);
+        if (memory.health() != Relay.Health.WELL) {
+            memories.put(place, memory);
+            reserved += MEMORY_BYTES + memory.uid().length();
+        }
+        if (memories.size() > MEMORIES) {
+            forget(memories.keySet().iterator().next());
+        }
+    }
+
+    private void forget(String place) {
+        Memory old = memories.remove(place);
+        if (old != null) {
+            reserved -= MEMORY_BYTES + old.uid().length();
+        }
+    }
+
     private void remember(String id) {
         ended.add(id);
         if (ended.size() > REMEMBERED) {
@@ -337,6 +392,9 @@
             for (String id : ended) {
                 out.write(record('K', record -> record.writeUTF(id)));
             }
+            for (Memory memory : memories.values()) {
+                out.write(remembered(memory));
+            }
             for (Held m : live.values()) {
                 out.write(accepted(m));
                 if (m.attempts > 0) {
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -173,6 +173,9 @@
 
     private void recover() {
         directory.start();
+        journal.memories().forEach(m -> events.add(new Event.Remembered(
+                new Relay.Memory(m.destination(), m.uid().isEmpty() ? 0 : directory.number(m.uid()), m.health(), 0,
+                        m.pace(), m.usual()), Math.max(0, wall() - m.since()) * 1_000)));
         for (Held m : List.copyOf(journal.live())) {
             int type = config.classes().indexOf(m.className);
             if (m.notice == null && type < 0) {
@@ -395,6 +398,10 @@
                 timer.cancel(false);
             }
             timer = loop.schedule(() -> note(new Event.TimerDue(w.token())), w.delay(), TimeUnit.MICROSECONDS);
+        } else if (action instanceof Remember r) {
+            Relay.Memory m = r.memory();
+            journal.remember(new Journal.Memory(m.destination(), directory.uid(m.endpoint()), m.health(),
+                    wall() - m.since() / 1_000, m.pace(), m.usual()));
         } else if (action instanceof Note n) {
             Log.warn("module: " + n.text());
         }
@@ -447,6 +454,8 @@
 
     private record CloseIdle(long endpoint) implements Action { }
 
+    private record Remember(Relay.Memory memory) implements Action { }
+
     private record Wake(long delay, long token) implements Action { }
 
     private record Note(String text) implements Action { }
@@ -487,6 +496,11 @@
             trusted = longest;
         }
 
+        @Override
+        public void remember(Relay.Memory memory) {
+            actions.add(new Remember(memory));
+        }
+
         @Override
         public void wake(long delay, long token) {
             actions.add(new Wake(delay, token));
--- a/src/test/java/sumacferry/net/SpoiltAnswersTest.java
+++ b/src/test/java/sumacferry/net/SpoiltAnswersTest.java
@@ -207,6 +207,7 @@
         world.slots = 1;
         World.Client client = answering(r -> r.head().contains("receive-many")
                 ? ok(200, A + " delivered\r\n" + B.substring(0, 9)) : ok(200, ""));
+        world.prove(sender, client);
         client.raw(World.command("SUBMIT", NO_KEY, A, "c=safe,d=8000,dest=7", "one")
                 + World.command("SUBMIT", NO_KEY, B, "c=unsafe,d=8000,dest=7", "two"));
         client.answer();
--- a/src/test/java/sumacferry/net/World.java
+++ b/src/test/java/sumacferry/net/World.java
@@ -20,6 +20,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Small fakes of a sender's surroundings on loopback sockets: a receiver, discovery and clients. */
@@ -260,6 +261,13 @@
         return client;
     }
 
+    /** Lets one message through, so that the sender knows the receiver to answer, and forgets the call. */
+    void prove(Sender sender, Client client) throws IOException {
+        assertEquals("+OK", client.submit("safe", ID + "0", "0000000000000000"));
+        await(() -> sender.owed() == 0);
+        receiver.requests.clear();
+    }
+
     /** As {@link #client}, for use in conditions. */
     Client tryClient(Sender sender) {
         try {
