--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -1007,10 +1007,10 @@
                 }
             }
             case TIMEOUT -> {
-                // Given up early for its messages' sake, it shows slowness at most: a trial is due again.
+                // A trial given up early for its message's sake shows slowness at most: another is due.
                 m.destination.p += FAST * Math.max(0, e.took() - m.destination.p);
                 scope.present += FAST * Math.max(0, e.took() - scope.present);
-                if (now - call.sentAt >= silence(scope)) {
+                if (!wasTrial || now - call.sentAt >= silence(scope)) {
                     onFailure(now, call, e.ending(), wasTrial);
                 }
             }
@@ -1048,11 +1048,6 @@
             turned.add(scope);
             scope.rampFrom = now;
             scope.rampSent = now;
-            if (!falseAlarm) {
-                // What was usual before an outage tells little of a cold destination's first answers.
-                destination.p = Math.max(destination.p, took);
-                scope.present = Math.max(scope.present, took);
-            }
         }
         readReport(now, scope, e.report());
         if (!Double.isInfinite(scope.pace)) {
