Close idle clients early when there are many: messages that each bring a connection found no place

Now, over a third of the places, those idle for longest close after 250 ms.

A loopback test fails without.

--- a/src/main/java/sumacferry/net/ClientServer.java
+++ b/src/main/java/sumacferry/net/ClientServer.java
@@ -37,7 +37,15 @@
     private static final long REQUEST_MS = 2_000;
     /** A connection without a request is closed after this. */
     private static final long IDLE_MS = 60_000;
-    private static final long SWEEP_MS = 5_000;
+    /**
+     * With more than this share of the places taken, those that have been without a request for longest are closed
+     * after a moment: clients may hold only so many, and where each message brings a connection that stays, the next
+     * message would wait for a place. It covers clients that leak connections too. Harm: clients that ask seldom
+     * connect anew when there are many.
+     */
+    private static final double COMFORTABLE = 0.33;
+    private static final long SPARED_MS = 250;
+    private static final long SWEEP_MS = 100;
     /** After a request that makes no sense the next is read only after a pause, doubled with each in a row. */
     private static final long PAUSE_MS = 50;
     private static final int MOST_BAD = 16;
@@ -93,12 +101,14 @@
 
     private void sweep() {
         long now = System.nanoTime();
+        double over = usual.size() - COMFORTABLE * mostConnections;
         for (Session session : List.copyOf(usual)) {
-            if (now - session.lastUse < IDLE_MS * 1_000_000) {
+            if (now - session.lastUse < (over > 0 ? SPARED_MS : IDLE_MS) * 1_000_000) {
                 return;
             }
             if (session.waiting.isEmpty()) {
                 session.channel.close();
+                over--;
             }
         }
     }
--- a/src/test/java/sumacferry/net/BadClientsTest.java
+++ b/src/test/java/sumacferry/net/BadClientsTest.java
@@ -128,6 +128,20 @@
         assertEquals("+PONG", world.client(sender).ask("PING"));
     }
 
+    /** Clients may hold only so many connections: those that ask once and stay would keep the next message out. */
+    @Test
+    void closesConnectionsThatAskedOnceWhenThereAreMany() throws IOException {
+        int most = Config.read(world.environment()).mostClients();
+        World.Client first = world.client(sender);
+        assertEquals("+OK", first.submit("safe", World.ID + "1", NO_KEY));
+        for (int i = 0; i < most / 2; i++) {
+            assertEquals("+PONG", world.client(sender).ask("PING"));
+        }
+        await(() -> sender.clients() <= most / 3);
+        closes(first);
+        assertEquals("+OK", world.client(sender).submit("safe", World.ID + "2", NO_KEY));
+    }
+
     /** Clients that asked once and stay must not leave newcomers so few places that these push out each other. */
     @Test
     void letsNewcomersInWhereOthersStay() throws IOException {
