Wait in the reload test for the list whose version it asks for

Cause: the test waited until the watch was asked for and s-1 was ready, but s-1 is ready from the configuration's own list (version 1) before the watch has answered; on a slow machine the move came between the two. Seen by answering the watch 300 ms later: it fails every time. The sender is right then, it had no version 2 yet. Now a version 3 with one more endpoint is announced on the first watch and waited for, and World announces nothing before the watch has its first list: the two were written by two threads, in either order.

--- a/src/test/java/sumacferry/net/ReloadTest.java
+++ b/src/test/java/sumacferry/net/ReloadTest.java
@@ -50,11 +50,12 @@
         Map<String, String> environment = new HashMap<>(world.environment());
         environment.put("GW_DISCOVERY", world.discovery.address());
         sender = Sender.start(Config.read(environment));
-        await(() -> watches(world.discovery) == 1 && sender.ready("s-1"));
-        world.moveDiscovery(3, "Terminating");
+        world.announce(world.list(3, false, "Ready", "s-2"));
+        await(() -> sender.ready("s-2"));
+        world.moveDiscovery(4, "Terminating");
         sender.reload(environment);
         await(() -> !sender.ready("s-1"));
-        assertTrue(world.moved.requests.get(0).head().contains("since=2"), "the version was lost");
+        assertTrue(world.moved.requests.get(0).head().contains("since=3"), "the version was lost");
         await(() -> world.discovery.sockets.get(0).isClosed());
         world.moved.sockets.get(0).close();
         await(() -> watches(world.moved) == 2);
--- a/src/test/java/sumacferry/net/World.java
+++ b/src/test/java/sumacferry/net/World.java
@@ -172,6 +172,7 @@
     long keepAlive = 15_000_000;
     /** Where the file says discovery is, if elsewhere. */
     String discoveryAddress;
+    /** Whoever watches and has the list; nothing may be announced before it. */
     private volatile Socket watch;
 
     World(Path folder) throws IOException {
@@ -188,8 +189,13 @@
             r.body().lines().forEach(notices::add);
             return noticeAnswers.apply(r);
         }
-        watch = r.socket();
-        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list(2, true, "Ready"));
+        try {
+            write(r.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list(2, true, "Ready")));
+            watch = r.socket();
+        } catch (IOException e) {
+            // The other side has closed.
+        }
+        return null;
     }
 
     /** Another discovery with the list of this version; the file names it from then on. */
