Let a learned service time fade while nothing is sent: a destination was starved after lost calls

With all slots taken its index, as 1/p, then stands behind all others, and what is short of time is turned away; as nothing is sent p stays. Policy.fade now takes p back to the usual with a span of 1 s while no call is out there. The test over loopback sockets waits in vain without it.

--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -36,6 +36,8 @@
     private static final double SLOW = 0.02;
     /** Present latency up to this multiple of the usual is noise of ordinary service times, not slowness. */
     private static final double AT_PACE = 2;
+    /** Span over which a service time that was learned falls back to the usual while no call is out. */
+    private static final double FADE = 1_000_000;
     /** Share of the room above which the least message is handed back, so that arrivals are still ranked. */
     private static final double ROOM = 0.9;
     /** A held message is ended at least this long before its time is up: rounds and timers take a while. */
@@ -342,6 +344,7 @@
             slotsUsed--;
             call.endpoint.inFlight--;
             call.endpoint.lastUse = now;
+            call.endpoint.destination.heardAt = now;
             call.endpoint.scope.calls.remove(call);
             if (call.endpoint.inFlight == 0 && unconnected > CROWDED) {
                 closeIdle(call.endpoint, SELDOM * trustedIdle, actions);
@@ -524,6 +527,7 @@
             if (m.out != null || m.ended) {
                 continue;
             }
+            fade(now, m.destination);
             long end = m.due - Math.max(END_MARGIN, (long) serviceTime(m));
             if (now >= Math.min(end, repeatableUntil(m)) || m.attempts >= settings.limits().maxAttempts()) {
                 answer(now, m, predictedWait(now, m), actions);
@@ -539,6 +543,25 @@
         }
     }
 
+    /**
+     * What was learned of a slow destination ages while nothing is sent there: p falls back to the usual.
+     * With all slots taken its index would else stand behind all others for good, and short messages be
+     * turned away, after a few time-outs. It covers slowness, hangs and lost calls. Harm: one more call to
+     * what is still slow.
+     */
+    private static void fade(long now, Destination destination) {
+        double usual = destination.p;
+        for (Endpoint point : destination.endpoints) {
+            if (point.inFlight > 0) {
+                destination.heardAt = now;
+            }
+            usual = point.scope.usual > 0 ? Math.min(usual, point.scope.usual) : usual;
+        }
+        double left = Math.exp((destination.heardAt - now) / FADE);
+        destination.p = usual + (destination.p - usual) * left;
+        destination.heardAt = now;
+    }
+
     /** The arrival test binds once more messages are held unsent than there are slots. */
     private void admit(long now, Actions actions) {
         long held = messages.values().stream().filter(m -> m.out == null).count();
--- a/src/main/java/sumacferry/State.java
+++ b/src/main/java/sumacferry/State.java
@@ -75,6 +75,8 @@
         final Scope shared;
         double p;
         boolean measured;
+        /** Up to when p is as it was learned. */
+        long heardAt;
         /** Share of recent calls that were answered. */
         double odds = 1;
         /** The least risk of a call among the messages for it; worked out anew in each choice. */
--- a/src/test/java/sumacferry/net/OutageTest.java
+++ b/src/test/java/sumacferry/net/OutageTest.java
@@ -131,4 +131,23 @@
         await(() -> atOnce.get() > 0);
         assertEquals(1, atOnce.get(), "calls behind the first answer, with four slots free");
     }
+
+    /** What is turned away for its sake never finds out that a slow spell is over: it has to fade by itself. */
+    @Test
+    void forgetsASlowSpellWhileNothingIsSent() throws IOException {
+        world.prove(sender, client);
+        world.receiver.answers = r -> {
+            pause();
+            pause();
+            pause();
+            return ok(200, "");
+        };
+        for (char c = 'a'; c < 'e'; c++) {
+            safe(World.ID + c);
+        }
+        await(() -> sender.owed() == 0);
+        world.receiver.answers = r -> ok(200, "");
+        await(() -> client.tryAsk("SUBMIT", NO_KEY, SAFE, "c=safe,d=250,k=5c0f,dest=7", "body").equals("+OK"));
+        await(() -> called().contains(SAFE));
+    }
 }
