Count times from when they are noted: after a slow start resumed messages ended too late and were lost

Each event now carries when it was noted, and the module is stepped with that. Test over loopback sockets: a start that is slow by 0.7 s; without the change the message ends behind one that had 350 ms more.

--- a/src/main/java/sumacferry/net/Sender.java
+++ b/src/main/java/sumacferry/net/Sender.java
@@ -66,13 +66,16 @@
     /** Messages handed in since the last turn, with their waiting clients. */
     private final Map<Long, Arriving> arriving = new LinkedHashMap<>();
     private final Set<String> arrivingIds = new HashSet<>();
-    private final List<Event> events = new ArrayList<>();
+    private final List<Noted> events = new ArrayList<>();
     private Future<?> timer;
     private boolean turnDue;
     private long turnEnded;
     private long turnTook;
     private InetSocketAddress bound;
 
+    /** What the module is to be told, and when it happened. */
+    private record Noted(long at, Event event) { }
+
     private record Arriving(Held message, ClientServer.Reply reply) { }
 
     private Sender(Config config) throws IOException {
@@ -173,7 +176,7 @@
 
     private void recover() {
         directory.start();
-        journal.memories().forEach(m -> events.add(new Event.Remembered(
+        journal.memories().forEach(m -> note(new Event.Remembered(
                 new Relay.Memory(m.destination(), m.uid().isEmpty() ? 0 : directory.number(m.uid()), m.health(), 0,
                         m.pace(), m.usual()), Math.max(0, wall() - m.since()) * 1_000)));
         for (Held m : List.copyOf(journal.live())) {
@@ -191,7 +194,7 @@
             }
             held.put(m.number, m);
             long age = m.doubtSince == 0 ? -1 : Math.max(0, (wall() - m.doubtSince) * 1_000);
-            events.add(new Event.Resumed(m.number, type, m.key, (m.deadline - wall()) * 1_000, m.destination,
+            note(new Event.Resumed(m.number, type, m.key, (m.deadline - wall()) * 1_000, m.destination,
                     m.attempts, age, m.doubtAt.isEmpty() ? 0 : directory.number(m.doubtAt), cutOff));
         }
         Log.warn("resumed " + held.size() + " messages");
@@ -252,8 +255,12 @@
         note(new Event.Concluded(m.number));
     }
 
+    /**
+     * Times in an event count from when it is noted: the turn may come much later, above all the first one, and
+     * a message whose time were counted from there would end too late. Harm: none, as notes are in order.
+     */
     private void note(Event event) {
-        events.add(event);
+        events.add(new Noted(now(), event));
         turnSoon();
     }
 
@@ -278,9 +285,9 @@
     private void turn() {
         turnDue = false;
         long now = now();
-        List<Event> batch = List.copyOf(events);
+        List<Noted> batch = List.copyOf(events);
         events.clear();
-        batch.forEach(event -> step(now, event));
+        batch.forEach(noted -> step(noted.at(), noted.event()));
         step(now, new Event.Turn());
         List<Action> actions = List.copyOf(recorder.actions);
         recorder.actions.clear();
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -8,6 +8,7 @@
 import static sumacferry.net.World.ok;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -382,6 +383,40 @@
         assertEquals(List.of(2L, 1L, 2L), List.of(callsFor(A), callsFor(B), callsFor(c)));
     }
 
+    /** The first turn may come long after the journal was read; a call must not be out for longer by that. */
+    @Test
+    void endsWhatIsResumedInItsOwnTimeThoughTheStartTakesLong() throws IOException {
+        World.Client client = started();
+        world.receiver.answers = r -> null;
+        long start = System.nanoTime();
+        assertEquals("+OK", client.submit("safe", A, NO_KEY, 2_600, 7));
+        await(() -> callsFor(A) == 1);
+        sender.stop();
+        PrintStream log = System.err;
+        int[] delays = new int[1];
+        try {
+            System.setErr(new PrintStream(log) {
+                @Override
+                public void println(String line) {
+                    super.println(line);
+                    if (line.contains("resumed 1 messages")) {
+                        delays[0]++;
+                        pause(700);
+                    }
+                }
+            });
+            sender = world.start();
+        } finally {
+            System.setErr(log);
+        }
+        assertEquals(1, delays[0]);
+        await(() -> callsFor(A) == 2);
+        long left = 2_600 - (System.nanoTime() - start) / 1_000_000;
+        world.client(sender).submit("safe", B, NO_KEY, left + 350, 8);
+        await(() -> world.notices.size() == 2);
+        assertTrue(world.notices.get(0).contains(A), "ended by the start's delay later: " + world.notices);
+    }
+
     @Test
     void sendsPendingNoticesAgainAfterARestart() throws IOException {
         World.Client client = started();
