--- a/src/main/java/sumacferry/Policy.java
+++ b/src/main/java/sumacferry/Policy.java
@@ -47,9 +47,10 @@
     private static final double GIVE_UP = 8;
     private static final long GIVE_UP_LEAST = 2_000_000;
     private static final double GIVE_UP_SHARE = 0.25;
-    /** A call is silent after so many usual latencies, and after this span, as connecting is part of it. */
+    /** A call is silent after so many usual latencies, and after this share of the longest class's time, as
+     * connecting is part of it: a fixed span holds all slots where times are short. Harm: slow connecting. */
     private static final double SILENT = 6;
-    private static final long SILENT_LEAST = 1_500_000;
+    private static final double SILENT_SHARE = 1 / 16.0;
     /** A message with less than so many service times left may run out of time before a slow answer. */
     private static final double AMPLE = 3;
     /** Share of the slots that silent calls may hold while messages wait, and how much longer unsafe ones. */
@@ -726,7 +727,7 @@
 
     /** Its time may run out before a slow answer: it would be given up before that is silence. */
     private boolean hurried(long now, Message m) {
-        return m.due - now < Math.max(SILENT_LEAST, (long) (AMPLE * serviceTime(m)));
+        return m.due - now < Math.max((long) (SILENT_SHARE * longestTime), (long) (AMPLE * serviceTime(m)));
     }
 
     /** Nothing is known of a scope, or only that it failed: only safe messages share a call to it. */
@@ -932,7 +933,7 @@
 
     private long silence(Scope scope) {
         double usual = scope.usual > 0 ? Math.max(scope.usual, scope.present) : usualLatency;
-        return Math.max(SILENT_LEAST, (long) (SILENT * usual));
+        return Math.max((long) (SILENT_SHARE * longestTime), (long) (SILENT * usual));
     }
 
     /**
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/src/test/java/sumacferry/net/SenderTest.java
@@ -305,6 +305,25 @@
         assertTrue(world.notices.get(0).contains("failed"), world.notices.get(0));
     }
 
+    /** Where messages have little time in all, a stuck call must not hold the slot until that is over. */
+    @Test
+    void takesACallForStuckSoonerWhereTimesAreShort() throws IOException {
+        world.slots = 1;
+        world.deadline = 4_000_000;
+        World.Client client = started();
+        world.prove(sender, client);
+        restart();
+        World.Client warm = world.client(sender);
+        assertEquals("+OK", warm.submit("safe", World.ID + "4", NO_KEY));
+        await(() -> sender.owed() == 0);
+        world.receiver.answers = r -> r.header("X-Request-ID").equals(A) && callsFor(A) == 1 ? null : ok(200, "");
+        assertEquals("+OK", warm.submit("safe", A, NO_KEY));
+        await(() -> callsFor(A) == 1);
+        assertEquals("+OK", warm.submit("safe", B, NO_KEY, 1_400, 7));
+        await(() -> sender.owed() == 0);
+        assertEquals(List.of(), world.notices, "waited for a stuck call");
+    }
+
     private static void pause(long millis) {
         try {
             Thread.sleep(millis);
