Rename the package to amberroute and cut it into modules with arrows one way

Need: every later front stands on modules, and the daemon read its settings through the simulator's adapter, whose Main also started it.

The daemon has a Main of its own; neither it nor the adapter knows the other.

--- a/src/main/java/sumacferry/Policy.java
+++ b/decisions/src/main/java/amberroute/Policy.java
@@ -1,4 +1,4 @@
-package sumacferry;
+package amberroute;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,7 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
-import sumacferry.State.*;
+import amberroute.State.*;
 
 /**
  * All decisions of one sender. Its interface (settings, events, actions) is {@code Relay.java}.
--- a/src/main/java/sumacferry/State.java
+++ b/decisions/src/main/java/amberroute/State.java
@@ -1,4 +1,4 @@
-package sumacferry;
+package amberroute;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/sumacferry/wire/BadInput.java
+++ b/decisions/src/main/java/amberroute/settings/BadInput.java
@@ -1,4 +1,4 @@
-package sumacferry.wire;
+package amberroute.settings;
 
 /** What came in cannot be read; the message says what and where. */
 public final class BadInput extends RuntimeException {
--- a/src/main/java/sumacferry/wire/Facts.java
+++ b/decisions/src/main/java/amberroute/settings/Facts.java
@@ -1,4 +1,4 @@
-package sumacferry.wire;
+package amberroute.settings;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,13 +7,14 @@
 import java.util.function.Function;
 import java.util.function.IntFunction;
 
-import sumacferry.Relay;
+import amberroute.Relay;
 
 /** Reads the path=value settings of an instance; the real sender flattens its JSON to the same paths. */
 public final class Facts {
     private final Map<String, String> values = new HashMap<>();
 
-    Facts(String text) {
+    /** Settings as lines of path=value; other lines are passed over. */
+    public Facts(String text) {
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
--- a/src/test/java/sumacferry/EmbeddingExampleTest.java
+++ b/decisions/src/test/java/amberroute/EmbeddingExampleTest.java
@@ -1,4 +1,4 @@
-package sumacferry;
+package amberroute;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -49,8 +49,8 @@
 
     @Test
     void readmeShowsTheSame() throws IOException {
-        assertEquals(code(Files.readString(Path.of("README.md")), "```java\n(.*?)```"),
-                code(Files.readString(Path.of("src/test/java/sumacferry/EmbeddingExampleTest.java")),
+        assertEquals(code(Files.readString(Path.of("..", "README.md")), "```java\n(.*?)```"),
+                code(Files.readString(Path.of("src/test/java/amberroute/EmbeddingExampleTest.java")),
                         "// example begins\n(.*?) *// example ends"));
     }
 
--- a/src/test/java/sumacferry/PolicyTest.java
+++ b/decisions/src/test/java/amberroute/PolicyTest.java
@@ -1,4 +1,4 @@
-package sumacferry;
+package amberroute;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -16,10 +16,10 @@
 
 import org.junit.jupiter.api.Test;
 
-import sumacferry.Relay.Ending;
-import sumacferry.Relay.Event;
-import sumacferry.Relay.ListKind;
-import sumacferry.Relay.Listed;
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
+import amberroute.Relay.ListKind;
+import amberroute.Relay.Listed;
 
 class PolicyTest {
     private static Script script() {
@@ -38,7 +38,7 @@
 
     @Test
     void moduleStaysSmall() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/sumacferry/Policy.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/amberroute/Policy.java"));
         assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 1_200, "lines");
         assertTrue(lines.stream().allMatch(line -> line.length() <= 110), "columns");
     }
--- a/src/test/java/sumacferry/Script.java
+++ b/decisions/src/test/java/amberroute/Script.java
@@ -1,4 +1,4 @@
-package sumacferry;
+package amberroute;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,11 +11,11 @@
 import java.util.Map;
 import java.util.TreeSet;
 
-import sumacferry.Relay.Ending;
-import sumacferry.Relay.Entry;
-import sumacferry.Relay.Event;
-import sumacferry.Relay.ListKind;
-import sumacferry.Relay.Listed;
+import amberroute.Relay.Ending;
+import amberroute.Relay.Entry;
+import amberroute.Relay.Event;
+import amberroute.Relay.ListKind;
+import amberroute.Relay.Listed;
 
 /** Plays scripted events against a policy and asserts the rules on every action. */
 final class Script implements Relay.Actions {
--- a/src/main/java/sumacferry/net/AnswerReader.java
+++ b/sender/src/main/java/amberroute/sender/AnswerReader.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
--- a/src/main/java/sumacferry/net/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/sumacferry/net/Config.java
+++ b/sender/src/main/java/amberroute/sender/Config.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -16,9 +16,9 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 
-import sumacferry.Relay;
-import sumacferry.wire.BadInput;
-import sumacferry.wire.Facts;
+import amberroute.Relay;
+import amberroute.settings.BadInput;
+import amberroute.settings.Facts;
 
 /** All that a sender is told at its start. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets,
--- a/src/main/java/sumacferry/net/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -36,9 +36,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 
-import sumacferry.Relay;
-import sumacferry.Relay.ListKind;
-import sumacferry.Relay.Listed;
+import amberroute.Relay;
+import amberroute.Relay.ListKind;
+import amberroute.Relay.Listed;
 
 /** Watches the list of receivers and gives each uid the number that the module knows it by. */
 final class Directory {
--- a/src/main/java/sumacferry/net/Held.java
+++ b/sender/src/main/java/amberroute/sender/Held.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import com.google.gson.JsonObject;
 
--- a/src/main/java/sumacferry/net/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.io.BufferedOutputStream;
 import java.io.ByteArrayInputStream;
@@ -22,7 +22,7 @@
 import java.util.Set;
 import java.util.zip.CRC32;
 
-import sumacferry.Relay;
+import amberroute.Relay;
 
 /**
  * What this sender owes, in a folder that outlasts its process: records with length and checksum, each
--- a/src/main/java/sumacferry/net/Log.java
+++ b/sender/src/main/java/amberroute/sender/Log.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/sumacferry/net/Receivers.java
+++ b/sender/src/main/java/amberroute/sender/Receivers.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -30,7 +30,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 
-import sumacferry.Relay.Ending;
+import amberroute.Relay.Ending;
 
 /** Carries out calls to receivers over kept-alive connections, one call at a time on each. */
 final class Receivers {
--- a/src/main/java/sumacferry/net/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,11 +20,11 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 
-import sumacferry.Policy;
-import sumacferry.Relay;
-import sumacferry.Relay.Ending;
-import sumacferry.Relay.Event;
-import sumacferry.wire.BadInput;
+import amberroute.Policy;
+import amberroute.Relay;
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
+import amberroute.settings.BadInput;
 
 /**
  * The real sender: carries out on sockets what the module decides. One event loop owns the module and all
--- a/src/test/java/sumacferry/net/JournalTest.java
+++ b/sender/src/test/java/amberroute/sender/JournalTest.java
@@ -1,4 +1,4 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/sumacferry/net/OutageTest.java
+++ b/sender/src/test/java/amberroute/sender/OutageTest.java
@@ -1,9 +1,9 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static sumacferry.net.World.await;
-import static sumacferry.net.World.ok;
+import static amberroute.sender.World.await;
+import static amberroute.sender.World.ok;
 
 import java.io.IOException;
 import java.nio.file.Path;
--- a/src/test/java/sumacferry/net/ReloadTest.java
+++ b/sender/src/test/java/amberroute/sender/ReloadTest.java
@@ -1,9 +1,9 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static sumacferry.net.World.await;
-import static sumacferry.net.World.ok;
+import static amberroute.sender.World.await;
+import static amberroute.sender.World.ok;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -106,7 +106,7 @@
     void livesThroughSignals() throws Exception {
         Map<String, String> environment = world.environment();
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "sumacferry.wire.Main", "serve");
+                "-cp", System.getProperty("java.class.path"), "amberroute.sender.Main", "serve");
         builder.environment().putAll(environment);
         builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
         Process process = builder.start();
--- a/src/test/java/sumacferry/net/SenderTest.java
+++ b/sender/src/test/java/amberroute/sender/SenderTest.java
@@ -1,11 +1,11 @@
-package sumacferry.net;
+package amberroute.sender;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static sumacferry.net.World.await;
-import static sumacferry.net.World.ok;
+import static amberroute.sender.World.await;
+import static amberroute.sender.World.ok;
 
 import java.io.IOException;
 import java.io.PrintStream;
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import sumacferry.wire.BadInput;
+import amberroute.settings.BadInput;
 
 /** The whole sender between fakes on loopback sockets. */
 class SenderTest {
--- a/src/main/java/sumacferry/wire/Replies.java
+++ b/simulator/src/main/java/amberroute/simulator/Replies.java
@@ -1,4 +1,4 @@
-package sumacferry.wire;
+package amberroute.simulator;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-import sumacferry.Relay;
+import amberroute.Relay;
 
 /** Collects the action records of one reply. */
 final class Replies implements Relay.Actions {
--- a/src/main/java/sumacferry/wire/WireHost.java
+++ b/simulator/src/main/java/amberroute/simulator/WireHost.java
@@ -1,4 +1,4 @@
-package sumacferry.wire;
+package amberroute.simulator;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,11 +14,13 @@
 import java.util.Set;
 import java.util.function.Function;
 
-import sumacferry.Relay;
-import sumacferry.Relay.Ending;
-import sumacferry.Relay.Event;
-import sumacferry.Relay.ListKind;
-import sumacferry.Relay.Listed;
+import amberroute.Relay;
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
+import amberroute.Relay.ListKind;
+import amberroute.Relay.Listed;
+import amberroute.settings.BadInput;
+import amberroute.settings.Facts;
 
 /** Translates batches of the wire into events for the instances, and their actions into replies. */
 final class WireHost {
--- a/src/test/java/sumacferry/wire/WireHostTest.java
+++ b/simulator/src/test/java/amberroute/simulator/WireHostTest.java
@@ -1,4 +1,4 @@
-package sumacferry.wire;
+package amberroute.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -18,8 +18,10 @@
 
 import org.junit.jupiter.api.Test;
 
-import sumacferry.Policy;
-import sumacferry.Relay;
+import amberroute.settings.BadInput;
+
+import amberroute.Policy;
+import amberroute.Relay;
 
 /** Frames written by hand from the layout of the wire. */
 class WireHostTest {
