--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/DemoCommand.java
@@ -0,0 +1,68 @@
+package amberroute.cli;
+
+import java.util.concurrent.Callable;
+
+import com.google.gson.JsonObject;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "demo", mixinStandardHelpOptions = true, description = {
+    "Plays a fleet on this machine: stand-in partners, discovery and clients on loopback, an outage and a rolling restart.",
+    "Ends with the books: exit code 0 where no message was lost, doubled or out of order, 3 where one was."})
+final class DemoCommand implements Callable<Integer> {
+    @Option(names = "--seconds", defaultValue = "60", description = "how long, about; 10 at least (${DEFAULT-VALUE})")
+    private int seconds;
+    @Option(names = "--daemons", defaultValue = "3", description = "how many senders (${DEFAULT-VALUE})")
+    private int daemons;
+    @Option(names = "--seed", description = "for all random choices; a new one if not told")
+    private Long seed;
+    @Option(names = "--per-second", defaultValue = "200", description = "messages a second (${DEFAULT-VALUE})")
+    private double perSecond;
+    @Option(names = "--json", description = "only the last line, one JSON object")
+    private boolean json;
+
+    @Override
+    public Integer call() throws Exception {
+        if (seconds < 10 || seconds > 3_600 || daemons < 1 || daemons > 100 || !(perSecond > 0 && perSecond <= 5_000)) {
+            throw new IllegalArgumentException("seconds is 10 to 3600, daemons 1 to 100, per-second up to 5000");
+        }
+        long drawn = seed != null ? seed : System.nanoTime() & 0xffffff;
+        boolean terminal = System.console() != null && !json;
+        long quiet = seconds * 300L;
+        Play.Plan plan = new Play.Plan(daemons, drawn, perSecond, quiet, Math.max(1_500, seconds * 100L), 1,
+                seconds * 200L, "rolling.at_once = " + Math.max(1, daemons / 10) + "\n");
+        try (Play play = new Play(plan, line -> {
+            if (!json) {
+                System.out.println((terminal ? "\r\033[K" : "") + line);
+            }
+        })) {
+            if (!json) {
+                System.out.println("seed " + drawn + "; files in " + play.folder());
+            }
+            Thread table = new Thread(() -> {
+                try {
+                    while (true) {
+                        Thread.sleep(terminal ? 250 : 2_000);
+                        System.out.print(terminal ? "\r\033[K" + play.line() : play.line() + "\n");
+                        System.out.flush();
+                    }
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "table");
+            table.setDaemon(true);
+            if (!json) {
+                table.start();
+            }
+            JsonObject result = play.run();
+            table.interrupt();
+            table.join();
+            if (!json) {
+                System.out.println();
+            }
+            System.out.println(result);
+            return result.get("ok").getAsBoolean() ? 0 : Main.BAD;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/Play.java
@@ -0,0 +1,278 @@
+package amberroute.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+
+import amberroute.fleet.Definition;
+import amberroute.fleet.FleetClient;
+import amberroute.fleet.Supervision;
+import amberroute.fleet.Supervisor;
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+
+/**
+ * One run of a fleet of real daemons between stand-ins: comes up, serves for a while, goes through an outage of a
+ * partner and rolling restarts, stops for good, and closes its books.
+ */
+final class Play implements AutoCloseable {
+    /**
+     * {@code quiet} milliseconds of load come before anything happens; the partner is out for {@code outage}, beginning in
+     * the middle of the first rolling restart; {@code rolls} of them follow one another.
+     */
+    record Plan(int daemons, long seed, double perSecond, long quiet, long outage, int rolls, long after, String rolling) { }
+
+    private static final int DESTINATIONS = 6;
+    private static final long READY_MS = 120_000;
+    private static final long ROLL_MS = 600_000;
+
+    private final Plan plan;
+    private final Consumer<String> lines;
+    private final Path folder;
+    private final Stage stage;
+    private final Clients clients;
+    private final Definition definition;
+    private final Supervisor supervisor;
+    private final Thread thread;
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final Map<String, Long> downSince = new HashMap<>();
+    private long lastLook;
+    private long upMillis;
+    private JsonObject status;
+
+    Play(Plan plan, Consumer<String> lines) throws Exception {
+        this.plan = plan;
+        this.lines = lines;
+        folder = Files.createTempDirectory("amberroute-");
+        stage = new Stage(plan.seed());
+        for (int d = 1; d <= DESTINATIONS; d++) {
+            Partner.Figures figures = Partner.Figures.roomy();
+            // Two endpoints of 25 calls a second and slot: about 1.6 times what the busiest destination is asked.
+            figures = figures.sized(Math.max(2, (int) Math.ceil(plan.perSecond() * 0.01)), 32, 40_000);
+            figures = d == 3 ? figures.limited(Math.max(20, plan.perSecond() / 3), 0)
+                    : d == 4 ? figures.limited(Math.max(20, plan.perSecond() / 3), 1_000_000) : figures;
+            stage.destination(d, 2, figures, d % 2 == 0 ? "batch" : "single");
+        }
+        int port = Stage.freePorts(plan.daemons(), plan.seed());
+        stage.senderFile(folder, plan.daemons());
+        Path file = stage.fleetFile(folder, plan.daemons(), port, Home.daemonJar(), plan.rolling());
+        definition = Definition.read(file, Home.daemonJar());
+        List<InetSocketAddress> senders = new ArrayList<>();
+        for (int i = 0; i < plan.daemons(); i++) {
+            senders.add(new InetSocketAddress("127.0.0.1", port + i));
+        }
+        clients = stage.clients(senders, Stage.kinds());
+        supervisor = new Supervisor(definition, new PrintStream(log, true, StandardCharsets.UTF_8));
+        thread = new Thread(() -> {
+            try {
+                supervisor.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "supervisor");
+    }
+
+    /** Plays it all; the object has what is asked of the last line. */
+    JsonObject run() throws Exception {
+        long begun = millis();
+        thread.start();
+        until(() -> status.get("ready").getAsBoolean(), READY_MS, "the fleet to be ready");
+        upMillis = millis() - begun;
+        lines.accept(plan.daemons() + " daemons are ready after " + upMillis + " ms");
+        long quietFrom = Stage.micros();
+        stage.run(() -> clients.run(new Clients.Load(plan.perSecond(), 0.2, 12, Math.max(20, (int) plan.perSecond()), 8)));
+        watch(plan.quiet());
+        long quietTo = Stage.micros();
+        long rollFrom = quietTo;
+        for (int i = 0; i < plan.rolls(); i++) {
+            lines.accept("rolling restart " + (i + 1) + " begins");
+            JsonObject answer = FleetClient.ask(definition.control(), FleetClient.request("restart"));
+            if (!answer.get("ok").getAsBoolean()) {
+                throw new IOException("restart refused: " + answer);
+            }
+            if (i == 0 && plan.outage() > 0) {
+                watch(1_000);
+                lines.accept("destination 1 is out");
+                stage.become(1, Partner.Mode.DEAD);
+                watch(plan.outage());
+                lines.accept("destination 1 is back, and cold");
+                stage.become(1, Partner.Mode.UP);
+            }
+            until(() -> !status.get("rolling").getAsString().contains(" of ") || status.get("rolling").getAsString()
+                    .startsWith("aborted"), ROLL_MS, "the rolling restart to end");
+            lines.accept("rolling restart " + (i + 1) + ": " + status.get("rolling").getAsString());
+        }
+        long rollTo = Stage.micros();
+        watch(plan.after());
+        stage.run(clients::pause);
+        lines.accept("clients have stopped asking");
+        settle();
+        supervisor.stop(Supervision.Mode.FINAL);
+        thread.join(60_000);
+        if (thread.isAlive()) {
+            throw new IOException("the fleet did not stop");
+        }
+        return result(quietFrom, quietTo, rollFrom, rollTo);
+    }
+
+    /** Until every message has its end, or its time is long gone. */
+    private void settle() throws Exception {
+        long end = millis() + 20_000;
+        while (millis() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
+            watch(200);
+        }
+    }
+
+    private interface Condition {
+        boolean holds();
+    }
+
+    private void until(Condition condition, long most, String what) throws Exception {
+        long end = millis() + most;
+        look();
+        while (status == null || !condition.holds()) {
+            if (millis() > end) {
+                throw new IOException("waited in vain for " + what + "; the supervisor says: "
+                        + log.toString(StandardCharsets.UTF_8));
+            }
+            watch(100);
+        }
+    }
+
+    private void watch(long span) throws Exception {
+        long end = millis() + span;
+        do {
+            look();
+            Thread.sleep(Math.max(1, Math.min(100, end - millis())));
+        } while (millis() < end);
+    }
+
+    /** Asks the supervisor how all are, and notes in the book when a daemon was away. */
+    private void look() {
+        long now = Stage.micros();
+        try {
+            status = FleetClient.ask(definition.control(), FleetClient.request("status"));
+        } catch (IOException e) {
+            return;
+        }
+        JsonArray daemons = status.getAsJsonArray("daemons");
+        for (int i = 0; i < daemons.size(); i++) {
+            JsonObject d = daemons.get(i).getAsJsonObject();
+            String name = d.get("name").getAsString();
+            boolean ready = d.get("state").getAsString().equals("ready");
+            int sender = i;
+            if (!ready) {
+                downSince.putIfAbsent(name, lastLook);
+            } else if (downSince.containsKey(name)) {
+                long from = downSince.remove(name);
+                stage.run(() -> stage.book().down(sender, from, now));
+            }
+        }
+        lastLook = now;
+    }
+
+    /** A line for each second of a live table. */
+    String line() {
+        Book.Totals t = stage.totals();
+        long ready = 0;
+        long held = 0;
+        if (status != null) {
+            for (JsonElement d : status.getAsJsonArray("daemons")) {
+                ready += d.getAsJsonObject().get("state").getAsString().equals("ready") ? 1 : 0;
+                held += d.getAsJsonObject().has("held") ? d.getAsJsonObject().get("held").getAsLong() : 0;
+            }
+        }
+        return String.format("ready %2d/%d  taken %6d  delivered %6d  returned %4d  failed %3d  held %4d  refused %5d  "
+                + "lost %d  doubled %d  out of order %d", ready, plan.daemons(), t.taken(), t.delivered(), t.returned(),
+                t.failed(), held, t.refused(), t.lost(), t.doubled(), t.outOfOrder());
+    }
+
+    private JsonObject result(long quietFrom, long quietTo, long rollFrom, long rollTo) {
+        Book.Totals t = stage.totals();
+        JsonObject out = new JsonObject();
+        out.addProperty("taken", t.taken());
+        out.addProperty("delivered", t.delivered());
+        out.addProperty("returned", t.returned());
+        out.addProperty("failed", t.failed());
+        out.addProperty("open", t.open());
+        out.addProperty("lost", t.lost());
+        out.addProperty("doubled", t.doubled());
+        out.addProperty("out_of_order", t.outOfOrder());
+        out.addProperty("late_notices", t.lateNotices());
+        out.addProperty("strange", t.strange());
+        out.addProperty("asked", stage.on(clients::asked));
+        out.addProperty("refused", t.refused());
+        out.addProperty("silent", t.silent());
+        out.addProperty("daemons", plan.daemons());
+        out.addProperty("seed", plan.seed());
+        out.addProperty("up_ms", upMillis);
+        out.addProperty("in_time_quiet", round(stage.on(() -> stage.book().shareInTime(quietFrom, quietTo))));
+        out.addProperty("in_time_rolling", round(stage.on(() -> stage.book().shareInTime(rollFrom, rollTo))));
+        out.addProperty("cold_share", round(stage.highestColdShare()));
+        out.addProperty("falls", stage.falls());
+        out.addProperty("rolling", status.get("rolling").getAsString());
+        boolean ok = t.ok() && t.lateNotices() == 0 && t.taken() > 0
+                && (plan.rolls() == 0 || status.get("rolling").getAsString().equals("done"));
+        out.addProperty("ok", ok);
+        if (!ok) {
+            stage.on(stage.book()::complaints).forEach(c -> lines.accept("! " + c));
+            stage.on(() -> stage.book().lost(Stage.micros())).forEach(c -> lines.accept("! lost " + c));
+            lines.accept(log.toString(StandardCharsets.UTF_8));
+        }
+        return out;
+    }
+
+    private static double round(double value) {
+        return Math.round(value * 1e4) / 1e4;
+    }
+
+    private static long millis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** What the supervisor has logged. */
+    String log() {
+        return log.toString(StandardCharsets.UTF_8);
+    }
+
+    Path folder() {
+        return folder;
+    }
+
+    /** Ends what still runs and clears the run's folder. */
+    @Override
+    public void close() throws IOException {
+        if (thread.isAlive()) {
+            supervisor.stop(Supervision.Mode.RESTART);
+            try {
+                thread.join(30_000);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        supervisor.close();
+        stage.close();
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/RigCommand.java
@@ -0,0 +1,39 @@
+package amberroute.cli;
+
+import java.util.concurrent.Callable;
+
+import com.google.gson.JsonObject;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "rig", mixinStandardHelpOptions = true, subcommands = RigCommand.RollingRestart.class,
+        description = "Long runs outside the tests; the last line is one JSON object with ok, the seed and the counts.")
+final class RigCommand {
+    @Command(name = "rolling-restart", mixinStandardHelpOptions = true, description = {
+        "Daemons under steady load with clumps, two full rolling restarts and an outage of a partner in the middle.",
+        "Exit code 0 where nothing was lost, doubled or out of order and every notice came in time, 3 where not."})
+    static final class RollingRestart implements Callable<Integer> {
+        @Option(names = "--daemons", defaultValue = "20", description = "how many (${DEFAULT-VALUE})")
+        private int daemons;
+        @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
+        private long seed;
+        @Option(names = "--per-second", defaultValue = "400", description = "messages a second (${DEFAULT-VALUE})")
+        private double perSecond;
+        @Option(names = "--quiet", defaultValue = "60", description = "seconds before the first restart (${DEFAULT-VALUE})")
+        private int quiet;
+        @Option(names = "--rolls", defaultValue = "2", description = "full rolling restarts (${DEFAULT-VALUE})")
+        private int rolls;
+
+        @Override
+        public Integer call() throws Exception {
+            Play.Plan plan = new Play.Plan(daemons, seed, perSecond, quiet * 1_000L, 8_000, rolls, 5_000,
+                    "rolling.at_once = " + Math.max(1, daemons / 10) + "\nrolling.pause = \"300ms\"\n");
+            try (Play play = new Play(plan, System.out::println)) {
+                JsonObject result = play.run();
+                System.out.println(result);
+                return result.get("ok").getAsBoolean() ? 0 : Main.BAD;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/amberroute/fleet/Definition.java
@@ -0,0 +1,169 @@
+package amberroute.fleet;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import amberroute.config.ConfigException;
+import amberroute.config.Schema;
+import amberroute.config.Settings;
+import amberroute.config.Units;
+
+/**
+ * A service definition: how many daemons, what each is called, where it listens and keeps its state, and the rules by
+ * which they are started, stopped and started again. Spans are milliseconds.
+ */
+public record Definition(Path file, String name, Path sender, Path folder, List<Instance> instances, List<String> command,
+        Policy policy, long logBytes) {
+
+    /** One daemon. {@code listen} has its address in figures with a port. */
+    public record Instance(String name, String listen, Path state) {
+        /** Its control socket, where the daemon puts it if its file does not say otherwise. */
+        public Path control() {
+            return state.resolve("control");
+        }
+    }
+
+    /**
+     * {@code startAtOnce} daemons may be starting at a time; one that is not ready after {@code readyWithin} has failed.
+     * A stop takes {@code stopWithin} and is ended by force {@code stopGrace} later. The dead are started again after
+     * {@code pause}, doubled with each death in a row up to {@code longestPause}; {@code mostDeaths} within
+     * {@code deathSpan} are a crash loop. A rolling restart has {@code rollAtOnce} daemons down at a time and leaves
+     * {@code rollPause} between one that is ready and the next.
+     */
+    public record Policy(int startAtOnce, long readyWithin, long stopWithin, long stopGrace, long pause,
+            long longestPause, int mostDeaths, long deathSpan, int rollAtOnce, long rollPause, long steadyAfter) { }
+
+    private static final int LONGEST_SOCKET_PATH = 107;
+
+    private static final Schema INSTANCE = new Schema()
+            .needText("name", "which instance")
+            .address("listen", false, "where it listens instead")
+            .text("state", null, "its state folder instead, relative to this file");
+
+    /** All keys of the file. */
+    public static final Schema SCHEMA = new Schema()
+            .text("name", "fleet", "what the fleet is called, in status and logs")
+            .needText("sender", "the sender file that all daemons read, relative to this file")
+            .text("folder", "run", "holds the state folders, the logs and the control socket, relative to this file")
+            .whole("count", null, 1, 1_000, "how many daemons")
+            .text("names", "sender-%d", "what they are called; %d is 1 and up")
+            .address("listen", true, "where the first listens; each further one has the next port")
+            .list("java", "the command that starts the JVM, with its flags; lean flags for a small heap if not told")
+            .text("jar", null, "the daemon's jar; the one beside this program if not told")
+            .whole("start.at_once", 4L, 1, 1_000, "daemons that may be starting at a time")
+            .duration("start.ready_within", "30s", "100ms", "1h", "one that is not ready by then has failed")
+            .duration("stop.within", "8s", "100ms", "1h", "how long a daemon may take to stop")
+            .duration("stop.grace", "2s", "0s", "10m", "it is killed when it has not ended so long after that")
+            .duration("restart.pause", "300ms", "0s", "10m", "before one that died is started again; doubles each time")
+            .duration("restart.longest", "30s", "0s", "1h", "the longest such pause")
+            .whole("restart.deaths", 5L, 1, 1_000, "so many deaths within the span below are a crash loop, and it is left alone")
+            .duration("restart.span", "2m", "1s", "1d", "the span in which they count")
+            .duration("restart.steady", "20s", "0s", "1h", "one that has been ready for so long starts over with short pauses")
+            .whole("rolling.at_once", 1L, 1, 1_000, "daemons that a rolling restart has down at a time")
+            .duration("rolling.pause", "500ms", "0s", "1h", "between one that is ready again and the next")
+            .size("logs.size", "4MB", "16KB", "1GB", "a daemon's log file, which is kept once more when it is full")
+            .tables("instance", INSTANCE, 0, "what differs for one daemon");
+
+    private static final List<String> LEAN = List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
+            "-XX:-UsePerfData", "-Xms40m", "-Xmx40m", "-Xmn16m", "-Xss512k", "-XX:MaxMetaspaceSize=48m",
+            "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=16m", "-XX:+ExitOnOutOfMemoryError",
+            "-Djdk.nio.maxCachedBufferSize=65536", "-Dio.netty.allocator.type=unpooled",
+            "-Dio.netty.noPreferDirect=true");
+
+    /** Reads and checks a definition; {@code jar} is the daemon's, where the file names none. */
+    public static Definition read(Path file, Path jar) {
+        Settings s = SCHEMA.read(file);
+        Path base = file.toAbsolutePath().normalize().getParent();
+        Path folder = base.resolve(s.text("folder")).normalize();
+        Path daemon = s.has("jar") ? base.resolve(s.text("jar")) : jar;
+        List<Instance> instances = instances(s, base, folder);
+        List<String> command = new ArrayList<>(s.list("java").isEmpty() ? LEAN : s.list("java"));
+        Path sender = base.resolve(s.text("sender")).normalize();
+        command.addAll(List.of("-jar", daemon.toString(), "serve", "--config", sender.toString()));
+        if (s.micros("restart.longest") < s.micros("restart.pause")) {
+            throw s.bad("restart.longest", "is shorter than restart.pause");
+        }
+        return new Definition(file, s.text("name"), sender, folder, instances, List.copyOf(command),
+                new Policy(s.whole("start.at_once"), s.millis("start.ready_within"), s.millis("stop.within"),
+                        s.millis("stop.grace"), s.millis("restart.pause"), s.millis("restart.longest"),
+                        s.whole("restart.deaths"), s.millis("restart.span"), s.whole("rolling.at_once"),
+                        s.millis("rolling.pause"), s.millis("restart.steady")),
+                s.bytes("logs.size"));
+    }
+
+    private static List<Instance> instances(Settings s, Path base, Path folder) {
+        int count = s.whole("count");
+        InetSocketAddress first = s.address("listen");
+        String pattern = s.text("names");
+        if (count > 1 && !pattern.contains("%d")) {
+            throw s.bad("names", "has no %d, so that all daemons would have one name");
+        }
+        if (first.getPort() == 0 || first.getPort() + count - 1 > 65_535) {
+            throw s.bad("listen", "leaves no ports for " + count + " daemons");
+        }
+        Map<String, Settings> special = new HashMap<>();
+        for (Settings row : s.tables("instance")) {
+            if (special.put(row.text("name"), row) != null) {
+                throw s.bad("instance.name", "is there twice: " + row.text("name"));
+            }
+        }
+        List<Instance> out = new ArrayList<>();
+        Map<String, String> taken = new HashMap<>();
+        for (int i = 0; i < count; i++) {
+            String name = pattern.replace("%d", Integer.toString(i + 1));
+            if (!name.matches("[A-Za-z0-9._-]{1,64}") || name.startsWith(".")) {
+                throw s.bad("names", "makes no plain word: " + name);
+            }
+            Settings row = special.remove(name);
+            String listen = text(row != null && row.has("listen") ? row.address("listen")
+                    : new InetSocketAddress(first.getAddress(), first.getPort() + i));
+            Path state = row != null && row.has("state") ? base.resolve(row.text("state")).normalize()
+                    : folder.resolve(name);
+            Instance instance = new Instance(name, listen, state);
+            claim(s, taken, "names", "name " + name, name);
+            claim(s, taken, "listen", "address " + listen, name);
+            claim(s, taken, "instance.state", "state folder " + state, name);
+            if (instance.control().toString().getBytes(StandardCharsets.UTF_8).length > LONGEST_SOCKET_PATH) {
+                throw s.bad("folder", "is too long a path: no Unix socket may have " + instance.control());
+            }
+            out.add(instance);
+        }
+        if (!special.isEmpty()) {
+            throw s.bad("instance.name", "is none of the daemons: " + special.keySet().iterator().next());
+        }
+        return List.copyOf(out);
+    }
+
+    private static void claim(Settings s, Map<String, String> taken, String key, String what, String name) {
+        String other = taken.put(what, name);
+        if (other != null) {
+            throw s.bad(key, "gives " + what + " to both " + other + " and " + name);
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return (address.getAddress() instanceof java.net.Inet6Address ? "[" + address.getAddress().getHostAddress() + "]"
+                : address.getAddress().getHostAddress()) + ":" + address.getPort();
+    }
+
+    /** The supervisor's own control socket. */
+    public Path control() {
+        Path path = folder.resolve("fleet");
+        if (path.toString().getBytes(StandardCharsets.UTF_8).length > LONGEST_SOCKET_PATH) {
+            throw new ConfigException(file + ": folder is too long a path: no Unix socket may have " + path);
+        }
+        return path;
+    }
+
+    /** A one-line summary for people. */
+    public String summary() {
+        return name + ": " + instances.size() + " daemons, " + instances.get(0).listen() + " to "
+                + instances.get(instances.size() - 1).listen() + ", sender file " + sender + ", state under " + folder
+                + ", stop within " + Units.span(policy.stopWithin() * 1_000);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/amberroute/fleet/FleetClient.java
@@ -0,0 +1,43 @@
+package amberroute.fleet;
+
+import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+/** Asks a supervisor, or a daemon, one thing over its control socket. */
+public final class FleetClient {
+    private static final int LARGEST = 1 << 20;
+
+    private FleetClient() {
+    }
+
+    /** Sends one request and waits for its answer; IOException where nobody listens. */
+    public static JsonObject ask(Path socket, JsonObject request) throws IOException {
+        try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(socket))) {
+            channel.write(ByteBuffer.wrap((request + "\n").getBytes(StandardCharsets.UTF_8)));
+            ByteBuffer in = ByteBuffer.allocate(LARGEST);
+            while (in.position() == 0 || in.get(in.position() - 1) != '\n') {
+                if (channel.read(in) < 0 || !in.hasRemaining()) {
+                    throw new IOException("the answer ended too soon");
+                }
+            }
+            return JsonParser.parseString(new String(in.array(), 0, in.position(), StandardCharsets.UTF_8))
+                    .getAsJsonObject();
+        } catch (RuntimeException e) {
+            throw new IOException("an answer that cannot be read", e);
+        }
+    }
+
+    /** A request with just its name. */
+    public static JsonObject request(String what) {
+        JsonObject request = new JsonObject();
+        request.addProperty("do", what);
+        return request;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/amberroute/fleet/Supervisor.java
@@ -0,0 +1,419 @@
+package amberroute.fleet;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+import amberroute.config.ConfigException;
+
+/**
+ * Carries out what {@link Supervision} decides, on one thread that looks round every {@value #LOOK_MS} ms: starts and
+ * ends processes, asks daemons how they are, bounds their logs and answers the fleet's control socket.
+ *
+ * <p>It leaves nothing behind that could mislead the next one: that a daemon lives is told by the lock on its state
+ * folder, which the kernel frees with the process. A supervisor that was killed leaves its daemons running; the next one
+ * finds the locks held and takes them over. Only one supervisor can hold a fleet's folder.
+ */
+public final class Supervisor implements AutoCloseable {
+    private static final long LOOK_MS = 20;
+    private static final long STATUS_MS = 100;
+    private static final long LOCK_MS = 100;
+    private static final long LOGS_MS = 1_000;
+    private static final int MOST_CLIENTS = 16;
+    private static final int LONGEST_REQUEST = 16_384;
+    private static final long CLIENT_MS = 60_000;
+
+    private final Definition definition;
+    private final Supervision supervision;
+    private final PrintStream log;
+    private final List<Place> places = new ArrayList<>();
+    private final List<Client> clients = new ArrayList<>();
+    private final FileChannel lockFile;
+    private final ServerSocketChannel control;
+    private final AtomicReference<Supervision.Mode> stopAsked = new AtomicReference<>();
+    private volatile boolean reloadAsked;
+    private long looked;
+    private long logsBounded;
+
+    /** One daemon's process, its own child or one that was found. */
+    private static final class Place {
+        final Definition.Instance instance;
+        final DaemonLink link;
+        Process child;
+        /** Of a process that was found: its id as the lock file tells, 0 where it tells none. */
+        long foundPid;
+        boolean found;
+        long lockLooked;
+
+        Place(Definition.Instance instance) {
+            this.instance = instance;
+            link = new DaemonLink(instance.control());
+        }
+
+        long pid() {
+            return child != null ? child.pid() : foundPid;
+        }
+    }
+
+    /** One connection to the fleet's control socket. */
+    private static final class Client {
+        final SocketChannel channel;
+        final ByteBuffer in = ByteBuffer.allocate(LONGEST_REQUEST);
+        ByteBuffer out;
+        final long since = System.nanoTime();
+
+        Client(SocketChannel channel) {
+            this.channel = channel;
+        }
+    }
+
+    /** Takes the fleet's folder; fails where another supervisor has it. Lines for people go to {@code log}. */
+    public Supervisor(Definition definition, PrintStream log) throws IOException {
+        this.definition = definition;
+        this.log = log;
+        Path folder = definition.folder();
+        Files.createDirectories(folder);
+        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
+        lockFile = FileChannel.open(folder.resolve("fleet.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        if (tryLock(lockFile) == null) {
+            lockFile.close();
+            throw new ConfigException(folder + " is held by another supervisor");
+        }
+        definition.instances().forEach(i -> places.add(new Place(i)));
+        supervision = new Supervision(definition.policy(), definition.instances().stream().map(Definition.Instance::name)
+                .toList(), new Carrier());
+        Files.deleteIfExists(definition.control());
+        control = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+        control.bind(UnixDomainSocketAddress.of(definition.control()));
+        Files.setPosixFilePermissions(definition.control(), PosixFilePermissions.fromString("rw-------"));
+        control.configureBlocking(false);
+        takeOver();
+    }
+
+    private static FileLock tryLock(FileChannel file) throws IOException {
+        try {
+            return file.tryLock();
+        } catch (java.nio.channels.OverlappingFileLockException e) {
+            return null;
+        }
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private void takeOver() throws IOException {
+        for (int i = 0; i < places.size(); i++) {
+            Place place = places.get(i);
+            Files.createDirectories(place.instance.state());
+            Files.setPosixFilePermissions(place.instance.state(), PosixFilePermissions.fromString("rwx------"));
+            if (lockHeld(place)) {
+                place.found = true;
+                supervision.found(now(), i);
+            }
+        }
+    }
+
+    /** Whether a process holds the state folder; only this supervisor starts any, so a free lock stays free. */
+    private static boolean lockHeld(Place place) {
+        Path file = place.instance.state().resolve("lock");
+        if (!Files.exists(file)) {
+            return false;
+        }
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            FileLock lock = tryLock(channel);
+            if (lock != null) {
+                return false;
+            }
+            String pid = Files.readString(file).strip();
+            place.foundPid = pid.matches("[0-9]{1,18}") ? Long.parseLong(pid) : 0;
+            return true;
+        } catch (IOException e) {
+            // Not to be told: a second process on the folder would end at the lock itself.
+            return false;
+        }
+    }
+
+    /** Serves until the fleet has been stopped; 0 where all went well. */
+    public int run() throws InterruptedException {
+        while (!supervision.over()) {
+            look();
+            Thread.sleep(LOOK_MS);
+        }
+        answerClients();
+        log.println("the fleet has stopped");
+        return 0;
+    }
+
+    /** Asks for a stop of the whole fleet, from any thread. */
+    public void stop(Supervision.Mode mode) {
+        stopAsked.set(mode);
+    }
+
+    /** Asks all daemons to read their files again, from any thread. */
+    public void reload() {
+        reloadAsked = true;
+    }
+
+    private void look() {
+        long now = now();
+        Supervision.Mode mode = stopAsked.getAndSet(null);
+        if (mode != null) {
+            supervision.stop(now, mode);
+        }
+        if (reloadAsked) {
+            reloadAsked = false;
+            supervision.reload(now);
+        }
+        for (int i = 0; i < places.size(); i++) {
+            seeEnd(now, i);
+        }
+        if (now - looked >= STATUS_MS) {
+            looked = now;
+            for (int i = 0; i < places.size(); i++) {
+                seeStatus(now, i);
+            }
+        }
+        if (now - logsBounded >= LOGS_MS) {
+            logsBounded = now;
+            places.forEach(p -> LogFile.bound(logOf(p.instance), definition.logBytes()));
+        }
+        supervision.tick(now);
+        answerClients();
+    }
+
+    private void seeEnd(long now, int i) {
+        Place place = places.get(i);
+        if (place.child != null && !place.child.isAlive()) {
+            int code = place.child.exitValue();
+            place.child = null;
+            place.link.reset();
+            supervision.ended(now, i, code > 128 ? "signal " + (code - 128) : "exit code " + code);
+        } else if (place.found && now - place.lockLooked >= LOCK_MS) {
+            place.lockLooked = now;
+            if (!lockHeld(place)) {
+                place.found = false;
+                place.link.reset();
+                supervision.ended(now, i, "an end that nobody saw");
+            }
+        }
+    }
+
+    private void seeStatus(long now, int i) {
+        Place place = places.get(i);
+        if (place.child == null && !place.found || !place.link.look()) {
+            return;
+        }
+        switch (place.link.last().get("state").getAsString()) {
+            case "ready" -> supervision.ready(now, i);
+            case "draining" -> supervision.draining(now, i);
+            default -> {
+            }
+        }
+    }
+
+    private Path logOf(Definition.Instance instance) {
+        return definition.folder().resolve(instance.name() + ".log");
+    }
+
+    /** How {@link Supervision} reaches the world. */
+    private final class Carrier implements Supervision.Hands {
+        @Override
+        public void start(int daemon) {
+            Place place = places.get(daemon);
+            place.link.reset();
+            if (lockHeld(place)) {
+                // Started by a supervisor that was killed before the daemon had its lock, or by hand.
+                place.found = true;
+                say(place.instance.name() + " is alive already and taken over");
+                return;
+            }
+            ProcessBuilder builder = new ProcessBuilder(definition.command());
+            builder.environment().put("GW_NAME", place.instance.name());
+            builder.environment().put("GW_LISTEN", place.instance.listen());
+            builder.environment().put("GW_STATE", place.instance.state().toString());
+            builder.environment().remove("GW_CONFIG");
+            builder.environment().remove("NOTIFY_SOCKET");
+            builder.redirectInput(ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()));
+            builder.redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(logOf(place.instance).toFile()));
+            try {
+                place.child = builder.start();
+            } catch (IOException e) {
+                say(place.instance.name() + " cannot be started: " + e.getMessage());
+                supervision.ended(now(), daemon, "no process");
+            }
+        }
+
+        @Override
+        public void stop(int daemon, Supervision.Mode mode, long within) {
+            Place place = places.get(daemon);
+            JsonObject command = new JsonObject();
+            command.addProperty("do", "stop");
+            command.addProperty("mode", mode == Supervision.Mode.FINAL ? "final" : "restart");
+            command.addProperty("within_ms", within);
+            if (!place.link.send(command) && place.child != null) {
+                // It does not listen yet, or no more: the signal says the same, but for the mode.
+                place.child.destroy();
+            }
+        }
+
+        @Override
+        public void kill(int daemon) {
+            Place place = places.get(daemon);
+            if (place.child != null) {
+                place.child.destroyForcibly();
+            } else if (place.found && place.foundPid > 0 && lockHeld(place)) {
+                ProcessHandle.of(place.foundPid).ifPresent(ProcessHandle::destroyForcibly);
+            }
+        }
+
+        @Override
+        public void reload(int daemon) {
+            JsonObject command = new JsonObject();
+            command.addProperty("do", "reload");
+            places.get(daemon).link.send(command);
+        }
+
+        @Override
+        public void say(String text) {
+            log.println(text.replaceAll("\\p{Cntrl}", "?"));
+        }
+    }
+
+    // ---- The control socket. ----
+
+    private void answerClients() {
+        try {
+            for (SocketChannel fresh = control.accept(); fresh != null; fresh = control.accept()) {
+                if (clients.size() >= MOST_CLIENTS) {
+                    fresh.close();
+                    continue;
+                }
+                fresh.configureBlocking(false);
+                clients.add(new Client(fresh));
+            }
+        } catch (IOException e) {
+            // No descriptor left, say: tried again at the next look.
+        }
+        clients.removeIf(client -> !serve(client));
+    }
+
+    /** False where the connection is over. */
+    private boolean serve(Client client) {
+        try {
+            if (System.nanoTime() - client.since > CLIENT_MS * 1_000_000) {
+                client.channel.close();
+                return false;
+            }
+            if (client.out == null) {
+                int n = client.channel.read(client.in);
+                boolean whole = client.in.position() > 0 && client.in.get(client.in.position() - 1) == '\n';
+                if (!whole && (n < 0 || !client.in.hasRemaining())) {
+                    client.channel.close();
+                    return false;
+                }
+                if (!whole) {
+                    return true;
+                }
+                String line = new String(client.in.array(), 0, client.in.position(), StandardCharsets.UTF_8);
+                client.out = ByteBuffer.wrap((answer(line) + "\n").getBytes(StandardCharsets.UTF_8));
+            }
+            client.channel.write(client.out);
+            if (!client.out.hasRemaining()) {
+                client.channel.close();
+                return false;
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private JsonObject answer(String line) {
+        JsonObject answer = new JsonObject();
+        String error;
+        try {
+            JsonObject request = JsonParser.parseString(line).getAsJsonObject();
+            error = switch (request.get("do").getAsString()) {
+                case "status" -> null;
+                case "restart" -> {
+                    List<String> names = new ArrayList<>();
+                    if (request.has("names")) {
+                        request.getAsJsonArray("names").forEach(n -> names.add(n.getAsString()));
+                    }
+                    yield supervision.restart(now(), names);
+                }
+                case "reload" -> supervision.reload(now());
+                case "stop" -> supervision.stop(now(), request.has("final") && request.get("final").getAsBoolean()
+                        ? Supervision.Mode.FINAL : Supervision.Mode.RESTART);
+                default -> "no such command";
+            };
+        } catch (RuntimeException e) {
+            error = "no request that can be read";
+        }
+        answer.addProperty("ok", error == null);
+        if (error != null) {
+            answer.addProperty("error", error);
+        }
+        status(answer);
+        return answer;
+    }
+
+    private void status(JsonObject answer) {
+        answer.addProperty("fleet", definition.name());
+        answer.addProperty("ready", supervision.allReady());
+        answer.addProperty("stopping", supervision.ending());
+        answer.addProperty("rolling", supervision.rollingState());
+        JsonArray daemons = new JsonArray();
+        for (int i = 0; i < places.size(); i++) {
+            Place place = places.get(i);
+            JsonObject d = new JsonObject();
+            d.addProperty("name", place.instance.name());
+            d.addProperty("state", supervision.state(i).name().toLowerCase(java.util.Locale.ROOT));
+            d.addProperty("for_ms", supervision.age(now(), i));
+            d.addProperty("pid", place.pid());
+            d.addProperty("starts", supervision.starts(i));
+            d.addProperty("listen", place.instance.listen());
+            JsonObject last = place.link.last();
+            if (last != null) {
+                for (String key : List.of("held", "notices", "calls", "clients")) {
+                    if (last.has(key)) {
+                        d.add(key, last.get(key));
+                    }
+                }
+            }
+            daemons.add(d);
+        }
+        answer.add("daemons", daemons);
+    }
+
+    /** Frees the folder and the control socket; daemons that still run go on. */
+    @Override
+    public void close() throws IOException {
+        for (Client client : clients) {
+            client.channel.close();
+        }
+        control.close();
+        Files.deleteIfExists(definition.control());
+        lockFile.close();
+    }
+}
--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -99,6 +99,22 @@
         return (InetSocketAddress) server.localAddress();
     }
 
+    /** Takes no new connection from now on. */
+    void closeDoor() {
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    /** Closes the connections on which nobody waits; a client whose request crosses that sends it once more. */
+    void closeIdle() {
+        for (Session session : List.copyOf(usual)) {
+            if (session.waiting.isEmpty()) {
+                session.channel.close();
+            }
+        }
+    }
+
     private void sweep() {
         long now = System.nanoTime();
         double over = usual.size() - COMFORTABLE * mostConnections;
--- a/sender/src/main/java/amberroute/sender/Config.java
+++ b/sender/src/main/java/amberroute/sender/Config.java
@@ -20,10 +20,12 @@
 import amberroute.settings.BadInput;
 import amberroute.settings.Facts;
 
-/** All that a sender is told at its start. */
+/**
+ * All that a sender is told at its start. On the platform {@code standalone} is null; elsewhere {@code discovery} may be.
+ */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets,
         long memoryBytes, long diskBytes, JsonObject known, Relay.Settings settings, List<String> classes, List<String> zones,
-        List<String> kinds, List<String> reportNames) {
+        List<String> kinds, List<String> reportNames, StandaloneConfig.Standalone standalone) {
 
     /**
      * Descriptors of the process itself (libraries, journal, discovery, notices, the listening socket), and of what one
@@ -38,6 +40,11 @@
         return memoryBytes / 32;
     }
 
+    /** Who is told of messages that end undelivered. */
+    InetSocketAddress notices() {
+        return standalone == null ? discovery : standalone.notices();
+    }
+
     int mostClients() {
         return (int) Math.max(1, CLIENT_SHARE * (sockets - OWN_DESCRIPTORS));
     }
@@ -53,6 +60,9 @@
         if (file == null) {
             throw new BadInput("GW_CONFIG names no configuration");
         }
+        if (file.endsWith(".toml")) {
+            return StandaloneConfig.read(Path.of(file), environment);
+        }
         String text;
         try {
             text = Files.readString(Path.of(file));
@@ -93,7 +103,7 @@
                 (long) (limits.get("disk_mb").getAsDouble() * 1_000_000),
                 known != null && known.isJsonObject() ? known.getAsJsonObject() : new JsonObject(),
                 facts.settings(seed(json)), facts.classNames(), facts.list("zones"), facts.list("kinds"),
-                facts.list("reporting.names"));
+                facts.list("reporting.names"), null);
     }
 
     private static long seed(JsonObject json) {
--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -86,6 +86,10 @@
 
     /** Starts from the list that this sender last had, then watches. */
     void start() {
+        if (address == null) {
+            take(config.known(), ListKind.FULL);
+            return;
+        }
         take(config.known(), ListKind.CACHED);
         open();
         loop.scheduleWithFixedDelay(this::checkSilence, 500, 500, TimeUnit.MILLISECONDS);
@@ -161,7 +165,17 @@
         listener.listed(kind, entries);
     }
 
-    private Relay.Entry entry(JsonObject item) {
+    /** An entry as the list has it, before anybody knows its number. */
+    record Parsed(String uid, Listed state, int destination, int kind, int zone, double weight,
+            InetSocketAddress address) { }
+
+    /** Takes a whole list from elsewhere than the watch. */
+    void replace(JsonObject list) {
+        take(list, ListKind.FULL);
+    }
+
+    /** Reads one entry; whatever is wrong with it ends in a RuntimeException. */
+    static Parsed parse(JsonObject item, Config config) {
         String uid = item.get("uid").getAsString();
         Listed state = switch (item.get("state").getAsString()) {
             case "Ready" -> Listed.READY;
@@ -177,9 +191,17 @@
         if (destination < 0 || destination > 0xffff || uid.length() > LONGEST_UID) {
             throw new IllegalArgumentException("bad destination or uid");
         }
+        return new Parsed(uid, state, destination, kind, zone, weight, address);
+    }
+
+    private Relay.Entry entry(JsonObject item) {
+        Parsed parsed = parse(item, config);
+        String uid = parsed.uid();
+        Listed state = parsed.state();
+        int destination = parsed.destination();
         destinations.add(destination);
         long number = number(uid);
-        Target target = new Target(number, uid, address, destination, kind, state == Listed.READY);
+        Target target = new Target(number, uid, parsed.address(), destination, parsed.kind(), state == Listed.READY);
         if (state == Listed.GONE) {
             targets.remove(number);
             bury(target);
@@ -187,7 +209,7 @@
             targets.put(number, target);
             gone.remove(number);
         }
-        return new Relay.Entry(number, destination, state, weight, zone, kind);
+        return new Relay.Entry(number, destination, state, parsed.weight(), parsed.zone(), parsed.kind());
     }
 
     private static int index(List<String> names, JsonElement name) {
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/DrainPlan.java
@@ -0,0 +1,107 @@
+package amberroute.sender;
+
+import java.util.Collection;
+
+/**
+ * What a stop does with what is held, step by step: who is told what, when calls are called off, and when the process
+ * may end. Decides only; times are milliseconds on the caller's clock, and whoever carries it out asks
+ * {@link #next} again and again.
+ *
+ * <p>A restart goes on delivering until nothing is held or its deadline comes; the rest stays in the journal, which the
+ * next process owes. A stop for good gives every message its final answer: it delivers until {@link #CUT_SHARE} of its
+ * time is gone, then calls off what is out, ends all that is left, and waits for the notices to be answered.
+ */
+final class DrainPlan {
+    /** What the next process may count on. */
+    enum Mode { RESTART, FINAL }
+
+    /** What to do now. */
+    enum Step {
+        /** Goes on as before, but takes nothing new. */
+        DELIVER,
+        /** Calls off all calls that are out, and starts none. */
+        CALL_OFF,
+        /** Ends all that is held by notices. */
+        END_ALL,
+        /** Waits for notices to be answered. */
+        AWAIT_NOTICES,
+        /** The process may end. */
+        DONE
+    }
+
+    /** What there is to do, as counted by the caller. */
+    record Load(int held, int callsOut, int noticesOut) { }
+
+    /** Of a final stop's time, what delivering may take; the rest is for calls to end and for notices. */
+    static final double CUT_SHARE = 0.7;
+    /** However long the time, so much is enough for calls to be closed and notices to be answered. */
+    static final long CUT_MOST = 3_000;
+    /** The last answers and closes pass on the sockets before the process ends. */
+    static final long LINGER = 60;
+
+    private final Mode mode;
+    private final long deadline;
+    private final long cutAt;
+    private final long backAfter;
+    private long quietSince = -1;
+
+    /** {@code backAfter} is how long after its end a restarted sender serves again. */
+    DrainPlan(Mode mode, long now, long span, long backAfter) {
+        this.mode = mode;
+        this.backAfter = backAfter;
+        deadline = now + span;
+        cutAt = deadline - Math.min(CUT_MOST, (long) (span * (1 - CUT_SHARE)));
+    }
+
+    Mode mode() {
+        return mode;
+    }
+
+    long left(long now) {
+        return Math.max(0, deadline - now);
+    }
+
+    /** How long calls may still take, for the decisions that look ahead. */
+    long deliverLeft(long now) {
+        return Math.max(0, (mode == Mode.FINAL ? cutAt : deadline) - now);
+    }
+
+    /** When whoever is turned away may come again: to this sender after a restart, at once to others after a last stop. */
+    long advice(long now) {
+        return mode == Mode.FINAL ? 0 : left(now) + backAfter;
+    }
+
+    Step next(long now, Load load) {
+        boolean over = now >= deadline;
+        if (load.held() > 0 && !over) {
+            if (mode == Mode.RESTART || now < cutAt) {
+                quietSince = -1;
+                return Step.DELIVER;
+            }
+            return load.callsOut() > 0 ? Step.CALL_OFF : Step.END_ALL;
+        }
+        if (load.noticesOut() > 0 && !over) {
+            return Step.AWAIT_NOTICES;
+        }
+        // Nothing is left, or no time: what was just answered still has to leave.
+        if (quietSince < 0) {
+            quietSince = now;
+        }
+        return now - quietSince >= LINGER ? Step.DONE : Step.AWAIT_NOTICES;
+    }
+
+    /**
+     * How a message ends that no call may be made for any more. A refusal promises that handing it in again does no
+     * harm: so only where it surely has not run, or where running twice does none.
+     */
+    static boolean mayReturn(boolean mayHaveRun, boolean safe, boolean keyedEverywhere) {
+        return !mayHaveRun || safe || keyedEverywhere;
+    }
+
+    /** In words, for the log and whoever asked for the stop. */
+    static String summary(Mode mode, Collection<Held> left, int notices) {
+        return left.isEmpty() && notices == 0 ? "nothing is owed"
+                : left.size() + " messages and " + notices + " notices are left in the journal"
+                        + (mode == Mode.FINAL ? ", which nobody may come back for" : " for the next start");
+    }
+}
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -78,6 +78,19 @@
         return journal;
     }
 
+    /** Reads a folder's journal and leaves it as it is; for looking only. */
+    static Journal peek(Path folder) throws IOException {
+        Journal journal = new Journal(folder, Long.MAX_VALUE);
+        journal.file = FileChannel.open(journal.path("journal"), StandardOpenOption.READ);
+        journal.replayAll();
+        return journal;
+    }
+
+    /** Bytes of the file behind the last record that could be read. */
+    long unread() throws IOException {
+        return file.size() - size;
+    }
+
     /** Messages that have not been concluded, in the order of acceptance. */
     Collection<Held> live() {
         return live.values();
@@ -273,6 +286,16 @@
     }
 
     private void recover() throws IOException {
+        replayAll();
+        long length = file.size();
+        if (size < length) {
+            Log.warn("journal: cut off a torn tail of " + (length - size) + " bytes");
+            file.truncate(size);
+        }
+        file.position(size);
+    }
+
+    private void replayAll() throws IOException {
         long length = file.size();
         ByteBuffer head = ByteBuffer.allocate(HEAD);
         while (size + HEAD <= length) {
@@ -290,11 +313,6 @@
             replay(payload.array());
             size += HEAD + bytes;
         }
-        if (size < length) {
-            Log.warn("journal: cut off a torn tail of " + (length - size) + " bytes");
-            file.truncate(size);
-        }
-        file.position(size);
     }
 
     private boolean fill(ByteBuffer buffer) throws IOException {
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/JournalView.java
@@ -0,0 +1,56 @@
+package amberroute.sender;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a state folder owed at the moment of reading. Writes nothing, so it may be read beside a running daemon. */
+public final class JournalView {
+    private final List<Held> owed;
+    private final long unread;
+
+    private JournalView(List<Held> owed, long unread) {
+        this.owed = owed;
+        this.unread = unread;
+    }
+
+    /** Reads the folder's journal; a journal that is rewritten meanwhile is read as it was. */
+    public static JournalView read(Path folder) throws IOException {
+        if (!Files.isRegularFile(folder.resolve("journal"))) {
+            throw new IOException("no journal in " + folder);
+        }
+        Journal journal = Journal.peek(folder);
+        try (journal) {
+            return new JournalView(List.copyOf(journal.live()), journal.unread());
+        }
+    }
+
+    /** Each message on a line, in the order of acceptance: id, class, destination, time left, attempts and state. */
+    public List<String> lines(long wallMillis) {
+        List<String> out = new ArrayList<>();
+        for (Held m : owed) {
+            String state = m.notice != null ? "ended, its notice is not answered: " + m.notice
+                    : m.out ? "a call is out to " + m.sentTo
+                    : m.doubtSince != 0 ? "may have run at " + m.doubtAt : m.attempts > 0 ? "has not run" : "not tried";
+            out.add(m.id + " " + m.className + " dest=" + m.destination + (m.key == 0 ? "" : " key="
+                    + Long.toHexString(m.key)) + " left=" + (m.deadline - wallMillis) + "ms attempts=" + m.attempts
+                    + " (" + state + ")");
+        }
+        return out;
+    }
+
+    /** Counts for people. */
+    public String summary() {
+        long notices = owed.stream().filter(m -> m.notice != null).count();
+        long doubt = owed.stream().filter(m -> m.notice == null && (m.out || m.doubtSince != 0)).count();
+        return owed.size() - notices + " messages held, " + doubt + " of them in doubt; " + notices
+                + " notices not answered" + (unread > 0 ? "; " + unread + " bytes behind could not be read" : "");
+    }
+
+    /** Messages owed, notices included. */
+    public int owed() {
+        return owed.size();
+    }
+}
--- a/sender/src/main/java/amberroute/sender/Notices.java
+++ b/sender/src/main/java/amberroute/sender/Notices.java
@@ -57,6 +57,11 @@
         this.answered = answered;
     }
 
+    /** How many notices are not answered yet. */
+    int pending() {
+        return pending.size();
+    }
+
     /** Sends the notice of an ended message until it is answered. */
     void send(Held m) {
         pending.put(m.number, m);
--- a/sender/src/main/java/amberroute/sender/Receivers.java
+++ b/sender/src/main/java/amberroute/sender/Receivers.java
@@ -119,6 +119,17 @@
         }
     }
 
+    int callsOut() {
+        return calls.size();
+    }
+
+    /** Gives up all calls that are out; each message's result follows when its connection has ended. */
+    void callOff() {
+        for (Call call : List.copyOf(calls)) {
+            abandon(call, call.written ? Ending.CANCELLED : Ending.CONNECT_FAILED);
+        }
+    }
+
     /** Gives up the call that carries this message; its companions share its fate. */
     void cancel(Held message, int attempt) {
         Call call = byMessage.get(message.number);
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -7,13 +7,18 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
+import com.google.gson.JsonObject;
+
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -24,6 +29,7 @@
 import amberroute.Relay;
 import amberroute.Relay.Ending;
 import amberroute.Relay.Event;
+import amberroute.config.ConfigException;
 import amberroute.settings.BadInput;
 
 /**
@@ -39,6 +45,9 @@
     private static final long NO_LIMIT = 1L << 50;
     /** Between two turns the loop has this many times what the first one took. */
     private static final int REST = 4;
+    private static final long DRAIN_STEP_MS = 10;
+    /** Exit code of a stop for good that left something in the journal. */
+    static final int LEFT_OVER = 3;
     /** Origin of the module's clock. */
     private static final long START = System.nanoTime() / 1_000 - 1_000_000;
 
@@ -53,6 +62,8 @@
     }
 
     private final Config config;
+    private final StateLock lock;
+    private final Control control;
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final Journal journal;
@@ -72,6 +83,21 @@
     private long turnEnded;
     private long turnTook;
     private InetSocketAddress bound;
+    private EndpointFile endpointFile;
+    /** What the control socket's commands read again; null in tests that do without. */
+    private Map<String, String> environment;
+    private volatile Phase phase = Phase.STARTING;
+    private volatile long phaseSince = System.nanoTime();
+    /** The stop that is under way, null while none is; and whether calls are over and what is left is being ended. */
+    private DrainPlan drain;
+    private boolean endingAll;
+    private boolean doorClosed;
+    private Future<?> drainSteps;
+    /** Completed with the exit code when a stop is done; its sockets and files are then closed by {@link #stop}. */
+    private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
+
+    /** How far along its life the sender is, as the control socket tells it. */
+    enum Phase { STARTING, READY, DRAINING }
 
     /** What the module is to be told, and when it happened. */
     private record Noted(long at, Event event) { }
@@ -81,24 +107,49 @@
     private Sender(Config config) throws IOException {
         this.config = config;
         Relay.Settings settings = config.settings();
-        journal = Journal.open(config.state(), config.diskBytes());
+        lock = StateLock.take(config.state(), config.standalone() != null);
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
+        control = new Control(loop, this::onControl);
+        try {
+            if (config.standalone() != null) {
+                control.listen(config.standalone().control());
+            }
+            journal = Journal.open(config.state(), config.diskBytes());
+        } catch (IOException | RuntimeException e) {
+            control.close();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            lock.close();
+            throw e;
+        }
         module = new Policy(settings, true);
         directory = new Directory(loop, config, this::onListing);
         receivers = new Receivers(loop, this::onResult, settings.limits().connectTimeout(),
                 settings.limits().idleConnectionLife(), config.mostToReceivers(), config.reportNames());
-        notices = new Notices(loop, config.discovery(), this::onNoticeAnswered);
+        notices = new Notices(loop, config.notices(), this::onNoticeAnswered);
         clients = new ClientServer(loop, this::onSubmission, config.mostClients(), config.requestBytes(),
                 config.classes());
     }
 
     /** Serves until the process is told to end; {@code hangup} tells when to read the configuration again. */
-    public static void run(Map<String, String> environment, Hangup hangup) throws IOException {
+    public static void run(Map<String, String> environment, SignalHook hangup) throws IOException {
         Sender sender = new Sender(Config.read(environment));
+        sender.environment = environment;
+        if (sender.config.standalone() != null) {
+            sender.stopped.thenAccept(code -> new Thread(() -> {
+                sender.stop();
+                System.exit(code);
+            }, "exit").start());
+            Runnable stop = () -> sender.loop.execute(() -> sender.beginStop(DrainPlan.Mode.RESTART,
+                    sender.config.standalone().stopMillis()));
+            SignalHook.install("TERM").then(stop);
+            SignalHook.install("INT").then(stop);
+        }
         sender.start();
         hangup.then(() -> sender.reload(environment));
-        Runtime.getRuntime().addShutdownHook(new Thread(sender::terminate, "terminate"));
+        if (sender.config.standalone() == null) {
+            Runtime.getRuntime().addShutdownHook(new Thread(sender::terminate, "terminate"));
+        }
     }
 
     /** Starts on its own loop; tests use it too. */
@@ -112,6 +163,7 @@
         try {
             loop.submit(this::recover).sync();
             bound = clients.listen(config.listen());
+            loop.submit(this::serving).sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting", e);
@@ -122,6 +174,17 @@
         Log.warn(config.name() + " is ready at " + bound);
     }
 
+    private void serving() {
+        if (phase == Phase.STARTING) {
+            phase = Phase.READY;
+            phaseSince = System.nanoTime();
+        }
+        if (config.standalone() != null && config.standalone().endpoints() != null) {
+            endpointFile = new EndpointFile(config.standalone().endpoints(), config,
+                    list -> loop.execute(() -> directory.replace(list)));
+        }
+    }
+
     InetSocketAddress address() {
         return bound;
     }
@@ -153,9 +216,14 @@
 
     /** Ends at once, as a kill would but for the journal's file being closed. */
     void stop() {
+        control.close();
+        if (endpointFile != null) {
+            endpointFile.close();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         try {
             journal.close();
+            lock.close();
         } catch (IOException e) {
             Log.warn("journal: " + e);
         }
@@ -209,6 +277,10 @@
             reply.ok();
             return;
         }
+        if (drain != null) {
+            reply.busy(drain.advice(now() / 1_000));
+            return;
+        }
         if (!directory.listed(s.destination())) {
             reply.error("unknown destination");
             return;
@@ -293,7 +365,9 @@
         recorder.actions.clear();
         takeOn(actions);
         actions.forEach(this::answer);
-        startCalls(now, actions);
+        if (!endingAll) {
+            startCalls(now, actions);
+        }
         actions.forEach(this::other);
         turnEnded = now();
         turnTook = turnEnded - now;
@@ -414,8 +488,112 @@
         }
     }
 
+    // ---- The control socket. ----
+
+    private void onControl(JsonObject request, Consumer<JsonObject> answer) {
+        String what = request.has("do") && request.get("do").isJsonPrimitive() ? request.get("do").getAsString() : "";
+        switch (what) {
+            case "status" -> answer.accept(status());
+            case "stop" -> {
+                try {
+                    DrainPlan.Mode mode = switch (request.get("mode").getAsString()) {
+                        case "restart" -> DrainPlan.Mode.RESTART;
+                        case "final" -> DrainPlan.Mode.FINAL;
+                        default -> throw new IllegalArgumentException("mode is restart or final");
+                    };
+                    long within = request.has("within_ms") ? request.get("within_ms").getAsLong()
+                            : config.standalone().stopMillis();
+                    beginStop(mode, Math.max(0, Math.min(within, 3_600_000)));
+                    answer.accept(Control.answer(true, null));
+                } catch (RuntimeException e) {
+                    answer.accept(Control.answer(false, "stop needs a mode, restart or final, and a number within_ms"));
+                }
+            }
+            case "reload" -> new Thread(() -> {
+                String error = environment == null ? "no configuration to read again" : reload(environment);
+                answer.accept(Control.answer(error == null, error));
+            }, "reload").start();
+            default -> answer.accept(Control.answer(false, "no such command"));
+        }
+    }
+
+    private JsonObject status() {
+        JsonObject status = Control.answer(true, null);
+        status.addProperty("name", config.name());
+        status.addProperty("pid", ProcessHandle.current().pid());
+        status.addProperty("state", phase.name().toLowerCase(Locale.ROOT));
+        status.addProperty("for_ms", (System.nanoTime() - phaseSince) / 1_000_000);
+        if (phase != Phase.STARTING) {
+            status.addProperty("listen", bound.getAddress().getHostAddress() + ":" + bound.getPort());
+            status.addProperty("held", held.size());
+            status.addProperty("calls", receivers.callsOut());
+            status.addProperty("notices", notices.pending());
+            status.addProperty("clients", clients.connections());
+        }
+        return status;
+    }
+
     // ---- The end. ----
 
+    /** Begins a stop; one for good takes over from one for a restart, any other is under way already. */
+    void beginStop(DrainPlan.Mode mode, long within) {
+        if (drain != null && (drain.mode() == mode || mode == DrainPlan.Mode.RESTART)) {
+            return;
+        }
+        drain = new DrainPlan(mode, now() / 1_000, within, config.standalone() == null ? 0
+                : config.standalone().backMillis());
+        phase = Phase.DRAINING;
+        phaseSince = System.nanoTime();
+        Log.warn("stop " + (mode == DrainPlan.Mode.FINAL ? "for good" : "for a restart") + " within " + within
+                + " ms; holding " + held.size() + " messages");
+        note(new Event.Stopping(drain.deliverLeft(now() / 1_000) * 1_000));
+        if (drainSteps == null) {
+            drainSteps = loop.scheduleWithFixedDelay(this::drainStep, 0, DRAIN_STEP_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    CompletableFuture<Integer> stopped() {
+        return stopped;
+    }
+
+    private void drainStep() {
+        DrainPlan.Load load = new DrainPlan.Load(held.size() + arriving.size(), receivers.callsOut(), notices.pending());
+        switch (drain.next(now() / 1_000, load)) {
+            case DELIVER -> {
+            }
+            case CALL_OFF -> {
+                endingAll = true;
+                receivers.callOff();
+            }
+            case END_ALL -> endAll();
+            case AWAIT_NOTICES -> {
+                if (load.held() == 0 && load.noticesOut() == 0 && !doorClosed) {
+                    doorClosed = true;
+                    clients.closeDoor();
+                    clients.closeIdle();
+                }
+            }
+            case DONE -> {
+                drainSteps.cancel(false);
+                boolean left = load.held() > 0 || load.noticesOut() > 0;
+                Log.warn("stopped: " + DrainPlan.summary(drain.mode(), held.values(), notices.pending()));
+                stopped.complete(left && drain.mode() == DrainPlan.Mode.FINAL ? LEFT_OVER : 0);
+            }
+        }
+    }
+
+    /** No call is out any more and none will be made: what is left gets its final answer now. */
+    private void endAll() {
+        endingAll = true;
+        for (Held m : List.copyOf(held.values())) {
+            Relay.MessageClass type = config.settings().classes().get(config.classes().indexOf(m.className));
+            boolean returned = DrainPlan.mayReturn(m.doubtSince != 0 || m.out, type.effect() == Relay.Effect.SAFE,
+                    type.effect() == Relay.Effect.KEYED && type.keyScope() == Relay.KeyScope.DESTINATION);
+            note(new Event.Withdrawn(m.number));
+            end(m.number, returned ? m.returned(0) : m.failed());
+        }
+    }
+
     /**
      * Runs in the shutdown hook, at whose return the process would end. It goes on serving until it is killed:
      * clients keep their connections, and what is held then is in the journal.
@@ -432,18 +610,29 @@
 
     /**
      * Reads the configuration again. The address of discovery in the file counts from then on, whatever the
-     * environment says; all else waits for the next start. A file that cannot be read changes nothing.
+     * environment says, and the list of endpoints where a file has it; all else waits for the next start. A file that
+     * cannot be read changes nothing. Returns null, or why nothing was taken. Slow: not for the event loop.
      */
-    void reload(Map<String, String> environment) {
+    String reload(Map<String, String> environment) {
         try {
-            InetSocketAddress discovery = Config.reread(environment).discovery();
+            Config read = Config.reread(environment);
+            if ((read.discovery() == null) != (config.discovery() == null)) {
+                throw new BadInput("changing between discovery and a file of endpoints takes a restart");
+            }
             loop.execute(() -> {
-                Log.warn("discovery is at " + discovery);
-                directory.move(discovery);
-                notices.move(discovery);
+                if (read.discovery() == null) {
+                    Log.warn("endpoints: read again");
+                    directory.replace(read.known());
+                } else {
+                    Log.warn("discovery is at " + read.discovery());
+                    directory.move(read.discovery());
+                }
+                notices.move(read.notices());
             });
-        } catch (BadInput | IOException e) {
+            return null;
+        } catch (BadInput | ConfigException | IOException e) {
             Log.warn("configuration not taken: " + e.getMessage());
+            return e.getMessage();
         }
     }
 
--- a/sender/src/main/java/amberroute/sender/Hangup.java
+++ b/sender/src/main/java/amberroute/sender/SignalHook.java
@@ -3,32 +3,37 @@
 import java.lang.reflect.Proxy;
 
 /**
- * Turns SIGHUP into a call; one that comes before anybody listens is kept until somebody does. The JVM's one
+ * Turns a signal into a call; one that comes before anybody listens is kept until somebody does. The JVM's one
  * interface for signals, {@code sun.misc.Signal}, makes the compiler warn wherever it is named, and no annotation
  * allows for that: it is looked up by its name, so that warnings stay errors everywhere.
  */
-public final class Hangup {
+public final class SignalHook {
     private Runnable listener;
     private boolean missed;
 
-    private Hangup() {
+    private SignalHook() {
     }
 
-    /** Handles the signal from now on. */
-    public static Hangup install() {
-        Hangup hangup = new Hangup();
+    /** Handles SIGHUP from now on. */
+    public static SignalHook install() {
+        return install("HUP");
+    }
+
+    /** Handles the signal of this name, without its SIG, from now on. */
+    public static SignalHook install(String name) {
+        SignalHook hangup = new SignalHook();
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object received = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+            Object received = Proxy.newProxyInstance(SignalHook.class.getClassLoader(), new Class<?>[] {handler},
                     (proxy, method, arguments) -> {
                         hangup.received();
                         return null;
                     });
             signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), received);
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), received);
         } catch (ReflectiveOperationException e) {
-            Log.warn("SIGHUP has no handler: " + e);
+            Log.warn("SIG" + name + " has no handler: " + e);
         }
         return hangup;
     }
@@ -41,7 +46,7 @@
     }
 
     /** Calls the listener, on the signal's thread, whenever the signal comes. */
-    synchronized void then(Runnable next) {
+    public synchronized void then(Runnable next) {
         listener = next;
         if (missed) {
             received();
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/StandaloneConfig.java
@@ -0,0 +1,241 @@
+package amberroute.sender;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+import amberroute.Relay;
+import amberroute.config.ConfigException;
+import amberroute.config.Schema;
+import amberroute.config.Settings;
+import amberroute.config.Units;
+
+/**
+ * The sender's file outside the platform, {@code deploy/amberroute.toml}: every key with its type, bounds, default and
+ * meaning, and how they become a {@link Config}. {@code GW_NAME}, {@code GW_LISTEN}, {@code GW_DISCOVERY} and
+ * {@code GW_STATE} hold over the file where they are set, so that one file serves many instances.
+ */
+public final class StandaloneConfig {
+    /** A Unix socket's path may be so long, on Linux less one for the end. */
+    static final int LONGEST_SOCKET_PATH = 107;
+    private static final long LONGEST_LIST = 16 << 20;
+
+    private static final Schema CLASS = new Schema()
+            .needText("name", "what clients write behind c=")
+            .choice("effect", List.of("safe", "keyed", "unsafe"), null,
+                    "safe: repeating does no harm; keyed: the destination drops a key that it knows; unsafe: never twice")
+            .choice("key_scope", List.of("destination", "zone", "endpoint"), "endpoint",
+                    "how far a destination's memory of a key reaches")
+            .duration("key_life", "5s", "1ms", "7d", "how long a destination knows a key")
+            .flag("in_order", false, "messages of one key run one after another")
+            .real("worth", 1.0, 0.001, 1e6, "what one is worth beside the other classes'")
+            .real("late_share", 0.0, 0, 1, "share of the worth that is left at the deadline")
+            .duration("aim", null, "1ms", "1h", "worth is whole up to here")
+            .duration("deadline", null, "1ms", "1h", "the longest that one may take; clients may give less");
+
+    private static final Schema KIND = new Schema()
+            .needText("name", "what the list of endpoints calls it (model)")
+            .whole("messages_per_call", 1L, 1, 1_000, "messages that one call may carry")
+            .flag("routes_apart", false, "its endpoints have each a limit and outages of their own");
+
+    /** All keys of the file. */
+    public static final Schema SCHEMA = new Schema()
+            .text("name", "sender", "this instance, the same after a restart")
+            .address("listen", false, "where clients connect; port 0 takes any")
+            .text("state", null, "folder for what outlasts the process, relative to this file; no two share one")
+            .address("discovery", false, "who lists the endpoints")
+            .text("endpoints", null, "a file with the list of endpoints, in place of discovery; followed when it is replaced")
+            .address("notices", false, "who is told of messages that end undelivered; discovery's address if there is one")
+            .text("control", null, "the control socket, in the state folder if not told")
+            .whole("senders", 1L, 1, 1_000, "how many instances share the destinations' limits")
+            .list("zones", "names of the zones, as the list of endpoints has them")
+            .text("zone", null, "the zone of this instance, the first if not told")
+            .list("reports", "names of the values in X-Server-Load; x0 is what is left of a limit, x1 the limit")
+            .whole("limits.slots", 16L, 1, 100_000, "calls that may be out at once")
+            .whole("limits.open_messages", 400L, 1, 200_000, "messages that may be held at once")
+            .whole("limits.max_attempts", 12L, 1, 100, "calls that one message may have")
+            .size("limits.memory", "192MB", "16MB", "64GB", "what the process may use; sizes buffers for requests")
+            .whole("limits.descriptors", 1024L, 128, 1_000_000, "open files and connections of the process")
+            .size("limits.disk", "16MB", "256KB", "64GB", "what the state folder may hold")
+            .duration("limits.tick", "5ms", "100us", "1s", "a turn gathers events for so long at most")
+            .flag("retry.advice", true, "refusals tell when to come again")
+            .duration("retry.longest", "3s", "1ms", "10m", "the longest such time")
+            .duration("connections.idle", "15s", "100ms", "1h", "endpoints close an idle connection after this")
+            .duration("connections.connect", "1s", "10ms", "30s", "how long a connection may take to come up")
+            .real("cold.from", 0.15, 0.01, 1, "share of its capacity that a destination has after a start")
+            .duration("cold.span", "14s", "0s", "1h", "how long a destination takes to warm up")
+            .real("cold.multiple", 2.5, 1, 100, "work above so many times its capacity brings a cold destination down")
+            .duration("cold.window", "1500ms", "10ms", "1m", "the span in which that is counted")
+            .duration("rules.settle", "100ms", "0s", "1m", "a key rests so long after a call whose end is unknown")
+            .duration("stop.deadline", "8s", "100ms", "1h", "a stop is over by then, whatever is held")
+            .duration("stop.back_after", "3s", "0s", "1h", "a restarted sender serves again so long after its stop")
+            .real("costs.handshake", 0.06, 0, 1_000, "what a new connection costs beside a message's worth")
+            .tables("class", CLASS, 1, "a class of messages, in the order of their numbers")
+            .tables("kind", KIND, 0, "a kind of destination; one with one message a call if there is none");
+
+    /**
+     * What only a sender outside the platform has; spans in milliseconds. {@code endpoints} and {@code notices} may be
+     * null.
+     */
+    record Standalone(Path endpoints, InetSocketAddress notices, Path control, long stopMillis, long backMillis) { }
+
+    private StandaloneConfig() {
+    }
+
+    /** Reads and checks a file and starts nothing; the summary is for people. */
+    public static String check(Path file, Map<String, String> environment) throws IOException {
+        Config config = read(file, environment);
+        return config.name() + " listens on " + config.listen().getAddress().getHostAddress() + ":"
+                + config.listen().getPort() + ", " + config.classes().size() + " classes, "
+                + (config.discovery() == null ? config.known().getAsJsonArray("targets").size() + " endpoints from a file"
+                        : "discovery at " + config.discovery()) + ", state in " + config.state();
+    }
+
+    static Config read(Path file, Map<String, String> environment) throws IOException {
+        Settings s = SCHEMA.read(file);
+        Path base = file.toAbsolutePath().normalize().getParent();
+        InetSocketAddress listen = address(s, "listen", environment.get("GW_LISTEN"));
+        InetSocketAddress discovery = address(s, "discovery", environment.get("GW_DISCOVERY"));
+        Path endpoints = s.has("endpoints") ? base.resolve(s.text("endpoints")) : null;
+        String state = environment.getOrDefault("GW_STATE", s.text("state"));
+        if (listen == null) {
+            throw s.bad("listen", "is missing: where clients connect");
+        }
+        if (state == null || state.isBlank()) {
+            throw s.bad("state", "is missing: a folder for what outlasts the process");
+        }
+        if (discovery == null == (endpoints == null)) {
+            throw s.bad("endpoints", discovery == null ? "or discovery is needed: nobody lists the endpoints"
+                    : "and discovery are both there: one of them lists the endpoints");
+        }
+        InetSocketAddress notices = s.has("notices") ? s.address("notices") : discovery;
+        if (notices == null) {
+            throw s.bad("notices", "is missing: who is told of messages that end undelivered");
+        }
+        Path folder = base.resolve(state).normalize();
+        Path control = s.has("control") ? base.resolve(s.text("control")) : folder.resolve("control");
+        if (control.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8).length > LONGEST_SOCKET_PATH) {
+            throw s.bad("control", "is longer than " + LONGEST_SOCKET_PATH + " bytes, which no Unix socket may be: " + control);
+        }
+        List<String> classes = names(s, "class");
+        List<String> kinds = names(s, "kind");
+        List<String> zones = s.list("zones").isEmpty() ? List.of("-") : s.list("zones");
+        if (s.has("zone") && !zones.contains(s.text("zone"))) {
+            throw s.bad("zone", "is not among zones");
+        }
+        Standalone standalone = new Standalone(endpoints, notices, control, s.millis("stop.deadline"),
+                s.millis("stop.back_after"));
+        JsonObject known = new JsonObject();
+        Config config = new Config(environment.getOrDefault("GW_NAME", s.text("name")), listen, discovery, folder,
+                s.whole("limits.descriptors"), s.bytes("limits.memory"), s.bytes("limits.disk"), known,
+                settings(s, classes, zones), classes, zones, kinds.isEmpty() ? List.of("-") : kinds, s.list("reports"),
+                standalone);
+        if (endpoints != null) {
+            JsonObject list = endpoints(endpoints, config);
+            list.entrySet().forEach(e -> known.add(e.getKey(), e.getValue()));
+        }
+        return config;
+    }
+
+    /**
+     * Reads a list of endpoints in discovery's form. Unlike news from discovery it counts as a whole: one bad entry and
+     * none of it is taken, as whoever wrote it can mend it.
+     */
+    static JsonObject endpoints(Path file, Config config) {
+        try {
+            if (Files.size(file) > LONGEST_LIST) {
+                throw new ConfigException(file + ": longer than 16 MiB");
+            }
+            JsonObject list = JsonParser.parseString(Files.readString(file)).getAsJsonObject();
+            if (!list.has("targets") || !list.get("targets").isJsonArray()) {
+                throw new ConfigException(file + ": targets is missing: a list of endpoints");
+            }
+            Set<String> uids = new HashSet<>();
+            int i = 0;
+            for (var item : list.getAsJsonArray("targets")) {
+                try {
+                    Directory.Parsed entry = Directory.parse(item.getAsJsonObject(), config);
+                    if (!uids.add(entry.uid())) {
+                        throw new IllegalArgumentException("uid " + entry.uid() + " is there twice");
+                    }
+                } catch (RuntimeException e) {
+                    throw new ConfigException(file + ": targets[" + i + "]: " + reason(e));
+                }
+                i++;
+            }
+            return list;
+        } catch (IOException e) {
+            throw new ConfigException(file + ": cannot be read: " + e.getClass().getSimpleName());
+        } catch (ConfigException e) {
+            throw e;
+        } catch (RuntimeException e) {
+            throw new ConfigException(file + ": is no list of endpoints: " + reason(e));
+        }
+    }
+
+    private static String reason(RuntimeException e) {
+        return String.valueOf(e.getMessage()).lines().findFirst().orElse("") .replaceAll("\\p{Cntrl}", "?");
+    }
+
+    private static InetSocketAddress address(Settings s, String key, String over) {
+        if (over == null) {
+            return s.address(key);
+        }
+        try {
+            return Units.address(over);
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException("GW_" + key.toUpperCase(java.util.Locale.ROOT) + ": " + e.getMessage());
+        }
+    }
+
+    private static List<String> names(Settings s, String tables) {
+        List<String> names = new ArrayList<>();
+        for (Settings row : s.tables(tables)) {
+            String name = row.text("name");
+            if (names.contains(name) || !name.matches("[A-Za-z0-9._-]{1,64}")) {
+                throw s.bad(tables + ".name", "is there twice or no plain word: " + name);
+            }
+            names.add(name);
+        }
+        return List.copyOf(names);
+    }
+
+    private static Relay.Settings settings(Settings s, List<String> classes, List<String> zones) {
+        List<Relay.MessageClass> types = new ArrayList<>();
+        for (Settings row : s.tables("class")) {
+            if (row.micros("aim") > row.micros("deadline")) {
+                throw s.bad("class.aim", "is behind the deadline of class " + row.text("name"));
+            }
+            Relay.Effect effect = Relay.Effect.valueOf(row.text("effect").toUpperCase(java.util.Locale.ROOT));
+            types.add(new Relay.MessageClass(row.real("worth"), row.real("late_share"), row.micros("aim"),
+                    row.micros("deadline"), effect,
+                    Relay.KeyScope.valueOf(row.text("key_scope").toUpperCase(java.util.Locale.ROOT)),
+                    effect == Relay.Effect.KEYED ? row.micros("key_life") : 0, row.flag("in_order")));
+        }
+        List<Relay.Kind> kinds = new ArrayList<>();
+        s.tables("kind").forEach(row -> kinds.add(new Relay.Kind(row.flag("routes_apart"), row.whole("messages_per_call"))));
+        if (kinds.isEmpty()) {
+            kinds.add(new Relay.Kind(false, 1));
+        }
+        List<String> reports = s.list("reports");
+        return new Relay.Settings(System.nanoTime(), s.whole("senders"),
+                s.has("zone") ? zones.indexOf(s.text("zone")) : 0, s.micros("limits.tick"), false, 1,
+                Relay.LateWorth.EVEN, Relay.WeightKind.NONE, types, List.of(), kinds,
+                new Relay.Limits(s.whole("limits.slots"), s.whole("limits.open_messages"), s.whole("limits.max_attempts"),
+                        false, true, s.flag("retry.advice"), s.micros("retry.longest"), 1, s.micros("connections.idle"),
+                        s.micros("connections.connect")),
+                new Relay.Rules(20_000, 10_000_000, s.real("cold.from"), s.micros("cold.span"), s.real("cold.multiple"),
+                        s.micros("cold.window"), s.micros("rules.settle")),
+                new Relay.Prices(s.real("costs.handshake"), 0, List.of()),
+                new Relay.ReportFields(reports.indexOf("x0"), reports.indexOf("x1")));
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/amberroute/testkit/Book.java
@@ -0,0 +1,271 @@
+package amberroute.testkit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a whole fleet was given and what became of it, seen from outside: every message handed in, each answer to it,
+ * each effect at a partner and each notice. Not thread-safe: one thread owns it. Times are microseconds on one
+ * monotonic clock. It holds what it saw of all messages, some 200 bytes each, so runs have to be bounded.
+ */
+public final class Book {
+    /** How often an effect may happen. */
+    public enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** What is known of one message's end. */
+    public enum End { NONE, DELIVERED, RETURNED, FAILED }
+
+    /** How a hand-in was answered. */
+    public enum Answer { NONE, TAKEN, REFUSED, ERROR, SILENT }
+
+    /** A notice may come so much behind the deadline: 300 ms, and 50 as each limit is longer on sockets. */
+    public static final long NOTICE_GRACE = 350_000;
+    private static final int MOST_COMPLAINTS = 50;
+
+    /** One hand-in; a message that is handed in again is another entry with the same origin. */
+    public static final class Entry {
+        public final String id;
+        public final String origin;
+        public final String className;
+        public final Effect effect;
+        public final long key;
+        public final boolean ordered;
+        public final int destination;
+        public final int sender;
+        public final long deadline;
+        public final long aim;
+        Answer answer = Answer.NONE;
+        End end = End.NONE;
+        long endedAt;
+        int effects;
+
+        Entry(String id, String origin, String className, Effect effect, long key, boolean ordered, int destination,
+                int sender, long deadline, long aim) {
+            this.id = id;
+            this.origin = origin;
+            this.className = className;
+            this.effect = effect;
+            this.key = key;
+            this.ordered = ordered;
+            this.destination = destination;
+            this.sender = sender;
+            this.deadline = deadline;
+            this.aim = aim;
+        }
+
+        public End end() {
+            return end;
+        }
+
+        public Answer answer() {
+            return answer;
+        }
+    }
+
+    /** The sums; {@code taken = delivered + returned + failed + open} is checked by {@link #totals}. */
+    public record Totals(long handed, long taken, long refused, long errors, long silent, long delivered,
+            long returned, long failed, long open, long lost, long doubled, long outOfOrder, long lateNotices,
+            long inTime, long strange, long unheardEffects) {
+
+        /** Whether no rule was broken and the sums agree. */
+        public boolean ok() {
+            return lost == 0 && doubled == 0 && outOfOrder == 0 && strange == 0 && open == 0
+                    && taken == delivered + returned + failed + open;
+        }
+    }
+
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<String, Integer> effectsOfOrigin = new HashMap<>();
+    /** Messages of each ordered key that are not over, in the order in which they were handed in. */
+    private final Map<Long, Deque<Entry>> turns = new HashMap<>();
+    /** Spans in which each sender was down or had just come back: notices are not overdue then. */
+    private final Map<Integer, List<long[]>> spans = new HashMap<>();
+    private final List<String> complaints = new ArrayList<>();
+    private long doubled;
+    private long outOfOrder;
+    private long strange;
+    private long unheard;
+
+    /** A message leaves for a sender. */
+    public Entry handIn(Entry entry) {
+        if (entries.put(entry.id, entry) != null) {
+            throw new IllegalArgumentException("id handed in twice: " + entry.id);
+        }
+        if (entry.ordered) {
+            turns.computeIfAbsent(entry.key, k -> new ArrayDeque<>()).add(entry);
+        }
+        return entry;
+    }
+
+    /** A new entry; {@code aim} and {@code deadline} are moments. */
+    public Entry handIn(String id, String origin, String className, Effect effect, long key, boolean ordered,
+            int destination, int sender, long deadline, long aim) {
+        return handIn(new Entry(id, origin, className, effect, key, ordered, destination, sender, deadline, aim));
+    }
+
+    /** The sender's answer, or that none came. */
+    public void answered(Entry entry, Answer answer) {
+        entry.answer = answer;
+        if (answer != Answer.TAKEN) {
+            // Nobody vouches for its place in the order any more: it was refused, or its client gave it up.
+            over(entry);
+        }
+    }
+
+    /** A partner carried a message out; whether it was answered comes with {@link #delivered}. */
+    public void effect(long now, String id, int destination) {
+        Entry entry = entries.get(id);
+        if (entry == null || entry.destination != destination) {
+            strange++;
+            complain("effect of unknown message " + id + " at destination " + destination);
+            return;
+        }
+        entry.effects++;
+        if (entry.answer == Answer.SILENT) {
+            unheard++;
+        } else if (entry.answer == Answer.REFUSED || entry.answer == Answer.ERROR) {
+            strange++;
+            complain("message " + id + " was turned away and carried out");
+        }
+        int times = effectsOfOrigin.merge(entry.origin, 1, Integer::sum);
+        if (entry.effect != Effect.SAFE && times > 1) {
+            doubled++;
+            complain(entry.effect + " message " + id + " of " + entry.origin + " took effect " + times + " times");
+        }
+        Deque<Entry> turn = entry.ordered ? turns.get(entry.key) : null;
+        if (turn != null && turn.contains(entry) && turn.peekFirst() != entry) {
+            outOfOrder++;
+            complain("message " + id + " of key " + Long.toHexString(entry.key) + " ran ahead of "
+                    + turn.peekFirst().id);
+        }
+    }
+
+    /** The partner's answer that delivers it was written. */
+    public void delivered(long now, String id) {
+        Entry entry = entries.get(id);
+        if (entry != null && entry.end == End.NONE) {
+            end(now, entry, End.DELIVERED);
+        }
+    }
+
+    /** A notice came; one for a message that is over does no harm. */
+    public void noticed(long now, String id, boolean returned) {
+        Entry entry = entries.get(id);
+        if (entry == null) {
+            strange++;
+            complain("notice for unknown message " + id);
+        } else if (entry.end == End.NONE) {
+            if (returned && entry.effect == Effect.UNSAFE && entry.effects > 0) {
+                strange++;
+                complain("unsafe message " + id + " took effect and was returned as never run");
+            }
+            end(now, entry, returned ? End.RETURNED : End.FAILED);
+        }
+    }
+
+    private void end(long now, Entry entry, End end) {
+        entry.end = end;
+        entry.endedAt = now;
+        over(entry);
+    }
+
+    private void over(Entry entry) {
+        Deque<Entry> turn = entry.ordered ? turns.get(entry.key) : null;
+        if (turn != null) {
+            turn.remove(entry);
+            if (turn.isEmpty()) {
+                turns.remove(entry.key);
+            }
+        }
+    }
+
+    /** A sender was stopped or died at {@code from} and was ready again at {@code to}. */
+    public void down(int sender, long from, long to) {
+        spans.computeIfAbsent(sender, s -> new ArrayList<>()).add(new long[] {from, to + 1_500_000});
+    }
+
+    /** When a message's end is overdue at the latest. */
+    private long dueBy(Entry entry) {
+        long due = entry.deadline + NOTICE_GRACE;
+        for (long[] span : spans.getOrDefault(entry.sender, List.of())) {
+            if (due >= span[0] && due < span[1]) {
+                due = span[1];
+            }
+        }
+        return due;
+    }
+
+    /** Messages taken on whose end is still owed. */
+    public long open() {
+        return entries.values().stream().filter(e -> e.answer == Answer.TAKEN && e.end == End.NONE).count();
+    }
+
+    /** All sums at this moment; what is open past its time counts as lost as well. */
+    public Totals totals(long now) {
+        long[] n = new long[12];
+        for (Entry e : entries.values()) {
+            switch (e.answer) {
+                case TAKEN -> n[0]++;
+                case REFUSED -> n[1]++;
+                case ERROR -> n[2]++;
+                case SILENT -> n[3]++;
+                default -> {
+                }
+            }
+            if (e.answer != Answer.TAKEN) {
+                continue;
+            }
+            switch (e.end) {
+                case DELIVERED -> {
+                    n[4]++;
+                    n[9] += e.endedAt <= e.aim ? 1 : 0;
+                }
+                case RETURNED -> n[5]++;
+                case FAILED -> n[6]++;
+                default -> n[7]++;
+            }
+            if (e.end == End.NONE && now > dueBy(e)) {
+                n[8]++;
+            } else if ((e.end == End.RETURNED || e.end == End.FAILED) && e.endedAt > dueBy(e)) {
+                n[10]++;
+            }
+        }
+        return new Totals(entries.size(), n[0], n[1], n[2], n[3], n[4], n[5], n[6], n[7], n[8], doubled, outOfOrder,
+                n[10], n[9], strange, unheard);
+    }
+
+    /** Of the messages with their aim in this span, the share that was delivered within it; 1 where there are none. */
+    public double shareInTime(long from, long to) {
+        long all = 0;
+        long good = 0;
+        for (Entry e : entries.values()) {
+            if (e.aim >= from && e.aim < to) {
+                all++;
+                good += e.end == End.DELIVERED && e.endedAt <= e.aim ? 1 : 0;
+            }
+        }
+        return all == 0 ? 1 : (double) good / all;
+    }
+
+    /** The ids of messages that were taken on and are open past their time, at most 50. */
+    public List<String> lost(long now) {
+        return entries.values().stream()
+                .filter(e -> e.answer == Answer.TAKEN && e.end == End.NONE && now > dueBy(e))
+                .limit(MOST_COMPLAINTS).map(e -> e.id + " (" + e.className + " at sender " + e.sender + ")").toList();
+    }
+
+    /** What was wrong, the first 50 in words. */
+    public List<String> complaints() {
+        return List.copyOf(complaints);
+    }
+
+    private void complain(String text) {
+        if (complaints.size() < MOST_COMPLAINTS) {
+            complaints.add(text);
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/amberroute/testkit/Clients.java
@@ -0,0 +1,341 @@
+package amberroute.testkit;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.util.concurrent.Future;
+
+/**
+ * Stand-in clients: messages come at a rate, some in clumps for one destination, and each is handed to one of the
+ * senders as the protocol page says. A key always goes to the same sender, one message after another; all else goes to
+ * any that is not known to be away. Clients come again after a refusal for as long as their time lasts, at the time
+ * they were told, and hand in anew only what may be repeated where no answer came. Owned by the event loop.
+ */
+public final class Clients {
+    /** A class of messages; spans are microseconds. */
+    public record Kind(String name, Book.Effect effect, boolean ordered, double share, long aim, long deadline) { }
+
+    /** How much is asked: messages a second, the share of them in clumps of so many, and how many keys there are. */
+    public record Load(double perSecond, double clumps, int clumpSize, int keys, int tries) { }
+
+    private static final long ANSWER_MS = 400;
+    private static final long BACK_OFF_MS = 150;
+    private static final int BODY = 120;
+    private static final int MOST_IDLE = 64;
+    private static final long AWAY_MICROS = 200_000;
+
+    private final EventLoop loop;
+    private final Book book;
+    private final List<InetSocketAddress> senders;
+    private final List<Kind> kinds;
+    private final int destinations;
+    private final Random random;
+    private final List<Deque<Link>> idle = new ArrayList<>();
+    private final long[] awayUntil;
+    /** Messages of each key that wait for the one before to be answered. */
+    private final Map<Long, Deque<Message>> lines = new HashMap<>();
+    private Load load;
+    private Future<?> timer;
+    private long nextId;
+    private long handedIn;
+    private int working;
+
+    /** One message as its client sees it, over all its tries. */
+    private static final class Message {
+        final String origin;
+        final Kind kind;
+        final long key;
+        final String idempotencyKey;
+        final int destination;
+        final long aim;
+        final long deadline;
+        int tries;
+
+        Message(String origin, Kind kind, long key, String idempotencyKey, int destination, long now) {
+            this.origin = origin;
+            this.kind = kind;
+            this.key = key;
+            this.idempotencyKey = idempotencyKey;
+            this.destination = destination;
+            aim = now + kind.aim();
+            deadline = now + kind.deadline();
+        }
+    }
+
+    public Clients(EventLoop loop, Book book, List<InetSocketAddress> senders, List<Kind> kinds, int destinations,
+            long seed) {
+        this.loop = loop;
+        this.book = book;
+        this.senders = List.copyOf(senders);
+        this.kinds = List.copyOf(kinds);
+        this.destinations = destinations;
+        random = new Random(seed);
+        awayUntil = new long[senders.size()];
+        senders.forEach(s -> idle.add(new ArrayDeque<>()));
+    }
+
+    /** Begins to ask, or goes on with another load. */
+    public void run(Load next) {
+        load = next;
+        if (timer == null) {
+            timer = loop.schedule(this::arrive, 0, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** Asks for nothing more; what was asked goes on. */
+    public void pause() {
+        load = null;
+    }
+
+    /** Messages whose clients still wait or will come again. */
+    public int working() {
+        return working;
+    }
+
+    /** All messages that were asked for, each counted once however often it was handed in. */
+    public long asked() {
+        return handedIn;
+    }
+
+    private void arrive() {
+        if (load == null) {
+            timer = null;
+            return;
+        }
+        boolean clump = random.nextDouble() * load.clumpSize() < load.clumps();
+        int destination = destination();
+        for (int i = 0; i < (clump ? load.clumpSize() : 1); i++) {
+            ask(destination);
+        }
+        double rate = load.perSecond() * (1 - load.clumps()) + load.perSecond() * load.clumps() / load.clumpSize();
+        double mean = 1e6 / Math.max(0.001, clump || load.clumps() == 0 ? load.perSecond() : rate);
+        timer = loop.schedule(this::arrive, (long) (-Math.log(1 - random.nextDouble()) * mean), TimeUnit.MICROSECONDS);
+    }
+
+    /** A few destinations have most of the traffic. */
+    private int destination() {
+        return 1 + (int) (destinations * Math.pow(random.nextDouble(), 1.5));
+    }
+
+    private void ask(int destination) {
+        double at = random.nextDouble() * kinds.stream().mapToDouble(Kind::share).sum();
+        Kind kind = kinds.get(kinds.size() - 1);
+        for (Kind k : kinds) {
+            at -= k.share();
+            if (at < 0) {
+                kind = k;
+                break;
+            }
+        }
+        long key = kind.ordered() ? 1 + random.nextInt(load.keys()) : 0;
+        String origin = "m" + Long.toHexString(nextId++);
+        // A key stands for one policy: all its messages go to one destination.
+        int to = kind.ordered() ? 1 + (int) (key % destinations) : destination;
+        Message m = new Message(origin, kind, key, kind.effect() == Book.Effect.KEYED ? "k" + origin : "", to,
+                Stage.micros());
+        handedIn++;
+        working++;
+        if (kind.ordered()) {
+            Deque<Message> line = lines.computeIfAbsent(key, k -> new ArrayDeque<>());
+            line.add(m);
+            if (line.size() > 1) {
+                return;
+            }
+        }
+        tryOne(m);
+    }
+
+    private void tryOne(Message m) {
+        long now = Stage.micros();
+        if (now >= m.deadline || m.tries >= mostTries()) {
+            leave(m);
+            return;
+        }
+        int sender = m.key != 0 ? (int) (m.key % senders.size()) : choose(now);
+        if (now < awayUntil[sender]) {
+            later(m, AWAY_MICROS / 1_000);
+            return;
+        }
+        Link link = idle.get(sender).pollLast();
+        if (link != null && link.channel.isActive()) {
+            link.send(m);
+        } else if (link != null) {
+            tryOne(m);
+        } else {
+            connect(m, sender);
+        }
+    }
+
+    private int mostTries() {
+        return load == null ? 8 : load.tries();
+    }
+
+    private int choose(long now) {
+        int sender = random.nextInt(senders.size());
+        for (int i = 0; i < senders.size() && now < awayUntil[sender]; i++) {
+            sender = (sender + 1) % senders.size();
+        }
+        return sender;
+    }
+
+    private void connect(Message m, int sender) {
+        Link link = new Link(sender);
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        link.channel = channel;
+                        channel.pipeline().addLast(new LineBasedFrameDecoder(1_024), link);
+                    }
+                }).connect(senders.get(sender)).addListener(done -> {
+                    if (done.isSuccess()) {
+                        link.send(m);
+                    } else {
+                        // Nothing was written: whoever it was for has not seen it.
+                        awayUntil[sender] = Stage.micros() + AWAY_MICROS;
+                        later(m, 20);
+                    }
+                });
+    }
+
+    private void later(Message m, long millis) {
+        loop.schedule(() -> tryOne(m), millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Its client is done with it, whether it was taken on or not. */
+    private void leave(Message m) {
+        working--;
+        Deque<Message> line = lines.get(m.key);
+        if (m.key != 0 && line != null && line.peekFirst() == m) {
+            line.removeFirst();
+            if (line.isEmpty()) {
+                lines.remove(m.key);
+            } else {
+                tryOne(line.peekFirst());
+            }
+        }
+    }
+
+    /** One connection to a sender, with one request at a time. */
+    private final class Link extends SimpleChannelInboundHandler<ByteBuf> {
+        private final int sender;
+        private Channel channel;
+        private Message message;
+        private Book.Entry entry;
+        private Future<?> timeout;
+
+        Link(int sender) {
+            this.sender = sender;
+        }
+
+        void send(Message m) {
+            long now = Stage.micros();
+            message = m;
+            m.tries++;
+            // Told a little less than is left, as the time on the way is the client's.
+            long left = (m.deadline - now) / 1_000;
+            String id = m.origin + "." + m.tries;
+            entry = book.handIn(id, m.origin, m.kind.name(), m.kind.effect(), m.key, m.kind.ordered(), m.destination,
+                    sender, now + left * 1_000, m.aim);
+            StringBuilder options = new StringBuilder("c=" + m.kind.name() + ",d=" + left + ",dest=" + m.destination);
+            if (!m.idempotencyKey.isEmpty()) {
+                options.append(",k=").append(m.idempotencyKey);
+            }
+            if (m.tries > 1) {
+                options.append(",r=1");
+            }
+            String body = String.format(Locale.ROOT, "%-" + BODY + "s", "message " + id);
+            String key = String.format(Locale.ROOT, "%016x", m.key);
+            StringBuilder request = new StringBuilder("*5\r\n");
+            for (String word : List.of("SUBMIT", key, id, options.toString(), body)) {
+                request.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+            }
+            timeout = loop.schedule(() -> channel.close(), ANSWER_MS, TimeUnit.MILLISECONDS);
+            channel.writeAndFlush(Unpooled.copiedBuffer(request, StandardCharsets.ISO_8859_1));
+            if (!channel.isActive()) {
+                // It ended between its choice and this write, perhaps with its last event behind it.
+                channelInactive(null);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
+            if (message == null) {
+                context.close();
+                return;
+            }
+            timeout.cancel(false);
+            Message m = message;
+            Book.Entry handed = entry;
+            message = null;
+            String answer = line.toString(StandardCharsets.ISO_8859_1);
+            if (idle.get(sender).size() < MOST_IDLE) {
+                idle.get(sender).addLast(this);
+            } else {
+                context.close();
+            }
+            if (answer.startsWith("+")) {
+                book.answered(handed, Book.Answer.TAKEN);
+                leave(m);
+            } else if (answer.startsWith("-BUSY")) {
+                book.answered(handed, Book.Answer.REFUSED);
+                String[] words = answer.split(" ");
+                long told = words.length > 1 ? Long.parseLong(words[1]) : 0;
+                if (m.key == 0 && told > 1_000) {
+                    // This one is away for long; any other will do.
+                    awayUntil[sender] = Stage.micros() + Math.min(told, 2_000) * 1_000;
+                    later(m, BACK_OFF_MS);
+                } else {
+                    later(m, told > 0 ? told : BACK_OFF_MS);
+                }
+            } else {
+                book.answered(handed, Book.Answer.ERROR);
+                leave(m);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            idle.get(sender).remove(this);
+            Message m = message;
+            message = null;
+            if (m == null) {
+                return;
+            }
+            timeout.cancel(false);
+            book.answered(entry, Book.Answer.SILENT);
+            // It may have been taken on: only what may be repeated is handed in anew.
+            if (m.kind.effect() == Book.Effect.UNSAFE || m.kind.ordered()) {
+                leave(m);
+            } else {
+                later(m, BACK_OFF_MS);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/amberroute/testkit/Stage.java
@@ -0,0 +1,217 @@
+package amberroute.testkit;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/**
+ * All stand-ins of one run with their book, on one event loop of their own. What is done to them from other threads goes
+ * through {@link #on}. Every random choice comes from the seed; sockets and processes still make runs differ.
+ */
+public final class Stage implements AutoCloseable {
+    private static final long ORIGIN = System.nanoTime();
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Book book = new Book();
+    private final List<PartnerServer> partners = new ArrayList<>();
+    private final long seed;
+    private PlatformServer platform;
+    private Clients clients;
+
+    public Stage(long seed) throws InterruptedException {
+        this.seed = seed;
+        platform = new PlatformServer(loop, book).listen(0);
+    }
+
+    /** Microseconds since this class was loaded, on the monotonic clock. */
+    public static long micros() {
+        return (System.nanoTime() - ORIGIN) / 1_000;
+    }
+
+    /** Does something on the event loop and waits for it. */
+    public <T> T on(Callable<T> work) {
+        try {
+            return loop.inEventLoop() ? work.call() : loop.submit(work).get(30, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            throw new IllegalStateException("on the stage's loop: " + e, e);
+        }
+    }
+
+    /** As {@link #on(Callable)}, without a result. */
+    public void run(Runnable work) {
+        on(() -> {
+            work.run();
+            return null;
+        });
+    }
+
+    /** Adds a destination with so many endpoints of these figures, listed as ready. */
+    public Stage destination(int number, int endpoints, Partner.Figures figures, String model) throws InterruptedException {
+        Partner memory = new Partner(figures, seed);
+        for (int i = 0; i < endpoints; i++) {
+            String uid = "p" + number + "-" + i;
+            PartnerServer server = new PartnerServer(loop, book, number, uid,
+                    new Partner(figures, seed + 31L * number + i), memory).listen(0);
+            partners.add(server);
+            run(() -> platform.list(uid, server.address(), number, model, "Ready"));
+        }
+        return this;
+    }
+
+    /** Stand-in clients for these senders; they ask for nothing before they are told to. */
+    public Clients clients(List<InetSocketAddress> senders, List<Clients.Kind> kinds) {
+        int destinations = partners.stream().mapToInt(PartnerServer::destination).max().orElse(1);
+        clients = new Clients(loop, book, senders, kinds, destinations, seed);
+        return clients;
+    }
+
+    /** The book; to be touched on the loop alone. */
+    public Book book() {
+        return book;
+    }
+
+    public PlatformServer platform() {
+        return platform;
+    }
+
+    public List<PartnerServer> partners() {
+        return partners;
+    }
+
+    public Book.Totals totals() {
+        return on(() -> book.totals(micros()));
+    }
+
+    /** All endpoints of a destination go down or come back. */
+    public void become(int destination, Partner.Mode mode) {
+        run(() -> partners.stream().filter(p -> p.destination() == destination).forEach(p -> p.become(mode)));
+    }
+
+    /** The largest share of what a cold endpoint could stand that was used. */
+    public double highestColdShare() {
+        return on(() -> partners.stream().mapToDouble(p -> p.partner().highestShare()).max().orElse(0));
+    }
+
+    /** How often endpoints fell over. */
+    public long falls() {
+        return on(() -> partners.stream().mapToLong(p -> p.partner().falls()).sum());
+    }
+
+    /** The three classes that the demo and the rigs use; the sender file of {@link #senderFile} has the same. */
+    public static List<Clients.Kind> kinds() {
+        return List.of(new Clients.Kind("quote-status", Book.Effect.SAFE, false, 0.45, 1_500_000, 6_000_000),
+                new Clients.Kind("policy-order", Book.Effect.KEYED, true, 0.35, 1_500_000, 6_000_000),
+                new Clients.Kind("premium-charge", Book.Effect.UNSAFE, false, 0.2, 2_000_000, 6_000_000));
+    }
+
+    /** Writes the sender file for daemons on this stage. */
+    public Path senderFile(Path folder, int senders) throws IOException {
+        Path file = folder.resolve("amberroute.toml");
+        Files.writeString(file, String.format(Locale.ROOT, """
+                # Written for one run on stand-ins.
+                listen = "127.0.0.1:0"
+                discovery = "%s"
+                senders = %d
+                zones = ["a"]
+                [limits]
+                slots = 32
+                open_messages = 1000
+                descriptors = 512
+                disk = "16MB"
+                [stop]
+                deadline = "4s"
+                back_after = "1500ms"
+                [[class]]
+                name = "quote-status"
+                effect = "safe"
+                worth = 2.0
+                late_share = 0.5
+                aim = "1500ms"
+                deadline = "6s"
+                [[class]]
+                name = "policy-order"
+                effect = "keyed"
+                key_scope = "destination"
+                key_life = "60s"
+                in_order = true
+                late_share = 0.5
+                aim = "1500ms"
+                deadline = "6s"
+                [[class]]
+                name = "premium-charge"
+                effect = "unsafe"
+                worth = 4.0
+                late_share = 0.5
+                aim = "2s"
+                deadline = "6s"
+                [[kind]]
+                name = "single"
+                [[kind]]
+                name = "batch"
+                messages_per_call = 5
+                """, platform.address(), senders));
+        return file;
+    }
+
+    /** Writes a service definition of daemons that read {@link #senderFile}; returns its path. */
+    public Path fleetFile(Path folder, int daemons, int firstPort, Path jar, String more) throws IOException {
+        Path file = folder.resolve("fleet.toml");
+        Files.writeString(file, String.format(Locale.ROOT, """
+                # Written for one run on stand-ins.
+                name = "stage"
+                sender = "amberroute.toml"
+                folder = "run"
+                count = %d
+                listen = "127.0.0.1:%d"
+                jar = "%s"
+                %s
+                """, daemons, firstPort, jar, more));
+        return file;
+    }
+
+    /** The first of so many ports in a row that are free just now; below the range that the system deals out. */
+    public static int freePorts(int count, long seed) throws IOException {
+        java.util.Random random = new java.util.Random(seed ^ ProcessHandle.current().pid());
+        for (int attempt = 0; attempt < 200; attempt++) {
+            int first = 12_000 + random.nextInt(18_000 - count);
+            if (free(first, count)) {
+                return first;
+            }
+        }
+        throw new IOException("no " + count + " free ports in a row");
+    }
+
+    private static boolean free(int first, int count) {
+        for (int i = 0; i < count; i++) {
+            try (ServerSocket probe = new ServerSocket(first + i, 1, InetAddress.getLoopbackAddress())) {
+                probe.setReuseAddress(true);
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void close() {
+        run(() -> {
+            platform.close();
+            partners.forEach(PartnerServer::close);
+        });
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
