--- a/fleet/src/main/java/amberroute/fleet/Definition.java
+++ b/fleet/src/main/java/amberroute/fleet/Definition.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -84,6 +85,11 @@
         List<Instance> instances = instances(s, base, folder);
         List<String> command = new ArrayList<>(s.list("java").isEmpty() ? LEAN : s.list("java"));
         Path sender = base.resolve(s.text("sender")).normalize();
+        Path archive = daemon.resolveSibling(daemon.getFileName().toString().replaceAll("\\.jar$", "") + ".jsa");
+        if (s.list("java").isEmpty() && Files.isRegularFile(archive)) {
+            command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:disable", "-Xlog:all=error:stderr",
+                    "-Xlog:cds=off:stderr"));
+        }
         command.addAll(List.of("-jar", daemon.toString(), "serve", "--config", sender.toString()));
         if (s.micros("restart.longest") < s.micros("restart.pause")) {
             throw s.bad("restart.longest", "is shorter than restart.pause");
