--- a/cli/src/main/java/amberroute/cli/DemoCommand.java
+++ b/cli/src/main/java/amberroute/cli/DemoCommand.java
@@ -31,7 +31,7 @@
         boolean terminal = System.console() != null && !json;
         long quiet = seconds * 300L;
         Play.Plan plan = new Play.Plan(daemons, drawn, perSecond, quiet, Math.max(1_500, seconds * 100L), 1,
-                seconds * 200L, "rolling.at_once = " + Math.max(1, daemons / 10) + "\n");
+                seconds * 200L, 0, "rolling.at_once = " + Math.max(1, daemons / 10) + "\n");
         try (Play play = new Play(plan, line -> {
             if (!json) {
                 System.out.println((terminal ? "\r\033[K" : "") + line);
--- a/cli/src/main/java/amberroute/cli/Play.java
+++ b/cli/src/main/java/amberroute/cli/Play.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -35,9 +36,11 @@
 final class Play implements AutoCloseable {
     /**
      * {@code quiet} milliseconds of load come before anything happens; the partner is out for {@code outage}, beginning in
-     * the middle of the first rolling restart; {@code rolls} of them follow one another.
+     * the middle of the first rolling restart; {@code rolls} of them follow one another, in which {@code kills} daemons are
+     * killed outright at random moments, whatever they are at.
      */
-    record Plan(int daemons, long seed, double perSecond, long quiet, long outage, int rolls, long after, String rolling) { }
+    record Plan(int daemons, long seed, double perSecond, long quiet, long outage, int rolls, long after, int kills,
+            String rolling) { }
 
     private static final int DESTINATIONS = 6;
     private static final long READY_MS = 120_000;
@@ -56,10 +59,13 @@
     private long lastLook;
     private long upMillis;
     private JsonObject status;
+    private final Random random;
+    private long killed;
 
     Play(Plan plan, Consumer<String> lines) throws Exception {
         this.plan = plan;
         this.lines = lines;
+        random = new Random(plan.seed());
         folder = Files.createTempDirectory("amberroute-");
         stage = new Stage(plan.seed());
         for (int d = 1; d <= DESTINATIONS; d++) {
@@ -115,8 +121,14 @@
                 lines.accept("destination 1 is back, and cold");
                 stage.become(1, Partner.Mode.UP);
             }
-            until(() -> !status.get("rolling").getAsString().contains(" of ") || status.get("rolling").getAsString()
-                    .startsWith("aborted"), ROLL_MS, "the rolling restart to end");
+            while (killed < plan.kills()) {
+                watch(100 + random.nextInt(900));
+                killOne();
+            }
+            until(() -> rollOver(), ROLL_MS, "the rolling restart to end");
+            if (plan.kills() > 0) {
+                until(() -> status.get("ready").getAsBoolean(), READY_MS, "the fleet to be ready again");
+            }
             lines.accept("rolling restart " + (i + 1) + ": " + status.get("rolling").getAsString());
         }
         long rollTo = Stage.micros();
@@ -132,6 +144,25 @@
         return result(quietFrom, quietTo, rollFrom, rollTo);
     }
 
+    private boolean rollOver() {
+        String rolling = status.get("rolling").getAsString();
+        return rolling.equals("done") || rolling.startsWith("aborted");
+    }
+
+    /** SIGKILL for any daemon that lives, ready or not. */
+    private void killOne() {
+        List<Long> alive = new ArrayList<>();
+        status.getAsJsonArray("daemons").forEach(d -> alive.add(d.getAsJsonObject().get("pid").getAsLong()));
+        alive.removeIf(pid -> pid <= 0);
+        if (!alive.isEmpty()) {
+            ProcessHandle.of(alive.get(random.nextInt(alive.size()))).ifPresent(process -> {
+                lines.accept("killed process " + process.pid());
+                process.destroyForcibly();
+                killed++;
+            });
+        }
+    }
+
     /** Until every message has its end, or its time is long gone. */
     private void settle() throws Exception {
         long end = millis() + 20_000;
@@ -227,9 +258,10 @@
         out.addProperty("in_time_rolling", round(stage.on(() -> stage.book().shareInTime(rollFrom, rollTo))));
         out.addProperty("cold_share", round(stage.highestColdShare()));
         out.addProperty("falls", stage.falls());
+        out.addProperty("kills", killed);
         out.addProperty("rolling", status.get("rolling").getAsString());
         boolean ok = t.ok() && t.lateNotices() == 0 && t.taken() > 0
-                && (plan.rolls() == 0 || status.get("rolling").getAsString().equals("done"));
+                && (plan.rolls() == 0 || plan.kills() > 0 || status.get("rolling").getAsString().equals("done"));
         out.addProperty("ok", ok);
         if (!ok) {
             stage.on(stage.book()::complaints).forEach(c -> lines.accept("! " + c));
--- a/cli/src/main/java/amberroute/cli/RigCommand.java
+++ b/cli/src/main/java/amberroute/cli/RigCommand.java
@@ -25,9 +25,12 @@
         @Option(names = "--rolls", defaultValue = "2", description = "full rolling restarts (${DEFAULT-VALUE})")
         private int rolls;
 
+        @Option(names = "--kills", defaultValue = "0", description = "daemons killed outright meanwhile (${DEFAULT-VALUE})")
+        private int kills;
+
         @Override
         public Integer call() throws Exception {
-            Play.Plan plan = new Play.Plan(daemons, seed, perSecond, quiet * 1_000L, 8_000, rolls, 5_000,
+            Play.Plan plan = new Play.Plan(daemons, seed, perSecond, quiet * 1_000L, 8_000, rolls, 5_000, kills,
                     "rolling.at_once = " + Math.max(1, daemons / 10) + "\nrolling.pause = \"300ms\"\n");
             try (Play play = new Play(plan, System.out::println)) {
                 JsonObject result = play.run();
--- /dev/null
+++ b/cli/src/test/java/amberroute/cli/FleetProcessTest.java
@@ -0,0 +1,309 @@
+package amberroute.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import amberroute.fleet.Definition;
+import amberroute.fleet.FleetClient;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+
+/** The supervisor and its daemons as real processes, which are killed, stopped and hindered. */
+class FleetProcessTest {
+    private static final String QUICK = """
+            [stop]
+            within = "1500ms"
+            grace = "500ms"
+            [rolling]
+            pause = "50ms"
+            [restart]
+            deaths = 3
+            pause = "50ms"
+            """;
+
+    @TempDir
+    Path folder;
+    private Stage stage;
+    private Definition definition;
+    private int port;
+    private final List<Process> supervisors = new ArrayList<>();
+
+    @BeforeEach
+    void build() throws Exception {
+        stage = new Stage(1);
+        stage.destination(1, 1, Partner.Figures.roomy(), "single");
+        stage.senderFile(folder, 2);
+    }
+
+    /** Whatever a failed test leaves is ended by the ids that the lock files tell. */
+    @AfterEach
+    void end() throws Exception {
+        for (Process supervisor : supervisors) {
+            supervisor.destroyForcibly().waitFor();
+        }
+        for (Definition.Instance i : definition.instances()) {
+            long pid = lockedBy(i);
+            if (pid > 0) {
+                ProcessHandle.of(pid).ifPresent(FleetProcessTest::killAndWait);
+            }
+        }
+        stage.close();
+    }
+
+    private static void killAndWait(ProcessHandle process) {
+        process.destroyForcibly();
+        try {
+            process.onExit().get(10, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static long lockedBy(Definition.Instance instance) throws IOException {
+        Path lock = instance.state().resolve("lock");
+        String text = Files.exists(lock) ? Files.readString(lock).strip() : "";
+        long pid = text.isEmpty() ? 0 : Long.parseLong(text);
+        boolean ours = pid > 0 && ProcessHandle.of(pid).flatMap(p -> p.info().arguments())
+                .map(a -> String.join(" ", a).contains("amberroute")).orElse(false);
+        return ours ? pid : 0;
+    }
+
+    private void define(int count, String more) throws Exception {
+        port = Stage.freePorts(count, System.nanoTime());
+        definition = Definition.read(stage.fleetFile(folder, count, port, Home.daemonJar(), more), Home.daemonJar());
+    }
+
+    private Process up() throws IOException {
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "amberroute.cli.Main", "fleet", "up", "-f",
+                definition.file().toString()).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("supervisor.log").toFile())).start();
+        supervisors.add(process);
+        return process;
+    }
+
+    private String log() throws IOException {
+        return Files.readString(folder.resolve("supervisor.log"));
+    }
+
+    private JsonObject status() {
+        try {
+            return FleetClient.ask(definition.control(), FleetClient.request("status"));
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private void command(String what) throws IOException {
+        JsonObject answer = FleetClient.ask(definition.control(), FleetClient.request(what));
+        assertTrue(answer.get("ok").getAsBoolean(), answer.toString());
+    }
+
+    private boolean allReady() {
+        JsonObject status = status();
+        return status != null && status.get("ready").getAsBoolean();
+    }
+
+    private String state(int daemon) {
+        JsonObject status = status();
+        return status == null ? "" : status.getAsJsonArray("daemons").get(daemon).getAsJsonObject().get("state").getAsString();
+    }
+
+    private List<Long> pids() {
+        List<Long> out = new ArrayList<>();
+        for (JsonElement d : status().getAsJsonArray("daemons")) {
+            out.add(d.getAsJsonObject().get("pid").getAsLong());
+        }
+        return out;
+    }
+
+    private void await(Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + 60_000_000_000L;
+        while (!condition.call() && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+        assertTrue(condition.call(), () -> {
+            try {
+                return "waited in vain; the supervisor says:\n" + log();
+            } catch (IOException e) {
+                return e.toString();
+            }
+        });
+    }
+
+    private static void signal(String name, long pid) throws Exception {
+        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid).start().waitFor());
+    }
+
+    @Test
+    void aKilledDaemonIsStartedAgain() throws Exception {
+        define(2, QUICK);
+        up();
+        await(this::allReady);
+        List<Long> before = pids();
+        signal("KILL", before.get(0));
+        await(() -> allReady() && !pids().get(0).equals(before.get(0)));
+        assertEquals(before.get(1), pids().get(1));
+        assertTrue(log().contains("sender-1 died (signal 9)"), log());
+        command("stop");
+        assertEquals(0, supervisors.get(0).waitFor());
+    }
+
+    @Test
+    void aKilledSupervisorsDaemonsGoOnAndAreTakenOver() throws Exception {
+        define(2, QUICK);
+        up();
+        await(this::allReady);
+        List<Long> before = pids();
+        supervisors.get(0).destroyForcibly().waitFor();
+        assertTrue(before.stream().allMatch(pid -> ProcessHandle.of(pid).isPresent()));
+        Process second = up();
+        await(this::allReady);
+        assertEquals(before, pids());
+        // One that it took over is its own as much as any: it sees its death and starts it again.
+        signal("KILL", before.get(1));
+        await(() -> allReady() && !pids().get(1).equals(before.get(1)));
+        assertEquals(before.get(0), pids().get(0));
+        command("stop");
+        assertEquals(0, second.waitFor());
+        for (long pid : before) {
+            await(() -> ProcessHandle.of(pid).map(p -> !p.isAlive() || p.info().command().isEmpty()).orElse(true));
+        }
+    }
+
+    @Test
+    void bothKilledInTheMiddleOfARollingRestartComeBack() throws Exception {
+        define(3, QUICK);
+        Process first = up();
+        await(this::allReady);
+        List<Long> before = pids();
+        command("restart");
+        await(() -> !state(0).equals("ready"));
+        first.destroyForcibly().waitFor();
+        signal("KILL", before.get(1));
+        up();
+        await(this::allReady);
+        assertEquals(before.get(2), pids().get(2));
+        assertNotEquals(before.get(1), pids().get(1));
+        assertEquals("none", status().get("rolling").getAsString());
+        command("restart");
+        await(() -> status().get("rolling").getAsString().equals("done"));
+        assertTrue(pids().stream().noneMatch(before::contains));
+    }
+
+    @Test
+    void aSecondSupervisorIsRefused() throws Exception {
+        define(1, QUICK);
+        up();
+        await(this::allReady);
+        List<Long> before = pids();
+        Process second = up();
+        assertEquals(1, second.waitFor());
+        assertTrue(log().contains("is held by another supervisor"), log());
+        assertEquals(before, pids());
+    }
+
+    @Test
+    void aDaemonThatHangsOnStopIsKilled() throws Exception {
+        define(2, QUICK);
+        up();
+        await(this::allReady);
+        long hung = pids().get(0);
+        signal("STOP", hung);
+        command("stop");
+        assertEquals(0, supervisors.get(0).waitFor());
+        assertTrue(log().contains("sender-1 has not stopped") && log().contains("is killed"), log());
+        assertFalse(ProcessHandle.of(hung).isPresent());
+    }
+
+    @Test
+    void oneThatNeverGetsReadyIsGivenUpAndTheOthersServe() throws Exception {
+        define(2, QUICK + "[start]\nready_within = \"2s\"\n");
+        // A folder where the journal should be: the daemon cannot start there, whatever it does.
+        Files.createDirectories(definition.instances().get(0).state().resolve("journal"));
+        up();
+        await(() -> state(0).equals("given_up") && state(1).equals("ready"));
+        assertTrue(log().contains("sender-1 died 3 times"), log());
+    }
+
+    @Test
+    void aHungStartIsKilledInTime() throws Exception {
+        define(1, QUICK + "[start]\nready_within = \"300ms\"\n");
+        Path file = definition.file();
+        Files.writeString(file, "java = [\"/bin/sh\", \"-c\", \"exec sleep 30\"]\n" + Files.readString(file));
+        up();
+        await(() -> state(0).equals("given_up"));
+        assertTrue(log().contains("was not ready within 300 ms and is killed"), log());
+    }
+
+    @Test
+    void aPortThatIsTakenIsACrashLoopOfOneOnly() throws Exception {
+        define(2, QUICK);
+        try (ServerSocket taken = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            up();
+            await(() -> state(0).equals("given_up") && state(1).equals("ready"));
+            assertTrue(taken.isBound());
+        }
+        // The port is free again: the operator asks for another try.
+        JsonObject request = FleetClient.request("restart");
+        com.google.gson.JsonArray names = new com.google.gson.JsonArray();
+        names.add("sender-1");
+        request.add("names", names);
+        assertTrue(FleetClient.ask(definition.control(), request).get("ok").getAsBoolean());
+        await(this::allReady);
+    }
+
+    @Test
+    void aDaemonThatWasStartedByHandOnItsFolderIsTakenOver() throws Exception {
+        define(1, QUICK);
+        Definition.Instance instance = definition.instances().get(0);
+        ProcessBuilder builder = new ProcessBuilder(definition.command());
+        builder.environment().put("GW_NAME", instance.name());
+        builder.environment().put("GW_LISTEN", instance.listen());
+        builder.environment().put("GW_STATE", instance.state().toString());
+        builder.redirectErrorStream(true).redirectOutput(folder.resolve("hand.log").toFile());
+        Process hand = builder.start();
+        await(() -> Files.readString(folder.resolve("hand.log")).contains("ready at"));
+        up();
+        await(this::allReady);
+        assertEquals(List.of(hand.pid()), pids());
+        command("stop");
+        assertEquals(0, supervisors.get(0).waitFor());
+        assertEquals(0, hand.waitFor());
+    }
+
+    @Test
+    void aBrokenFileIsNamedAtReloadAndNothingStops() throws Exception {
+        define(1, QUICK);
+        up();
+        await(this::allReady);
+        List<Long> before = pids();
+        Files.writeString(folder.resolve("amberroute.toml"), "lisen = 3\n");
+        signal("HUP", supervisors.get(0).pid());
+        Path log = definition.folder().resolve("sender-1.log");
+        await(() -> Files.readString(log).contains("configuration not taken"));
+        assertTrue(Files.readString(log).contains("unknown key lisen; did you mean listen?"), Files.readString(log));
+        assertTrue(allReady());
+        assertEquals(before, pids());
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/amberroute/cli/PlayTest.java
@@ -0,0 +1,41 @@
+package amberroute.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import com.google.gson.JsonObject;
+
+import org.junit.jupiter.api.Test;
+
+/** The rigs' short forms. */
+class PlayTest {
+    private static JsonObject play(Play.Plan plan) throws Exception {
+        List<String> lines = Collections.synchronizedList(new ArrayList<>());
+        System.out.println("seed " + plan.seed());
+        try (Play play = new Play(plan, lines::add)) {
+            JsonObject result = play.run();
+            assertTrue(result.get("ok").getAsBoolean(), result + "\n" + String.join("\n", lines));
+            return result;
+        }
+    }
+
+    @Test
+    void fourDaemonsRollUnderLoadWithAnOutage() throws Exception {
+        JsonObject result = play(new Play.Plan(4, 11, 150, 1_500, 1_500, 1, 500, 0,
+                "rolling.at_once = 1\nrolling.pause = \"100ms\"\n"));
+        assertEquals("done", result.get("rolling").getAsString());
+        assertTrue(result.get("taken").getAsLong() > 300, result.toString());
+    }
+
+    /** SIGKILL at random moments of a rolling restart: at starts, drains and in between. */
+    @Test
+    void daemonsAreKilledWhileTheyRoll() throws Exception {
+        JsonObject result = play(new Play.Plan(4, 12, 150, 1_000, 0, 1, 500, 6,
+                "rolling.at_once = 1\nrolling.pause = \"100ms\"\n[restart]\npause = \"50ms\"\ndeaths = 50\n"));
+        assertEquals(6, result.get("kills").getAsLong());
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/amberroute/fleet/DefinitionTest.java
@@ -0,0 +1,64 @@
+package amberroute.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import amberroute.config.ConfigException;
+
+class DefinitionTest {
+    @TempDir
+    Path folder;
+
+    private Definition read(String text) throws IOException {
+        Path file = folder.resolve("fleet.toml");
+        Files.writeString(file, "sender = \"amberroute.toml\"\nlisten = \"127.0.0.1:7000\"\n" + text);
+        return Definition.read(file, folder.resolve("amberroute.jar"));
+    }
+
+    private String error(String text) {
+        return assertThrows(ConfigException.class, () -> read(text)).getMessage().replace(folder.toString(), "");
+    }
+
+    @Test
+    void namesThirtyFromOneDefinition() throws IOException {
+        Definition d = read("count = 30\nnames = \"quito-%d\"\n");
+        assertEquals(30, d.instances().size());
+        assertEquals(new Definition.Instance("quito-30", "127.0.0.1:7029", folder.resolve("run/quito-30")),
+                d.instances().get(29));
+        assertEquals(folder.resolve("amberroute.toml").toString(), d.command().get(d.command().size() - 1));
+        assertEquals(8_000, d.policy().stopWithin());
+    }
+
+    @Test
+    void takesWhatDiffersForOne() throws IOException {
+        Definition d = read("count = 2\n[[instance]]\nname = \"sender-2\"\nlisten = \"127.0.0.2:9\"\nstate = \"x\"\n");
+        assertEquals(new Definition.Instance("sender-2", "127.0.0.2:9", folder.resolve("x")), d.instances().get(1));
+    }
+
+    @Test
+    void refusesTwoDaemonsOnOneFolderAddressOrName() {
+        assertEquals("/fleet.toml: instance.state gives state folder /run/sender-1 to both sender-1 and sender-2",
+                error("count = 2\n[[instance]]\nname = \"sender-2\"\nstate = \"run/../run/sender-1\"\n"));
+        assertEquals("/fleet.toml: listen gives address 127.0.0.1:7000 to both sender-1 and sender-2",
+                error("count = 2\n[[instance]]\nname = \"sender-2\"\nlisten = \"127.0.0.1:7000\"\n"));
+        assertTrue(error("count = 2\nnames = \"x\"\n").contains("names has no %d"));
+    }
+
+    @Test
+    void refusesWhatCannotBe() {
+        assertTrue(error("count = 0\n").contains("count has to be between 1 and 1000"));
+        assertTrue(error("cuont = 3\n").contains("unknown key cuont; did you mean count?"));
+        assertTrue(error("count = 1\nnames = \"../x\"\n").contains("names makes no plain word"));
+        assertTrue(error("count = 1\n[[instance]]\nname = \"sender-9\"\n").contains("is none of the daemons"));
+        assertTrue(error("count = 1\nfolder = \"" + "x/".repeat(60) + "\"\n").contains("no Unix socket may have"));
+        assertTrue(error("count = 1\n[restart]\npause = \"10s\"\nlongest = \"1s\"\n").contains("restart.longest"));
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/amberroute/fleet/SupervisionTest.java
@@ -0,0 +1,404 @@
+package amberroute.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import amberroute.fleet.Supervision.Mode;
+import amberroute.fleet.Supervision.State;
+
+/** The supervisor's decisions, without processes: each history is played on a clock of the test's own. */
+class SupervisionTest {
+    private static final Definition.Policy POLICY = new Definition.Policy(2, 5_000, 4_000, 1_000, 100, 3_000, 4, 60_000, 1,
+            200, 10_000);
+
+    private long now;
+    private Fake hands = new Fake();
+    private Supervision fleet;
+
+    /** Keeps what was asked for, and which daemons live. */
+    private final class Fake implements Supervision.Hands {
+        final List<String> done = new ArrayList<>();
+        final boolean[] alive = new boolean[64];
+        final boolean[] stopping = new boolean[64];
+
+        @Override
+        public void start(int daemon) {
+            assertFalse(alive[daemon], "a second process on one folder");
+            alive[daemon] = true;
+            stopping[daemon] = false;
+            done.add("start " + daemon);
+        }
+
+        @Override
+        public void stop(int daemon, Mode mode, long within) {
+            assertTrue(alive[daemon], "a stop for one that is dead");
+            stopping[daemon] = true;
+            done.add("stop " + daemon + " " + mode);
+        }
+
+        @Override
+        public void kill(int daemon) {
+            assertTrue(alive[daemon]);
+            done.add("kill " + daemon);
+        }
+
+        @Override
+        public void reload(int daemon) {
+            done.add("reload " + daemon);
+        }
+
+        @Override
+        public void say(String text) {
+            assertFalse(text.isBlank());
+            done.add("# " + text);
+        }
+
+        long count(String what) {
+            return done.stream().filter(line -> line.startsWith(what)).count();
+        }
+
+        boolean said(String part) {
+            return done.stream().anyMatch(line -> line.startsWith("# ") && line.contains(part));
+        }
+    }
+
+    private void fleet(int size, Definition.Policy policy) {
+        hands = new Fake();
+        fleet = new Supervision(policy, IntStream.range(0, size).mapToObj(i -> "d" + i).toList(), hands);
+    }
+
+    private void pass(long millis) {
+        for (long end = now + millis; now < end; now += 10) {
+            fleet.tick(now);
+        }
+    }
+
+    private void die(int daemon) {
+        hands.alive[daemon] = false;
+        fleet.ended(now, daemon, "exit code 1");
+    }
+
+    private void allReady(int size) {
+        for (int round = 0; round < size; round++) {
+            fleet.tick(now);
+            for (int i = 0; i < size; i++) {
+                if (hands.alive[i]) {
+                    fleet.ready(now, i);
+                }
+            }
+        }
+        assertTrue(fleet.allReady());
+    }
+
+    @Test
+    void startsOnlySoManyAtATime() {
+        fleet(5, POLICY);
+        pass(1_000);
+        assertEquals(2, hands.count("start"));
+        fleet.ready(now, 0);
+        pass(100);
+        assertEquals(3, hands.count("start"));
+    }
+
+    @Test
+    void startsTheDeadAgainWithGrowingPausesAndLeavesACrashLoopAlone() {
+        fleet(1, POLICY);
+        long[] expected = {0, 100, 200, 400};
+        for (long pause : expected) {
+            long starts = hands.count("start");
+            if (pause > 0) {
+                pass(pause - 10);
+                assertEquals(starts, hands.count("start"), "too early");
+            }
+            pass(30);
+            assertEquals(starts + 1, hands.count("start"), "not started again");
+            die(0);
+        }
+        pass(120_000);
+        assertEquals(4, hands.count("start"));
+        assertEquals(State.GIVEN_UP, fleet.state(0));
+        assertTrue(hands.said("left alone"));
+    }
+
+    @Test
+    void aDaemonThatWasSteadyStartsOverWithShortPauses() {
+        fleet(1, POLICY);
+        pass(10);
+        die(0);
+        pass(120);
+        die(0);
+        pass(220);
+        fleet.ready(now, 0);
+        pass(10_000);
+        die(0);
+        pass(120);
+        assertEquals(4, hands.count("start"), "waited as after many deaths");
+    }
+
+    @Test
+    void killsWhatIsNotReadyInTimeAndCountsItAsADeath() {
+        fleet(1, POLICY);
+        pass(5_000);
+        assertEquals(0, hands.count("kill"));
+        pass(50);
+        assertEquals(1, hands.count("kill"));
+        die(0);
+        pass(200);
+        assertEquals(2, hands.count("start"));
+    }
+
+    @Test
+    void killsWhatDoesNotStopAndOnce() {
+        fleet(1, POLICY);
+        allReady(1);
+        fleet.stop(now, Mode.RESTART);
+        pass(4_990);
+        assertEquals(0, hands.count("kill"));
+        pass(500);
+        assertEquals(1, hands.count("kill"));
+        die(0);
+        assertTrue(fleet.over());
+        pass(1_000);
+        assertEquals(1, hands.count("start"), "started again though the fleet stops");
+    }
+
+    @Test
+    void restartsOneAfterAnotherWithAPauseBetween() {
+        fleet(3, POLICY);
+        allReady(3);
+        assertNull(fleet.restart(now, List.of()));
+        for (int i = 0; i < 3; i++) {
+            pass(250);
+            assertEquals(i + 1, hands.count("stop"));
+            pass(1_000);
+            assertEquals(i + 1, hands.count("stop"), "the next was stopped while this one is away");
+            hands.alive[i] = false;
+            fleet.ended(now, i, "exit code 0");
+            pass(20);
+            assertTrue(hands.alive[i]);
+            pass(1_000);
+            assertEquals(i + 1, hands.count("stop"), "the next was stopped before this one is ready");
+            fleet.ready(now, i);
+            pass(100);
+            assertEquals(i + 1, hands.count("stop"), "no pause was kept");
+        }
+        pass(200);
+        assertEquals("done", fleet.rollingState());
+    }
+
+    @Test
+    void aRollingRestartIsAskedForWhileOneRuns() {
+        fleet(2, POLICY);
+        allReady(2);
+        assertNull(fleet.restart(now, List.of()));
+        pass(20);
+        String refusal = fleet.restart(now, List.of());
+        assertTrue(refusal.contains("0 of 2"), refusal);
+        assertEquals(1, hands.count("stop"));
+        assertNotNull(fleet.restart(now, List.of("nobody")));
+    }
+
+    @Test
+    void isHeldWhileAnotherDaemonIsNotReady() {
+        fleet(3, POLICY);
+        allReady(3);
+        die(2);
+        fleet.restart(now, List.of("d0", "d1"));
+        pass(1_000);
+        assertEquals(0, hands.count("stop"), "took one more away from a fleet that lacks one");
+        fleet.ready(now, 2);
+        pass(300);
+        assertEquals(1, hands.count("stop"));
+    }
+
+    @Test
+    void abortsWhenTheNewProcessFailsAndLeavesTheOthersAlone() {
+        fleet(3, POLICY);
+        allReady(3);
+        fleet.restart(now, List.of());
+        pass(20);
+        hands.alive[0] = false;
+        fleet.ended(now, 0, "exit code 0");
+        pass(20);
+        die(0);
+        assertTrue(fleet.rollingState().startsWith("aborted after 0 of 3"), fleet.rollingState());
+        pass(300);
+        fleet.ready(now, 0);
+        pass(5_000);
+        assertEquals(1, hands.count("stop"));
+    }
+
+    @Test
+    void abortsWhenTheNewProcessNeverGetsReady() {
+        fleet(2, POLICY);
+        allReady(2);
+        fleet.restart(now, List.of());
+        pass(20);
+        hands.alive[0] = false;
+        fleet.ended(now, 0, "exit code 0");
+        pass(5_100);
+        assertEquals(1, hands.count("kill"));
+        die(0);
+        assertTrue(fleet.rollingState().startsWith("aborted"), fleet.rollingState());
+    }
+
+    @Test
+    void aStopInTheMiddleEndsTheRollingRestart() {
+        fleet(3, POLICY);
+        allReady(3);
+        fleet.restart(now, List.of());
+        pass(20);
+        assertNull(fleet.stop(now, Mode.FINAL));
+        assertTrue(fleet.rollingState().startsWith("aborted"));
+        assertEquals(3, hands.count("stop ") - hands.count("stop 0 RESTART"), "not all were told that it is for good");
+        for (int i = 0; i < 3; i++) {
+            hands.alive[i] = false;
+            fleet.ended(now, i, "exit code 0");
+        }
+        pass(1_000);
+        assertTrue(fleet.over());
+        assertEquals(3, hands.count("start"));
+        assertEquals("the fleet is stopping", fleet.restart(now, List.of()));
+    }
+
+    @Test
+    void aStopForGoodTakesOverFromAStop() {
+        fleet(1, POLICY);
+        allReady(1);
+        assertNull(fleet.stop(now, Mode.RESTART));
+        assertNotNull(fleet.stop(now, Mode.RESTART));
+        assertNull(fleet.stop(now, Mode.FINAL));
+        assertEquals(List.of("stop 0 RESTART", "stop 0 FINAL"),
+                hands.done.stream().filter(l -> l.startsWith("stop")).toList());
+    }
+
+    /** Its next process is a new one: a second restart would take it away for nothing. */
+    @Test
+    void aDaemonThatDiesWhileItWaitsForItsTurnHasHadIt() {
+        fleet(3, POLICY);
+        allReady(3);
+        fleet.restart(now, List.of());
+        pass(20);
+        die(2);
+        pass(500);
+        hands.alive[0] = false;
+        fleet.ended(now, 0, "exit code 0");
+        pass(50);
+        fleet.ready(now, 0);
+        pass(500);
+        assertEquals(1, hands.count("stop"), "went on while the dead one is not back");
+        fleet.ready(now, 2);
+        pass(500);
+        hands.alive[1] = false;
+        fleet.ended(now, 1, "exit code 0");
+        pass(50);
+        fleet.ready(now, 1);
+        pass(500);
+        assertEquals("done", fleet.rollingState());
+        assertEquals(2, hands.count("stop"));
+    }
+
+    @Test
+    void takesOverWhatLivesAndStartsNoSecond() {
+        fleet(2, POLICY);
+        hands.alive[0] = true;
+        fleet.found(now, 0);
+        pass(100);
+        assertEquals(1, hands.count("start"));
+        fleet.ready(now, 0);
+        fleet.ready(now, 1);
+        assertTrue(fleet.allReady());
+    }
+
+    @Test
+    void aRestartGivesACrashLoopAnotherChance() {
+        fleet(1, POLICY);
+        for (int i = 0; i < 4; i++) {
+            pass(3_000);
+            die(0);
+        }
+        assertEquals(State.GIVEN_UP, fleet.state(0));
+        assertNull(fleet.restart(now, List.of("d0")));
+        pass(50);
+        fleet.ready(now, 0);
+        pass(300);
+        assertEquals("done", fleet.rollingState());
+        assertTrue(fleet.allReady());
+    }
+
+    @Test
+    void oneThatIsStoppedFromOutsideIsStartedAgainAtOnce() {
+        fleet(1, POLICY);
+        allReady(1);
+        fleet.draining(now, 0);
+        hands.alive[0] = false;
+        fleet.ended(now, 0, "exit code 0");
+        pass(20);
+        assertEquals(2, hands.count("start"));
+        assertFalse(hands.said("died"));
+    }
+
+    /**
+     * Random histories of starts, deaths, hangs and commands. Checked all along: never a second process, never more
+     * starting or restarting than allowed; and when the world calms down every daemon is ready or given up.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void keepsItsInvariantsInRandomHistories(long seed) {
+        Random random = new Random(seed);
+        int size = 1 + random.nextInt(12);
+        Definition.Policy policy = new Definition.Policy(1 + random.nextInt(3), 5_000, 4_000, 1_000, 100, 3_000, 6, 30_000,
+                1 + random.nextInt(3), 200, 10_000);
+        fleet(size, policy);
+        for (int step = 0; step < 20_000; step++) {
+            boolean calm = step > 15_000;
+            now += 10;
+            fleet.tick(now);
+            int starting = 0;
+            int away = 0;
+            for (int i = 0; i < size; i++) {
+                starting += fleet.state(i) == State.STARTING ? 1 : 0;
+                away += hands.alive[i] && hands.stopping[i] ? 1 : 0;
+                assertEquals(hands.alive[i], fleet.state(i) != State.DOWN && fleet.state(i) != State.GIVEN_UP,
+                        "seed " + seed + " step " + step + ": thinks otherwise of daemon " + i);
+            }
+            assertTrue(starting <= policy.startAtOnce(), "seed " + seed + " step " + step);
+            assertTrue(away <= policy.rollAtOnce(), "seed " + seed + " step " + step + ": " + away + " are away");
+            int one = random.nextInt(size);
+            if (hands.alive[one]) {
+                double chance = random.nextDouble();
+                if (hands.stopping[one] ? chance < 0.05 : !calm && chance < 0.0005) {
+                    hands.alive[one] = false;
+                    fleet.ended(now, one, "an end");
+                } else if (hands.done.contains("kill " + one) && hands.done.lastIndexOf("kill " + one)
+                        > hands.done.lastIndexOf("start " + one)) {
+                    hands.alive[one] = false;
+                    fleet.ended(now, one, "signal 9");
+                } else if (chance > (calm ? 0.5 : 0.95) && !hands.stopping[one]) {
+                    fleet.ready(now, one);
+                }
+            }
+            if (!calm && random.nextInt(500) == 0) {
+                fleet.restart(now, random.nextBoolean() ? List.of() : List.of("d" + one));
+            }
+        }
+        assertFalse(fleet.rollingState().contains(" of ") && !fleet.rollingState().startsWith("aborted"),
+                "seed " + seed + ": a rolling restart that never ends: " + fleet.rollingState());
+        for (int i = 0; i < size; i++) {
+            assertTrue(fleet.state(i) == State.READY || fleet.state(i) == State.GIVEN_UP,
+                    "seed " + seed + ": daemon " + i + " is " + fleet.state(i));
+        }
+    }
+}
--- a/sender/src/main/java/amberroute/sender/Control.java
+++ b/sender/src/main/java/amberroute/sender/Control.java
@@ -63,7 +63,7 @@
                                 return;
                             }
                             channel.closeFuture().addListener(closed -> connections--);
-                            channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE), new Session());
+                            channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE, true, true), new Session());
                         }
                     }).bind(UnixDomainSocketAddress.of(at)).sync().channel();
         } catch (InterruptedException e) {
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -86,6 +86,7 @@
     private EndpointFile endpointFile;
     /** What the control socket's commands read again; null in tests that do without. */
     private Map<String, String> environment;
+    private ServiceNotify serviceNotify = new ServiceNotify(Map.of());
     private volatile Phase phase = Phase.STARTING;
     private volatile long phaseSince = System.nanoTime();
     /** The stop that is under way, null while none is; and whether calls are over and what is left is being ended. */
@@ -135,6 +136,7 @@
     public static void run(Map<String, String> environment, SignalHook hangup) throws IOException {
         Sender sender = new Sender(Config.read(environment));
         sender.environment = environment;
+        sender.serviceNotify = new ServiceNotify(environment);
         if (sender.config.standalone() != null) {
             sender.stopped.thenAccept(code -> new Thread(() -> {
                 sender.stop();
@@ -177,6 +179,7 @@
     private void serving() {
         if (phase == Phase.STARTING) {
             phase = Phase.READY;
+            serviceNotify.tell("READY=1");
             phaseSince = System.nanoTime();
         }
         if (config.standalone() != null && config.standalone().endpoints() != null) {
@@ -543,6 +546,7 @@
         drain = new DrainPlan(mode, now() / 1_000, within, config.standalone() == null ? 0
                 : config.standalone().backMillis());
         phase = Phase.DRAINING;
+        serviceNotify.tell("STOPPING=1");
         phaseSince = System.nanoTime();
         Log.warn("stop " + (mode == DrainPlan.Mode.FINAL ? "for good" : "for a restart") + " within " + within
                 + " ms; holding " + held.size() + " messages");
--- a/testkit/src/main/java/amberroute/testkit/PartnerServer.java
+++ b/testkit/src/main/java/amberroute/testkit/PartnerServer.java
@@ -121,7 +121,9 @@
         partner.become(mode, Stage.micros());
         if (mode == Partner.Mode.DEAD) {
             for (Channel channel : List.copyOf(connections)) {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                if (channel.isOpen()) {
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                }
                 channel.close();
             }
         }
--- a/testkit/src/main/java/amberroute/testkit/Stage.java
+++ b/testkit/src/main/java/amberroute/testkit/Stage.java
@@ -28,6 +28,7 @@
     private final EventLoop loop = group.next();
     private final Book book = new Book();
     private final List<PartnerServer> partners = new ArrayList<>();
+    private final List<FaultProxy> proxies = new ArrayList<>();
     private final long seed;
     private PlatformServer platform;
     private Clients clients;
@@ -72,6 +73,13 @@
         return this;
     }
 
+    /** A proxy on this stage's loop in front of an address. */
+    public FaultProxy proxy(InetSocketAddress target) throws InterruptedException {
+        FaultProxy proxy = new FaultProxy(loop, target, seed + proxies.size()).listen();
+        proxies.add(proxy);
+        return proxy;
+    }
+
     /** Stand-in clients for these senders; they ask for nothing before they are told to. */
     public Clients clients(List<InetSocketAddress> senders, List<Clients.Kind> kinds) {
         int destinations = partners.stream().mapToInt(PartnerServer::destination).max().orElse(1);
@@ -211,6 +219,7 @@
         run(() -> {
             platform.close();
             partners.forEach(PartnerServer::close);
+            proxies.forEach(FaultProxy::close);
         });
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
--- /dev/null
+++ b/testkit/src/test/java/amberroute/testkit/BookTest.java
@@ -0,0 +1,120 @@
+package amberroute.testkit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+import amberroute.testkit.Book.Answer;
+import amberroute.testkit.Book.Effect;
+
+/** The book has to find each fault that it is for: one that sees none would make every run look good. */
+class BookTest {
+    private final Book book = new Book();
+
+    private Book.Entry taken(String id, String origin, Effect effect, long key) {
+        Book.Entry entry = book.handIn(id, origin, "c", effect, key, key != 0, 1, 0, 1_000_000, 500_000);
+        book.answered(entry, Answer.TAKEN);
+        return entry;
+    }
+
+    private Book.Totals totals() {
+        return book.totals(100_000_000);
+    }
+
+    @Test
+    void balancesWhatWasTaken() {
+        taken("a", "a", Effect.SAFE, 0);
+        taken("b", "b", Effect.SAFE, 0);
+        taken("c", "c", Effect.UNSAFE, 0);
+        Book.Entry refused = book.handIn("d", "d", "c", Effect.SAFE, 0, false, 1, 0, 1, 1);
+        book.answered(refused, Answer.REFUSED);
+        book.effect(1, "a", 1);
+        book.delivered(1, "a");
+        book.noticed(2, "b", true);
+        book.noticed(3, "c", false);
+        book.noticed(4, "a", false);
+        Book.Totals t = totals();
+        assertEquals(3, t.taken());
+        assertEquals(1, t.delivered());
+        assertEquals(1, t.returned());
+        assertEquals(1, t.failed());
+        assertEquals(1, t.inTime());
+        assertTrue(t.ok());
+    }
+
+    @Test
+    void findsALostMessageOnlyWhenItsTimeIsUp() {
+        taken("a", "a", Effect.SAFE, 0);
+        assertEquals(0, book.totals(1_000_000 + Book.NOTICE_GRACE).lost());
+        assertEquals(1, book.totals(1_000_001 + Book.NOTICE_GRACE).lost());
+        assertFalse(totals().ok());
+        assertEquals(1, book.lost(100_000_000).size());
+    }
+
+    @Test
+    void forgivesALateNoticeOnlyRoundARestart() {
+        taken("a", "a", Effect.SAFE, 0);
+        taken("b", "b", Effect.SAFE, 0);
+        book.down(0, 900_000, 3_000_000);
+        book.noticed(4_400_000, "a", true);
+        book.noticed(4_600_000, "b", true);
+        assertEquals(1, totals().lateNotices());
+    }
+
+    @Test
+    void findsAnEffectThatHappenedTwice() {
+        taken("a.1", "a", Effect.UNSAFE, 0);
+        book.effect(1, "a.1", 1);
+        taken("a.2", "a", Effect.UNSAFE, 0);
+        book.effect(2, "a.2", 1);
+        taken("b", "b", Effect.SAFE, 0);
+        book.effect(1, "b", 1);
+        book.effect(2, "b", 1);
+        assertEquals(1, totals().doubled());
+    }
+
+    @Test
+    void findsAMessageThatRanAheadOfItsKey() {
+        taken("a", "a", Effect.KEYED, 7);
+        taken("b", "b", Effect.KEYED, 7);
+        taken("c", "c", Effect.KEYED, 8);
+        book.effect(1, "c", 1);
+        book.effect(2, "b", 1);
+        assertEquals(1, totals().outOfOrder());
+        assertTrue(book.complaints().get(0).contains("ran ahead of a"));
+    }
+
+    @Test
+    void aKeyPassesOnWithAnEnd() {
+        taken("a", "a", Effect.KEYED, 7);
+        taken("b", "b", Effect.KEYED, 7);
+        taken("c", "c", Effect.KEYED, 7);
+        book.noticed(1, "a", false);
+        book.effect(2, "b", 1);
+        book.delivered(3, "b");
+        book.effect(4, "c", 1);
+        assertEquals(0, totals().outOfOrder());
+    }
+
+    @Test
+    void findsWhatNobodyHandedInAndWhatWasTurnedAway() {
+        book.effect(1, "ghost", 1);
+        taken("a", "a", Effect.SAFE, 0);
+        book.effect(1, "a", 2);
+        Book.Entry refused = book.handIn("r", "r", "c", Effect.SAFE, 0, false, 1, 0, 1, 1);
+        book.answered(refused, Answer.REFUSED);
+        book.effect(2, "r", 1);
+        book.noticed(3, "ghost", true);
+        assertEquals(4, totals().strange());
+    }
+
+    @Test
+    void findsAnUnsafeMessageThatRanAndWasReturned() {
+        taken("a", "a", Effect.UNSAFE, 0);
+        book.effect(1, "a", 1);
+        book.noticed(2, "a", true);
+        assertEquals(1, totals().strange());
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/amberroute/testkit/PartnerTest.java
@@ -0,0 +1,105 @@
+package amberroute.testkit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+import amberroute.testkit.Partner.Mode;
+import amberroute.testkit.Partner.Verdict.Kind;
+
+class PartnerTest {
+    private static final Partner.Figures FIGURES = Partner.Figures.roomy().sized(2, 1, 100_000);
+
+    private static Kind arrive(Partner partner, long now) {
+        return partner.arrive(now, 1).kind();
+    }
+
+    @Test
+    void servesQueuesAndRefuses() {
+        Partner partner = new Partner(FIGURES, 1);
+        assertEquals(Kind.RUN, arrive(partner, 0));
+        assertEquals(Kind.RUN, arrive(partner, 0));
+        assertEquals(Kind.WAIT, arrive(partner, 0));
+        assertEquals(Kind.REFUSE_FULL, arrive(partner, 0));
+        partner.end();
+        assertTrue(partner.mayResume());
+        assertEquals(Kind.RUN, partner.resume(1, 1).kind());
+        assertFalse(partner.mayResume());
+    }
+
+    @Test
+    void countsAFixedWindowAndTellsItsEnd() {
+        Partner partner = new Partner(FIGURES.sized(100, 100, 1).limited(3, 1_000_000), 1);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(Kind.RUN, arrive(partner, 5_200_000));
+        }
+        Partner.Verdict refused = partner.arrive(5_400_000, 1);
+        assertEquals(Kind.REFUSE_LIMIT, refused.kind());
+        assertEquals(600_000, refused.time());
+        assertEquals(Kind.RUN, arrive(partner, 6_000_000));
+        assertEquals(1, partner.overLimit());
+    }
+
+    @Test
+    void aRateRefillsAndItsWaitIsTrue() {
+        Partner partner = new Partner(FIGURES.sized(100, 100, 1).limited(10, 0), 1);
+        long now = 1_000_000;
+        while (arrive(partner, now) == Kind.RUN) {
+            now += 1;
+        }
+        long wait = partner.arrive(now, 1).time();
+        assertEquals(Kind.REFUSE_LIMIT, arrive(partner, now + wait - 1_000));
+        assertEquals(Kind.RUN, arrive(partner, now + wait));
+    }
+
+    @Test
+    void isColdAfterAnOutageAndFallsOverWhenRushed() {
+        Partner partner = new Partner(FIGURES.sized(10, 1_000, 100_000), 1);
+        partner.become(Mode.DEAD, 0);
+        partner.become(Mode.UP, 1_000_000);
+        assertEquals(0.15, partner.warmth(1_000_000), 1e-9);
+        assertEquals(1, partner.warmth(11_000_000), 1e-9);
+        // 10 slots of 100 ms are 100 a second; 0.15 of that, 2.5 times, in 1.5 s: 56 messages.
+        Kind last = Kind.RUN;
+        int sent = 0;
+        while (last == Kind.RUN || last == Kind.WAIT) {
+            last = arrive(partner, 1_000_000 + sent);
+            sent++;
+        }
+        assertEquals(57, sent);
+        assertEquals(1, partner.falls());
+        assertTrue(partner.highestShare() > 1);
+        assertEquals(Kind.REFUSE_FULL, arrive(partner, 2_000_000));
+        assertEquals(0.15, partner.warmth(3_000_000 + sent), 0.01);
+    }
+
+    @Test
+    void aColdPartnerIsSlower() {
+        Partner warm = new Partner(FIGURES, 7);
+        Partner cold = new Partner(FIGURES, 7);
+        cold.become(Mode.REFUSE, 0);
+        cold.become(Mode.UP, 0);
+        assertTrue(cold.arrive(0, 1).time() > 3 * warm.arrive(0, 1).time());
+    }
+
+    @Test
+    void hangsRefusesAndKnowsKeysForTheirLife() {
+        Partner partner = new Partner(FIGURES, 1);
+        partner.become(Mode.HANG, 0);
+        assertEquals(Kind.SILENT, arrive(partner, 0));
+        partner.become(Mode.REFUSE, 0);
+        assertEquals(Kind.REFUSE_FULL, arrive(partner, 0));
+        assertTrue(partner.fresh(0, "k"));
+        assertFalse(partner.fresh(59_999_999, "k"));
+        assertTrue(partner.fresh(60_000_000, "k"));
+    }
+
+    @Test
+    void theSameSeedGivesTheSameTimes() {
+        Partner one = new Partner(FIGURES, 3);
+        Partner two = new Partner(FIGURES, 3);
+        assertEquals(one.arrive(0, 1), two.arrive(0, 1));
+    }
+}
