--- a/cli/src/test/java/amberroute/cli/FleetProcessTest.java
+++ b/cli/src/test/java/amberroute/cli/FleetProcessTest.java
@@ -211,6 +211,61 @@
         assertTrue(pids().stream().noneMatch(before::contains));
     }
 
+    /** At whatever step of a start it dies: the next one finds some daemons, starts the others, and none twice. */
+    @Test
+    void aSupervisorKilledAtAnyStepOfAStartLeavesNoSecondProcess() throws Exception {
+        define(3, QUICK + "[start]\nat_once = 2\n");
+        for (int millis : new int[] {0, 150, 300, 450, 600, 800}) {
+            Process dying = up();
+            Thread.sleep(millis);
+            dying.destroyForcibly().waitFor();
+        }
+        Process last = up();
+        await(this::allReady);
+        List<Long> pids = pids();
+        assertEquals(3, pids.stream().distinct().count());
+        // A process that lost the race for its folder has ended at the lock.
+        await(() -> daemonsOf() == 3);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(pids.get(i), lockedBy(definition.instances().get(i)));
+        }
+        command("stop");
+        assertEquals(0, last.waitFor());
+        await(() -> daemonsOf() == 0);
+    }
+
+    /** Living processes that read this test's sender file. */
+    private long daemonsOf() {
+        String file = folder.resolve("amberroute.toml").toString();
+        return ProcessHandle.allProcesses().filter(p -> p.info().arguments()
+                .map(a -> List.of(a).contains(file)).orElse(false)).count();
+    }
+
+    @Test
+    void aDaemonKilledAtAReloadComesBackWithTheNewFile() throws Exception {
+        define(2, QUICK);
+        up();
+        await(this::allReady);
+        List<Long> before = pids();
+        command("reload");
+        signal("KILL", before.get(0));
+        await(() -> allReady() && !pids().get(0).equals(before.get(0)));
+        assertEquals(before.get(1), pids().get(1));
+    }
+
+    @Test
+    void aStopInTheMiddleOfARollingRestartStopsAll() throws Exception {
+        define(3, QUICK);
+        up();
+        await(this::allReady);
+        command("restart");
+        await(() -> !state(0).equals("ready"));
+        command("stop");
+        assertEquals(0, supervisors.get(0).waitFor());
+        assertTrue(log().contains("rolling restart aborted after 0 of 3: the fleet is stopped"), log());
+        await(() -> daemonsOf() == 0);
+    }
+
     @Test
     void aSecondSupervisorIsRefused() throws Exception {
         define(1, QUICK);
