Refuse a message under an id that another has; begin hand-over between daemons

A bad client that used the id of another's open request and was read first had its message taken on, and the owner, whose id was then known, was told +OK. The contents are compared now; a test fails without it (+OK instead of -BUSY).

Also: own sender file and heap for an instance, READY=1 from the supervisor, a table in the demo, a destination behind the fault proxy in every play.

--- a/cli/src/main/java/amberroute/cli/CheckCommand.java
+++ b/cli/src/main/java/amberroute/cli/CheckCommand.java
@@ -36,7 +36,7 @@
         if (fleet) {
             Definition definition = Definition.read(file, Path.of("amberroute.jar"));
             for (Definition.Instance i : definition.instances()) {
-                StandaloneConfig.check(definition.sender(), Map.of("GW_NAME", i.name(), "GW_LISTEN", i.listen(),
+                StandaloneConfig.check(i.sender(), Map.of("GW_NAME", i.name(), "GW_LISTEN", i.listen(),
                         "GW_STATE", i.state().toString()));
             }
             System.out.println(definition.summary());
--- a/cli/src/main/java/amberroute/cli/DemoCommand.java
+++ b/cli/src/main/java/amberroute/cli/DemoCommand.java
@@ -1,5 +1,6 @@
 package amberroute.cli;
 
+import java.util.List;
 import java.util.concurrent.Callable;
 
 import com.google.gson.JsonObject;
@@ -32,9 +33,10 @@
         long quiet = seconds * 300L;
         Play.Plan plan = new Play.Plan(daemons, drawn, perSecond, quiet, Math.max(1_500, seconds * 100L), 1,
                 seconds * 200L, 0, "rolling.at_once = " + Math.max(1, daemons / 10) + "\n");
+        Screen screen = new Screen(terminal);
         try (Play play = new Play(plan, line -> {
             if (!json) {
-                System.out.println((terminal ? "\r\033[K" : "") + line);
+                screen.line(line);
             }
         })) {
             if (!json) {
@@ -44,8 +46,7 @@
                 try {
                     while (true) {
                         Thread.sleep(terminal ? 250 : 2_000);
-                        System.out.print(terminal ? "\r\033[K" + play.line() : play.line() + "\n");
-                        System.out.flush();
+                        screen.show(terminal ? play.table() : List.of(play.line()));
                     }
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
@@ -58,11 +59,36 @@
             JsonObject result = play.run();
             table.interrupt();
             table.join();
-            if (!json) {
-                System.out.println();
-            }
             System.out.println(result);
             return result.get("ok").getAsBoolean() ? 0 : Main.BAD;
         }
     }
+
+    /** On a terminal a table is drawn over itself and lines go in above it; elsewhere all are plain lines. */
+    private static final class Screen {
+        private final boolean terminal;
+        private int drawn;
+
+        Screen(boolean terminal) {
+            this.terminal = terminal;
+        }
+
+        synchronized void line(String text) {
+            clear();
+            System.out.println(text);
+        }
+
+        synchronized void show(List<String> table) {
+            clear();
+            table.forEach(System.out::println);
+            drawn = terminal ? table.size() : 0;
+        }
+
+        private void clear() {
+            if (drawn > 0) {
+                System.out.print("\033[" + drawn + "A\033[J");
+                drawn = 0;
+            }
+        }
+    }
 }
--- a/cli/src/main/java/amberroute/cli/FleetCommand.java
+++ b/cli/src/main/java/amberroute/cli/FleetCommand.java
@@ -13,6 +13,7 @@
 import amberroute.fleet.FleetClient;
 import amberroute.fleet.Supervision;
 import amberroute.fleet.Supervisor;
+import amberroute.sender.ServiceNotify;
 import amberroute.sender.SignalHook;
 
 import picocli.CommandLine.Command;
@@ -62,6 +63,8 @@
                 SignalHook.install("TERM").then(stop);
                 SignalHook.install("INT").then(stop);
                 SignalHook.install("HUP").then(supervisor::reload);
+                ServiceNotify notify = new ServiceNotify(System.getenv());
+                supervisor.whenReady(() -> notify.tell("READY=1"));
                 return supervisor.run();
             }
         }
--- a/cli/src/main/java/amberroute/cli/Play.java
+++ b/cli/src/main/java/amberroute/cli/Play.java
@@ -26,7 +26,9 @@
 import amberroute.fleet.Supervisor;
 import amberroute.testkit.Book;
 import amberroute.testkit.Clients;
+import amberroute.testkit.FaultProxy;
 import amberroute.testkit.Partner;
+import amberroute.testkit.PartnerServer;
 import amberroute.testkit.Stage;
 
 /**
@@ -43,6 +45,9 @@
             String rolling) { }
 
     private static final int DESTINATIONS = 6;
+    /** Calls to this one pass a proxy that delays them and now and then resets all its connections. */
+    private static final int SPOILT = 5;
+    private static final double RESETS = 0.1;
     private static final long READY_MS = 120_000;
     private static final long ROLL_MS = 600_000;
 
@@ -74,8 +79,9 @@
             figures = figures.sized(Math.max(2, (int) Math.ceil(plan.perSecond() * 0.01)), 32, 40_000);
             figures = d == 3 ? figures.limited(Math.max(20, plan.perSecond() / 3), 0)
                     : d == 4 ? figures.limited(Math.max(20, plan.perSecond() / 3), 1_000_000) : figures;
-            stage.destination(d, 2, figures, d % 2 == 0 ? "batch" : "single");
+            stage.destination(d, 2, figures, d % 2 == 0 ? "batch" : "single", d == SPOILT);
         }
+        stage.fault(FaultProxy.Fault.delayed(1_000));
         int port = Stage.freePorts(plan.daemons(), plan.seed());
         stage.senderFile(folder, plan.daemons());
         Path file = stage.fleetFile(folder, plan.daemons(), port, Home.daemonJar(), plan.rolling());
@@ -191,6 +197,9 @@
         long end = millis() + span;
         do {
             look();
+            if (random.nextDouble() < RESETS) {
+                stage.resetOne(random.nextInt());
+            }
             Thread.sleep(Math.max(1, Math.min(100, end - millis())));
         } while (millis() < end);
     }
@@ -219,7 +228,23 @@
         lastLook = now;
     }
 
-    /** A line for each second of a live table. */
+    /** A live table: each daemon, each destination, and the books so far. */
+    List<String> table() {
+        List<String> out = new ArrayList<>(status == null ? List.of("the fleet starts") : FleetCommand.table(status));
+        stage.run(() -> {
+            for (int i = 0; i < stage.partners().size(); i += 2) {
+                PartnerServer one = stage.partners().get(i);
+                out.add(String.format("destination %d  %-7s  calls %6d  over its limit %4d", one.destination(),
+                        one.partner().mode().name().toLowerCase(java.util.Locale.ROOT),
+                        one.calls() + stage.partners().get(i + 1).calls(),
+                        one.partner().overLimit() + stage.partners().get(i + 1).partner().overLimit()));
+            }
+        });
+        out.add(line());
+        return out;
+    }
+
+    /** All books in one line. */
     String line() {
         Book.Totals t = stage.totals();
         long ready = 0;
--- a/cli/src/test/java/amberroute/cli/FleetProcessTest.java
+++ b/cli/src/test/java/amberroute/cli/FleetProcessTest.java
@@ -137,12 +137,24 @@
         return out;
     }
 
+    /** All are ready and this one is another process; told by one answer, as two may see a death between them. */
+    private boolean replaced(int daemon, long before) {
+        JsonObject status = status();
+        if (status == null || !status.get("ready").getAsBoolean()) {
+            return false;
+        }
+        long pid = status.getAsJsonArray("daemons").get(daemon).getAsJsonObject().get("pid").getAsLong();
+        return pid > 0 && pid != before;
+    }
+
     private void await(Callable<Boolean> condition) throws Exception {
         long end = System.nanoTime() + 60_000_000_000L;
-        while (!condition.call() && System.nanoTime() < end) {
+        boolean holds = condition.call();
+        while (!holds && System.nanoTime() < end) {
             Thread.sleep(20);
+            holds = condition.call();
         }
-        assertTrue(condition.call(), () -> {
+        assertTrue(holds, () -> {
             try {
                 return "waited in vain; the supervisor says:\n" + log();
             } catch (IOException e) {
@@ -162,7 +174,7 @@
         await(this::allReady);
         List<Long> before = pids();
         signal("KILL", before.get(0));
-        await(() -> allReady() && !pids().get(0).equals(before.get(0)));
+        await(() -> replaced(0, before.get(0)));
         assertEquals(before.get(1), pids().get(1));
         assertTrue(log().contains("sender-1 died (signal 9)"), log());
         command("stop");
@@ -182,7 +194,7 @@
         assertEquals(before, pids());
         // One that it took over is its own as much as any: it sees its death and starts it again.
         signal("KILL", before.get(1));
-        await(() -> allReady() && !pids().get(1).equals(before.get(1)));
+        await(() -> replaced(1, before.get(1)));
         assertEquals(before.get(0), pids().get(0));
         command("stop");
         assertEquals(0, second.waitFor());
@@ -249,7 +261,7 @@
         List<Long> before = pids();
         command("reload");
         signal("KILL", before.get(0));
-        await(() -> allReady() && !pids().get(0).equals(before.get(0)));
+        await(() -> replaced(0, before.get(0)));
         assertEquals(before.get(1), pids().get(1));
     }
 
@@ -332,7 +344,7 @@
     void aDaemonThatWasStartedByHandOnItsFolderIsTakenOver() throws Exception {
         define(1, QUICK);
         Definition.Instance instance = definition.instances().get(0);
-        ProcessBuilder builder = new ProcessBuilder(definition.command());
+        ProcessBuilder builder = new ProcessBuilder(instance.command());
         builder.environment().put("GW_NAME", instance.name());
         builder.environment().put("GW_LISTEN", instance.listen());
         builder.environment().put("GW_STATE", instance.state().toString());
--- a/fleet/src/main/java/amberroute/fleet/Definition.java
+++ b/fleet/src/main/java/amberroute/fleet/Definition.java
@@ -18,11 +18,13 @@
  * A service definition: how many daemons, what each is called, where it listens and keeps its state, and the rules by
  * which they are started, stopped and started again. Spans are milliseconds.
  */
-public record Definition(Path file, String name, Path sender, Path folder, List<Instance> instances, List<String> command,
-        Policy policy, long logBytes) {
+public record Definition(Path file, String name, Path folder, List<Instance> instances, Policy policy, long logBytes) {
 
-    /** One daemon. {@code listen} has its address in figures with a port. */
-    public record Instance(String name, String listen, Path state) {
+    /**
+     * One daemon. {@code listen} has its address in figures with a port, {@code sender} is the file it reads,
+     * {@code command} what starts it.
+     */
+    public record Instance(String name, String listen, Path state, Path sender, List<String> command) {
         /** Its control socket, where the daemon puts it if its file does not say otherwise. */
         public Path control() {
             return state.resolve("control");
@@ -44,7 +46,9 @@
     private static final Schema INSTANCE = new Schema()
             .needText("name", "which instance")
             .address("listen", false, "where it listens instead")
-            .text("state", null, "its state folder instead, relative to this file");
+            .text("state", null, "its state folder instead, relative to this file")
+            .text("sender", null, "its sender file instead, with limits of its own, relative to this file")
+            .size("heap", "0B", "0B", "64GB", "its heap instead");
 
     /** All keys of the file. */
     public static final Schema SCHEMA = new Schema()
@@ -54,6 +58,7 @@
             .whole("count", null, 1, 1_000, "how many daemons")
             .text("names", "sender-%d", "what they are called; %d is 1 and up")
             .address("listen", true, "where the first listens; each further one has the next port")
+            .size("heap", "40MB", "24MB", "64GB", "each daemon's heap, where java is not told")
             .list("java", "the command that starts the JVM, with its flags; lean flags for a small heap if not told")
             .text("jar", null, "the daemon's jar; the one beside this program if not told")
             .whole("start.at_once", 4L, 1, 1_000, "daemons that may be starting at a time")
@@ -71,7 +76,7 @@
             .tables("instance", INSTANCE, 0, "what differs for one daemon");
 
     private static final List<String> LEAN = List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-            "-XX:-UsePerfData", "-Xms40m", "-Xmx40m", "-Xmn16m", "-Xss512k", "-XX:MaxMetaspaceSize=48m",
+            "-XX:-UsePerfData", "-Xss512k", "-XX:MaxMetaspaceSize=48m",
             "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=16m", "-XX:+ExitOnOutOfMemoryError",
             "-Djdk.nio.maxCachedBufferSize=65536", "-Dio.netty.allocator.type=unpooled",
             "-Dio.netty.noPreferDirect=true");
@@ -82,19 +87,11 @@
         Path base = file.toAbsolutePath().normalize().getParent();
         Path folder = base.resolve(s.text("folder")).normalize();
         Path daemon = s.has("jar") ? base.resolve(s.text("jar")) : jar;
-        List<Instance> instances = instances(s, base, folder);
-        List<String> command = new ArrayList<>(s.list("java").isEmpty() ? LEAN : s.list("java"));
-        Path sender = base.resolve(s.text("sender")).normalize();
-        Path archive = daemon.resolveSibling(daemon.getFileName().toString().replaceAll("\\.jar$", "") + ".jsa");
-        if (s.list("java").isEmpty() && Files.isRegularFile(archive)) {
-            command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:disable", "-Xlog:all=error:stderr",
-                    "-Xlog:cds=off:stderr"));
-        }
-        command.addAll(List.of("-jar", daemon.toString(), "serve", "--config", sender.toString()));
+        List<Instance> instances = instances(s, base, folder, daemon);
         if (s.micros("restart.longest") < s.micros("restart.pause")) {
             throw s.bad("restart.longest", "is shorter than restart.pause");
         }
-        return new Definition(file, s.text("name"), sender, folder, instances, List.copyOf(command),
+        return new Definition(file, s.text("name"), folder, instances,
                 new Policy(s.whole("start.at_once"), s.millis("start.ready_within"), s.millis("stop.within"),
                         s.millis("stop.grace"), s.millis("restart.pause"), s.millis("restart.longest"),
                         s.whole("restart.deaths"), s.millis("restart.span"), s.whole("rolling.at_once"),
@@ -102,7 +99,22 @@
                 s.bytes("logs.size"));
     }
 
-    private static List<Instance> instances(Settings s, Path base, Path folder) {
+    /** What starts one daemon: lean flags and a heap of one size, of which 2/5 are for what is young. */
+    private static List<String> command(Settings s, Path daemon, Path sender, long heap) {
+        List<String> command = new ArrayList<>(s.list("java").isEmpty() ? LEAN : s.list("java"));
+        if (s.list("java").isEmpty()) {
+            command.addAll(List.of("-Xms" + heap, "-Xmx" + heap, "-Xmn" + heap * 2 / 5));
+        }
+        Path archive = daemon.resolveSibling(daemon.getFileName().toString().replaceAll("\\.jar$", "") + ".jsa");
+        if (s.list("java").isEmpty() && Files.isRegularFile(archive)) {
+            command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:disable", "-Xlog:all=error:stderr",
+                    "-Xlog:cds=off:stderr"));
+        }
+        command.addAll(List.of("-jar", daemon.toString(), "serve", "--config", sender.toString()));
+        return List.copyOf(command);
+    }
+
+    private static List<Instance> instances(Settings s, Path base, Path folder, Path daemon) {
         int count = s.whole("count");
         InetSocketAddress first = s.address("listen");
         String pattern = s.text("names");
@@ -130,7 +142,9 @@
                     : new InetSocketAddress(first.getAddress(), first.getPort() + i));
             Path state = row != null && row.has("state") ? base.resolve(row.text("state")).normalize()
                     : folder.resolve(name);
-            Instance instance = new Instance(name, listen, state);
+            Path sender = base.resolve(row != null && row.has("sender") ? row.text("sender") : s.text("sender")).normalize();
+            long heap = row != null && row.bytes("heap") > 0 ? row.bytes("heap") : s.bytes("heap");
+            Instance instance = new Instance(name, listen, state, sender, command(s, daemon, sender, heap));
             claim(s, taken, "names", "name " + name, name);
             claim(s, taken, "listen", "address " + listen, name);
             claim(s, taken, "instance.state", "state folder " + state, name);
@@ -169,7 +183,7 @@
     /** A one-line summary for people. */
     public String summary() {
         return name + ": " + instances.size() + " daemons, " + instances.get(0).listen() + " to "
-                + instances.get(instances.size() - 1).listen() + ", sender file " + sender + ", state under " + folder
+                + instances.get(instances.size() - 1).listen() + ", sender file " + instances.get(0).sender() + ", state under " + folder
                 + ", stop within " + Units.span(policy.stopWithin() * 1_000);
     }
 }
--- a/fleet/src/main/java/amberroute/fleet/Supervisor.java
+++ b/fleet/src/main/java/amberroute/fleet/Supervisor.java
@@ -50,6 +50,7 @@
     private final ServerSocketChannel control;
     private final AtomicReference<Supervision.Mode> stopAsked = new AtomicReference<>();
     private volatile boolean reloadAsked;
+    private Runnable whenReady;
     private long looked;
     private long logsBounded;
 
@@ -168,6 +169,11 @@
         stopAsked.set(mode);
     }
 
+    /** Is called once, on the supervisor's thread, when all daemons are ready for the first time. */
+    public void whenReady(Runnable listener) {
+        whenReady = listener;
+    }
+
     /** Asks all daemons to read their files again, from any thread. */
     public void reload() {
         reloadAsked = true;
@@ -197,6 +203,10 @@
             places.forEach(p -> LogFile.bound(logOf(p.instance), definition.logBytes()));
         }
         supervision.tick(now);
+        if (whenReady != null && supervision.allReady()) {
+            whenReady.run();
+            whenReady = null;
+        }
         answerClients();
     }
 
@@ -246,7 +256,7 @@
                 say(place.instance.name() + " is alive already and taken over");
                 return;
             }
-            ProcessBuilder builder = new ProcessBuilder(definition.command());
+            ProcessBuilder builder = new ProcessBuilder(place.instance.command());
             builder.environment().put("GW_NAME", place.instance.name());
             builder.environment().put("GW_LISTEN", place.instance.listen());
             builder.environment().put("GW_STATE", place.instance.state().toString());
--- a/fleet/src/test/java/amberroute/fleet/DefinitionTest.java
+++ b/fleet/src/test/java/amberroute/fleet/DefinitionTest.java
@@ -31,16 +31,25 @@
     void namesThirtyFromOneDefinition() throws IOException {
         Definition d = read("count = 30\nnames = \"quito-%d\"\n");
         assertEquals(30, d.instances().size());
-        assertEquals(new Definition.Instance("quito-30", "127.0.0.1:7029", folder.resolve("run/quito-30")),
-                d.instances().get(29));
-        assertEquals(folder.resolve("amberroute.toml").toString(), d.command().get(d.command().size() - 1));
+        Definition.Instance last = d.instances().get(29);
+        assertEquals("quito-30", last.name());
+        assertEquals("127.0.0.1:7029", last.listen());
+        assertEquals(folder.resolve("run/quito-30"), last.state());
+        assertEquals(folder.resolve("amberroute.toml").toString(), last.command().get(last.command().size() - 1));
+        assertTrue(last.command().contains("-Xmx40000000"), last.command().toString());
         assertEquals(8_000, d.policy().stopWithin());
     }
 
     @Test
     void takesWhatDiffersForOne() throws IOException {
-        Definition d = read("count = 2\n[[instance]]\nname = \"sender-2\"\nlisten = \"127.0.0.2:9\"\nstate = \"x\"\n");
-        assertEquals(new Definition.Instance("sender-2", "127.0.0.2:9", folder.resolve("x")), d.instances().get(1));
+        Definition d = read("count = 2\n[[instance]]\nname = \"sender-2\"\nlisten = \"127.0.0.2:9\"\nstate = \"x\"\n"
+                + "sender = \"big.toml\"\nheap = \"100MB\"\n");
+        Definition.Instance one = d.instances().get(1);
+        assertEquals("127.0.0.2:9", one.listen());
+        assertEquals(folder.resolve("x"), one.state());
+        assertEquals(folder.resolve("big.toml"), one.sender());
+        assertTrue(one.command().contains("-Xmx100000000"), one.command().toString());
+        assertTrue(one.command().contains(folder.resolve("big.toml").toString()), one.command().toString());
     }
 
     @Test
--- a/sender/src/main/java/amberroute/sender/Held.java
+++ b/sender/src/main/java/amberroute/sender/Held.java
@@ -1,5 +1,8 @@
 package amberroute.sender;
 
+import java.util.Arrays;
+import java.util.Objects;
+
 import com.google.gson.JsonObject;
 
 /** A message that this sender has taken on, and what must survive a restart to end it. */
@@ -17,6 +20,8 @@
     final int destination;
     /** Wall time in milliseconds, as it must mean the same after a restart. */
     final long deadline;
+    /** Tells messages apart that came under one id; the body itself goes with the end. */
+    final int content;
     byte[] body;
     int attempts;
     /** Wall time at which the first attempt that may have run was sent, 0 where none may have, and where. */
@@ -24,6 +29,8 @@
     String doubtAt = "";
     /** Whether an attempt is out; in a message read from the journal, whether one was at the end. */
     boolean out;
+    /** Offered to another daemon whose answer is not known: nobody works on it here meanwhile. */
+    boolean frozen;
     long sentAt;
     String sentTo = "";
     /** The notice that ends it, until it is answered; null while the message goes on. */
@@ -39,6 +46,12 @@
         this.destination = destination;
         this.deadline = deadline;
         this.body = body;
+        content = content(className, key, destination, idempotencyKey, body);
+    }
+
+    /** The same for what is the same; never 0. */
+    static int content(String className, long key, int destination, String idempotencyKey, byte[] body) {
+        return Objects.hash(className, key, destination, idempotencyKey, Arrays.hashCode(body)) | 1;
     }
 
     void attempt(String uid, long wall) {
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -15,14 +15,16 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.zip.CRC32;
 
 import amberroute.Relay;
+import amberroute.handover.Ownership;
 
 /**
  * What this sender owes, in a folder that outlasts its process: records with length and checksum, each
@@ -45,18 +47,29 @@
     /** What is remembered of destinations, the longest unchanged forgotten first. */
     private static final int MEMORIES = 128;
     private static final int MEMORY_BYTES = 64;
+    /** Lots of which something is known; with more, none is offered or taken. */
+    private static final int MOST_LOTS = 4_096;
+    private static final int LOT_BYTES = 320;
     private static final long REWRITE_LEAST = 256 * 1024;
     private static final int REWRITE_BUFFER = 16 * 1024;
 
     /** What the module wants to know of a place again, {@code uid} empty for a whole destination; wall time. */
     record Memory(int destination, String uid, Relay.Health health, long since, double pace, double usual) { }
 
+    /**
+     * What is known of a lot that moved or was to move: whose it is, until when that has to be kept (wall time), and the
+     * numbers of its messages here.
+     */
+    record Lot(Ownership ownership, long until, List<Long> numbers) { }
+
     private final Path folder;
     private final long budget;
     private final Map<Long, Held> live = new LinkedHashMap<>();
-    private final Set<String> ended = new LinkedHashSet<>();
-    private final Set<String> liveIds = new LinkedHashSet<>();
+    /** What ended under each id, 0 where that is no longer known. */
+    private final Map<String, Integer> ended = new LinkedHashMap<>();
+    private final Map<String, Integer> liveIds = new HashMap<>();
     private final Map<String, Memory> memories = new LinkedHashMap<>();
+    private final Map<String, Lot> lots = new LinkedHashMap<>();
     private FileChannel file;
     private long size;
     private long reserved = REMEMBERED_BYTES;
@@ -102,7 +115,13 @@
 
     /** Whether this id was taken on, now or not long ago. */
     boolean knows(String id) {
-        return liveIds.contains(id) || ended.contains(id);
+        return liveIds.containsKey(id) || ended.containsKey(id);
+    }
+
+    /** Whether what is known under this id is another message, as far as can be told. */
+    boolean differs(String id, int content) {
+        int known = liveIds.getOrDefault(id, ended.getOrDefault(id, 0));
+        return known != 0 && known != content;
     }
 
     /** Takes a message on; false where the budget or the disk has no room for it. */
@@ -153,6 +172,95 @@
         drop(m);
     }
 
+    /** All lots of which something is known. */
+    Map<String, Lot> lots() {
+        return lots;
+    }
+
+    /** Those of these messages that are still owed here, in the order given. */
+    List<Held> messages(List<Long> numbers) {
+        return numbers.stream().map(live::get).filter(m -> m != null && m.notice == null).toList();
+    }
+
+    /** Writes whose a lot is. One that is given drops its messages, as they are another's now. */
+    boolean lot(String name, Ownership ownership, long until, List<Held> messages) {
+        Lot lot = new Lot(ownership, until, messages.stream().map(m -> m.number).toList());
+        if (!roomForLot(name) || !append(lotRecord('H', name, lot, List.of()))) {
+            return false;
+        }
+        apply(name, lot);
+        return true;
+    }
+
+    /** Takes messages over from another daemon: they and whose they are stand in one record, so never one alone. */
+    boolean adopt(String name, Ownership ownership, long until, List<Held> messages) {
+        long more = messages.stream().mapToLong(Journal::reserve).sum();
+        Lot lot = new Lot(ownership, until, messages.stream().map(m -> m.number).toList());
+        byte[] record = lotRecord('P', name, lot, messages);
+        if (!roomForLot(name) || record.length > LARGEST || 2 * (reserved + more) + REWRITE_LEAST / 4 > budget
+                || !append(record)) {
+            return false;
+        }
+        messages.forEach(this::add);
+        apply(name, lot);
+        return true;
+    }
+
+    private boolean roomForLot(String name) {
+        if (lots.size() >= MOST_LOTS) {
+            long now = System.currentTimeMillis();
+            lots.values().removeIf(lot -> lot.until() < now && lot.ownership().status() != Ownership.Status.OFFERED);
+        }
+        return lots.size() < MOST_LOTS || lots.containsKey(name);
+    }
+
+    private void apply(String name, Lot lot) {
+        lots.put(name, lot);
+        for (long number : lot.numbers()) {
+            Held m = live.get(number);
+            if (m != null && lot.ownership().status() == Ownership.Status.GIVEN) {
+                drop(m);
+            } else if (m != null) {
+                m.frozen = lot.ownership().status() == Ownership.Status.OFFERED;
+            }
+        }
+    }
+
+    private static byte[] lotRecord(char type, String name, Lot lot, List<Held> messages) {
+        return record(type, out -> {
+            out.writeUTF(name);
+            out.writeLong(lot.ownership().generation());
+            out.writeUTF(lot.ownership().status().name());
+            out.writeUTF(lot.ownership().peer());
+            out.writeLong(lot.until());
+            out.writeInt(lot.numbers().size());
+            for (long number : lot.numbers()) {
+                out.writeLong(number);
+            }
+            out.writeInt(messages.size());
+            for (Held m : messages) {
+                for (byte[] part : new byte[][] {accepted(m), standing(m)}) {
+                    out.writeInt(part.length - HEAD);
+                    out.write(part, HEAD, part.length - HEAD);
+                }
+            }
+        });
+    }
+
+    private void replayLot(DataInputStream in) throws IOException {
+        String name = in.readUTF();
+        Ownership ownership = new Ownership(in.readLong(), Ownership.Status.valueOf(in.readUTF()), in.readUTF());
+        long until = in.readLong();
+        List<Long> numbers = new ArrayList<>();
+        for (int i = in.readInt(); i > 0; i--) {
+            numbers.add(in.readLong());
+        }
+        for (int parts = 2 * in.readInt(); parts > 0; parts--) {
+            replay(in.readNBytes(in.readInt()));
+        }
+        apply(name, new Lot(ownership, until, numbers));
+    }
+
     /** What was remembered of places, one for each. */
     Collection<Memory> memories() {
         return memories.values();
@@ -242,7 +350,11 @@
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload));
         int type = in.readByte();
         if (type == 'K') {
-            remember(in.readUTF());
+            remember(in.readUTF(), 0);
+            return;
+        }
+        if (type == 'H' || type == 'P') {
+            replayLot(in);
             return;
         }
         if (type == 'M') {
@@ -332,14 +444,14 @@
 
     private void add(Held m) {
         live.put(m.number, m);
-        liveIds.add(m.id);
+        liveIds.put(m.id, m.content);
         reserved += reserve(m);
     }
 
     private void drop(Held m) {
         live.remove(m.number);
         liveIds.remove(m.id);
-        remember(m.id);
+        remember(m.id, m.content);
         reserved -= reserve(m);
     }
 
@@ -363,16 +475,16 @@
         }
     }
 
-    private void remember(String id) {
-        ended.add(id);
+    private void remember(String id, int content) {
+        ended.put(id, content);
         if (ended.size() > REMEMBERED) {
-            ended.remove(ended.iterator().next());
+            ended.remove(ended.keySet().iterator().next());
         }
     }
 
     private boolean append(byte[] record) {
         try {
-            if (size + record.length + reserved > budget
+            if (size + record.length + reserved + (long) LOT_BYTES * lots.size() > budget
                     || size > REWRITE_LEAST && size > 4 * reserved) {
                 rewrite();
             }
@@ -407,7 +519,7 @@
         long length;
         try {
             OutputStream out = new BufferedOutputStream(Channels.newOutputStream(fresh), REWRITE_BUFFER);
-            for (String id : ended) {
+            for (String id : ended.keySet()) {
                 out.write(record('K', record -> record.writeUTF(id)));
             }
             for (Memory memory : memories.values()) {
@@ -422,6 +534,12 @@
                     out.write(ending(m));
                 }
             }
+            long now = System.currentTimeMillis();
+            for (Map.Entry<String, Lot> lot : lots.entrySet()) {
+                if (lot.getValue().until() >= now || lot.getValue().ownership().status() == Ownership.Status.OFFERED) {
+                    out.write(lotRecord('H', lot.getKey(), lot.getValue(), List.of()));
+                }
+            }
             out.flush();
             length = fresh.position();
             Files.move(path, path("journal"), StandardCopyOption.ATOMIC_MOVE);
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -30,6 +30,7 @@
 import amberroute.Relay.Ending;
 import amberroute.Relay.Event;
 import amberroute.config.ConfigException;
+import amberroute.handover.Ownership;
 import amberroute.settings.BadInput;
 
 /**
@@ -46,6 +47,8 @@
     /** Between two turns the loop has this many times what the first one took. */
     private static final int REST = 4;
     private static final long DRAIN_STEP_MS = 10;
+    /** No message lives longer, so that an offer that was refused cannot come again behind this. */
+    private static final long KEEP_REFUSAL_MS = 3_600_000;
     /** Exit code of a stop for good that left something in the journal. */
     static final int LEFT_OVER = 3;
     /** Origin of the module's clock. */
@@ -84,6 +87,9 @@
     private long turnTook;
     private InetSocketAddress bound;
     private EndpointFile endpointFile;
+    /** Null where neither peers nor a listener for them are configured. */
+    private HandOver handOver;
+    private InetSocketAddress handOverBound;
     /** What the control socket's commands read again; null in tests that do without. */
     private Map<String, String> environment;
     private ServiceNotify serviceNotify = new ServiceNotify(Map.of());
@@ -164,6 +170,9 @@
     private void start() throws IOException {
         try {
             loop.submit(this::recover).sync();
+            if (handOver != null && config.standalone().handOver() != null) {
+                handOverBound = handOver.listen(config.standalone().handOver());
+            }
             bound = clients.listen(config.listen());
             loop.submit(this::serving).sync();
         } catch (InterruptedException e) {
@@ -197,6 +206,11 @@
         return loop.submit(() -> journal.live().size()).syncUninterruptibly().getNow();
     }
 
+    /** Where peers hand over to this sender, null where they may not. */
+    InetSocketAddress handOverAddress() {
+        return handOverBound;
+    }
+
     /** How many connections to receivers stand ready for another call. */
     int kept() {
         return loop.submit(receivers::kept).syncUninterruptibly().getNow();
@@ -220,6 +234,9 @@
     /** Ends at once, as a kill would but for the journal's file being closed. */
     void stop() {
         control.close();
+        if (handOver != null) {
+            loop.submit(handOver::close).awaitUninterruptibly(1_000);
+        }
         if (endpointFile != null) {
             endpointFile.close();
         }
@@ -259,23 +276,42 @@
                 notices.send(m);
                 continue;
             }
+            if (m.frozen) {
+                continue;
+            }
             boolean cutOff = m.out;
             if (cutOff) {
                 journal.outcome(m, true);
             }
             held.put(m.number, m);
-            long age = m.doubtSince == 0 ? -1 : Math.max(0, (wall() - m.doubtSince) * 1_000);
-            note(new Event.Resumed(m.number, type, m.key, (m.deadline - wall()) * 1_000, m.destination,
-                    m.attempts, age, m.doubtAt.isEmpty() ? 0 : directory.number(m.doubtAt), cutOff));
+            resume(m, type, cutOff);
+        }
+        StandaloneConfig.Standalone alone = config.standalone();
+        if (alone != null && (alone.handOver() != null || !alone.peers().isEmpty() || !journal.lots().isEmpty())) {
+            handOver = new HandOver(loop, config.name(), alone.peers(), new HandOverHost(), journal);
+            handOver.recover();
         }
         Log.warn("resumed " + held.size() + " messages");
         turnSoon();
     }
 
+    private void resume(Held m, int type, boolean cutOff) {
+        long age = m.doubtSince == 0 ? -1 : Math.max(0, (wall() - m.doubtSince) * 1_000);
+        note(new Event.Resumed(m.number, type, m.key, (m.deadline - wall()) * 1_000, m.destination,
+                m.attempts, age, m.doubtAt.isEmpty() ? 0 : directory.number(m.doubtAt), cutOff));
+    }
+
     // ---- What comes in. ----
 
     private void onSubmission(ClientServer.Submission s, ClientServer.Reply reply) {
         boolean known = journal.knows(s.id());
+        if (known && journal.differs(s.id(), Held.content(s.className(), s.key(), s.destination(), s.idempotencyKey(),
+                s.body()))) {
+            // Somebody used another client's id, before or after it: what is known is not what this client has.
+            Log.warn("submission under an id that another message has: " + s.id());
+            reply.busy(0);
+            return;
+        }
         if (known) {
             reply.ok();
             return;
@@ -561,9 +597,13 @@
     }
 
     private void drainStep() {
-        DrainPlan.Load load = new DrainPlan.Load(held.size() + arriving.size(), receivers.callsOut(), notices.pending());
+        int offered = handOver == null ? 0 : handOver.waiting();
+        DrainPlan.Load load = new DrainPlan.Load(held.size() + arriving.size() + offered, receivers.callsOut(), notices.pending());
         switch (drain.next(now() / 1_000, load)) {
             case DELIVER -> {
+                if (handOver != null && drain.mode() == DrainPlan.Mode.FINAL) {
+                    handOver.offerAll();
+                }
             }
             case CALL_OFF -> {
                 endingAll = true;
@@ -580,7 +620,8 @@
             case DONE -> {
                 drainSteps.cancel(false);
                 boolean left = load.held() > 0 || load.noticesOut() > 0;
-                Log.warn("stopped: " + DrainPlan.summary(drain.mode(), held.values(), notices.pending()));
+                Log.warn("stopped: " + DrainPlan.summary(drain.mode(), held.values(), notices.pending())
+                        + (handOver == null ? "" : "; " + handOver.moved() + " messages were handed over"));
                 stopped.complete(left && drain.mode() == DrainPlan.Mode.FINAL ? LEFT_OVER : 0);
             }
         }
@@ -596,6 +637,103 @@
             note(new Event.Withdrawn(m.number));
             end(m.number, returned ? m.returned(0) : m.failed());
         }
+        if (handOver != null) {
+            handOver.giveUp();
+        }
+    }
+
+    /** What hand-over asks of this sender. */
+    private final class HandOverHost implements HandOver.Host {
+        /** Of one lot, so that its record stays within the journal's bound. */
+        private static final long MOST_BYTES = 128 << 10;
+        private static final long LEAST_LEFT_MS = 300;
+
+        @Override
+        public List<List<Held>> movable() {
+            Map<Long, List<Held>> keyed = new LinkedHashMap<>();
+            List<List<Held>> lots = new ArrayList<>();
+            if (!arriving.isEmpty()) {
+                return lots;
+            }
+            Set<Long> waiting = new HashSet<>();
+            journal.live().forEach(m -> {
+                if (m.notice != null || m.frozen) {
+                    waiting.add(m.key);
+                }
+            });
+            for (Held m : held.values().stream().sorted((a, b) -> Long.compare(a.number, b.number)).toList()) {
+                if (inOrder(m)) {
+                    keyed.computeIfAbsent(m.key, k -> new ArrayList<>()).add(m);
+                } else {
+                    lots.add(List.of(m));
+                }
+            }
+            keyed.forEach((key, messages) -> {
+                // The order passes on with the notice of the one before, which is still to come here.
+                if (!waiting.contains(key)) {
+                    lots.add(messages);
+                }
+            });
+            lots.removeIf(lot -> lot.stream().anyMatch(m -> m.out || m.deadline - wall() < LEAST_LEFT_MS)
+                    || lot.stream().mapToLong(m -> m.body.length + 1_024L).sum() > MOST_BYTES);
+            return lots;
+        }
+
+        private boolean inOrder(Held m) {
+            int type = config.classes().indexOf(m.className);
+            return m.key != 0 && type >= 0 && config.settings().classes().get(type).inOrder();
+        }
+
+        @Override
+        public boolean record(String lot, Ownership ownership, List<Held> messages) {
+            long until = messages.stream().mapToLong(m -> m.deadline).max().orElse(wall() + KEEP_REFUSAL_MS);
+            if (!journal.lot(lot, ownership, until, messages)) {
+                return false;
+            }
+            for (Held m : messages) {
+                if (ownership.status() == Ownership.Status.OFFERED && held.remove(m.number) != null) {
+                    note(new Event.Withdrawn(m.number));
+                } else if (ownership.mine()) {
+                    held.put(m.number, m);
+                    resume(m, config.classes().indexOf(m.className), false);
+                }
+            }
+            return true;
+        }
+
+        @Override
+        public boolean room(List<Held> messages) {
+            return drain == null && phase == Phase.READY
+                    && held.size() + arriving.size() + messages.size() <= config.settings().limits().openMessages()
+                    && messages.stream().allMatch(m -> config.classes().contains(m.className)
+                            && directory.listed(m.destination) && m.deadline - wall() >= LEAST_LEFT_MS);
+        }
+
+        @Override
+        public boolean adopt(String lot, Ownership ownership, List<Held> messages) {
+            long until = messages.stream().mapToLong(m -> m.deadline).max().orElse(0);
+            if (!journal.adopt(lot, ownership, until, messages)) {
+                return false;
+            }
+            for (Held m : messages) {
+                held.put(m.number, m);
+                resume(m, config.classes().indexOf(m.className), false);
+            }
+            return true;
+        }
+
+        @Override
+        public void failed(List<Held> messages) {
+            for (Held m : messages) {
+                journal.end(m, m.failed());
+                notices.send(m);
+            }
+        }
+
+        @Override
+        public long nextNumber() {
+            return journal.nextNumber();
+        }
     }
 
     /**
--- a/sender/src/main/java/amberroute/sender/ServiceNotify.java
+++ b/sender/src/main/java/amberroute/sender/ServiceNotify.java
@@ -22,17 +22,18 @@
  * so this is the one place that loads Netty's native transport, on a thread of its own, and only where that variable is
  * set. Whatever goes wrong is one line in the log: nobody must fail because nobody listens.
  */
-final class ServiceNotify {
+public final class ServiceNotify {
     private static final long SEND_MS = 2_000;
 
     private final String socket;
 
-    ServiceNotify(Map<String, String> environment) {
+    /** Takes {@code NOTIFY_SOCKET} from these variables. */
+    public ServiceNotify(Map<String, String> environment) {
         socket = environment.get("NOTIFY_SOCKET");
     }
 
     /** Sends in the background; does nothing where nobody asked for it. */
-    void tell(String state) {
+    public void tell(String state) {
         if (socket != null && !socket.isEmpty()) {
             Thread thread = new Thread(() -> send(state), "notify");
             thread.setDaemon(true);
--- a/sender/src/main/java/amberroute/sender/StandaloneConfig.java
+++ b/sender/src/main/java/amberroute/sender/StandaloneConfig.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -78,6 +79,8 @@
             .duration("rules.settle", "100ms", "0s", "1m", "a key rests so long after a call whose end is unknown")
             .duration("stop.deadline", "8s", "100ms", "1h", "a stop is over by then, whatever is held")
             .duration("stop.back_after", "3s", "0s", "1h", "a restarted sender serves again so long after its stop")
+            .address("handover.listen", false, "where peers hand over what they hold when they leave; none is taken if not told")
+            .list("handover.peers", "who may be handed what this sender holds when it stops for good, as name=address")
             .real("costs.handshake", 0.06, 0, 1_000, "what a new connection costs beside a message's worth")
             .tables("class", CLASS, 1, "a class of messages, in the order of their numbers")
             .tables("kind", KIND, 0, "a kind of destination; one with one message a call if there is none");
@@ -86,7 +89,8 @@
      * What only a sender outside the platform has; spans in milliseconds. {@code endpoints} and {@code notices} may be
      * null.
      */
-    record Standalone(Path endpoints, InetSocketAddress notices, Path control, long stopMillis, long backMillis) { }
+    record Standalone(Path endpoints, InetSocketAddress notices, Path control, long stopMillis, long backMillis,
+            InetSocketAddress handOver, Map<String, InetSocketAddress> peers) { }
 
     private StandaloneConfig() {
     }
@@ -133,7 +137,7 @@
             throw s.bad("zone", "is not among zones");
         }
         Standalone standalone = new Standalone(endpoints, notices, control, s.millis("stop.deadline"),
-                s.millis("stop.back_after"));
+                s.millis("stop.back_after"), s.address("handover.listen"), peers(s));
         JsonObject known = new JsonObject();
         Config config = new Config(environment.getOrDefault("GW_NAME", s.text("name")), listen, discovery, folder,
                 s.whole("limits.descriptors"), s.bytes("limits.memory"), s.bytes("limits.disk"), known,
@@ -197,6 +201,22 @@
         }
     }
 
+    private static Map<String, InetSocketAddress> peers(Settings s) {
+        Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
+        for (String peer : s.list("handover.peers")) {
+            int eq = peer.indexOf('=');
+            try {
+                if (eq < 0 || !peer.substring(0, eq).matches("[A-Za-z0-9._-]{1,64}")
+                        || peers.put(peer.substring(0, eq), Units.address(peer.substring(eq + 1))) != null) {
+                    throw new IllegalArgumentException("has to be name=address, each name once");
+                }
+            } catch (IllegalArgumentException e) {
+                throw s.bad("handover.peers", e.getMessage() + ": " + peer);
+            }
+        }
+        return peers;
+    }
+
     private static List<String> names(Settings s, String tables) {
         List<String> names = new ArrayList<>();
         for (Settings row : s.tables(tables)) {
--- a/sender/src/test/java/amberroute/sender/BadClientsTest.java
+++ b/sender/src/test/java/amberroute/sender/BadClientsTest.java
@@ -82,6 +82,35 @@
         closes(client);
     }
 
+    /**
+     * Whoever takes another client's id first must not have the other told that its message is taken on: it would be
+     * lost. The same message again, as over a connection that closed, is.
+     */
+    @Test
+    void aStolenIdIsNoAcceptanceOfTheOwnersMessage() throws IOException {
+        world.receiver.answers = r -> null;
+        World.Client thief = world.client(sender);
+        World.Client owner = world.client(sender);
+        String id = World.ID + "a";
+        String key = "0000000000000000";
+        assertEquals("+OK", thief.ask("SUBMIT", key, id, "c=safe,d=8000,dest=7", "the thief's"));
+        assertEquals("-BUSY", owner.ask("SUBMIT", key, id, "c=safe,d=2000,dest=7", "the owner's"));
+        assertEquals("-BUSY", owner.ask("SUBMIT", key, id, "c=unsafe,d=8000,dest=7", "the thief's"));
+        assertEquals("+OK", owner.ask("SUBMIT", key, id, "c=safe,d=7900,dest=7", "the thief's"));
+        assertEquals(1, sender.owed());
+        world.receiver.answers = r -> World.ok(200, "");
+        world.receiver.sockets.forEach(s -> {
+            try {
+                s.close();
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        World.await(() -> sender.owed() == 0);
+        assertEquals("-BUSY", owner.ask("SUBMIT", key, id, "c=safe,d=2000,dest=7", "the owner's"));
+        assertEquals("+OK", owner.ask("SUBMIT", key, id, "c=safe,d=2000,dest=7", "the thief's"));
+    }
+
     /** The same nonsense over and over is answered for a while, then the connection ends. */
     @Test
     void endsAClientThatOnlySendsNonsense() throws IOException {
--- /dev/null
+++ b/shares/src/test/java/amberroute/shares/ShareTest.java
@@ -0,0 +1,189 @@
+package amberroute.shares;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import amberroute.shares.Share.Ask;
+import amberroute.shares.Share.Grant;
+
+class ShareTest {
+    private static final long LEASE = 1_000_000;
+
+    private static Share fresh(int daemons) {
+        return new Share(0, 0, daemons, LEASE, false);
+    }
+
+    @Test
+    void ownsAnEqualPart() {
+        assertEquals(0.05, fresh(20).ceiling(0), 1e-12);
+    }
+
+    @Test
+    void lendsAndGetsBackByTime() {
+        Share lender = fresh(4);
+        Share borrower = fresh(4);
+        Ask ask = borrower.ask(0, "lender", 0.2);
+        Grant grant = lender.asked(100, "borrower", ask, 0.1);
+        assertEquals(0.15, grant.part(), 1e-12);
+        borrower.granted(200, "lender", grant);
+        assertEquals(0.4, borrower.ceiling(200), 1e-12);
+        assertEquals(0.1, lender.ceiling(200), 1e-12);
+        assertEquals(0.25, borrower.ceiling(Share.usable(LEASE)), 1e-12);
+        assertEquals(0.1, lender.ceiling(LEASE), 1e-12);
+        assertEquals(0.25, lender.ceiling(100 + LEASE), 1e-12);
+    }
+
+    @Test
+    void aRepeatedRequestGetsNothingMore() {
+        Share lender = fresh(2);
+        Share borrower = fresh(2);
+        Ask ask = borrower.ask(0, "lender", 0.2);
+        Grant first = lender.asked(0, "borrower", ask, 0);
+        assertEquals(0, lender.asked(10, "borrower", ask, 0).part());
+        borrower.granted(10, "lender", first);
+        borrower.granted(20, "lender", first);
+        assertEquals(0.7, borrower.ceiling(20), 1e-12);
+        assertEquals(0.3, lender.ceiling(20), 1e-12);
+    }
+
+    @Test
+    void anAnswerThatCameTooLateIsWorthNothing() {
+        Share borrower = fresh(2);
+        Ask ask = borrower.ask(0, "lender", 0.2);
+        borrower.granted(LEASE, "lender", new Grant(ask.number(), 0.2));
+        assertEquals(0.5, borrower.ceiling(LEASE), 1e-12);
+    }
+
+    @Test
+    void whoRestartsWaitsUntilItsLoansAreOver() {
+        Share again = new Share(0, 5, 2, LEASE, true);
+        assertEquals(0, again.ceiling(Share.quiet(LEASE) - 1), 1e-12);
+        assertEquals(0, again.asked(0, "peer", new Ask(1, 0.1), 0).part());
+        assertEquals(0.5, again.ceiling(Share.quiet(LEASE)), 1e-12);
+    }
+
+    @Test
+    void takesNoPartThatWasNotAskedFor() {
+        Share borrower = fresh(2);
+        Ask ask = borrower.ask(0, "lender", 0.2);
+        for (double part : new double[] {-1, 0.3, Double.NaN, Double.POSITIVE_INFINITY}) {
+            borrower.granted(1, "lender", new Grant(ask.number(), part));
+        }
+        borrower.granted(1, "other", new Grant(ask.number(), 0.2));
+        assertEquals(0.5, borrower.ceiling(1), 1e-12);
+        assertEquals(0, fresh(2).asked(0, "p", new Ask(1, Double.NaN), 0).part());
+        assertEquals(0, fresh(2).asked(0, "p", new Ask(1, -1), 0).part());
+    }
+
+    /** One daemon of a simulated fleet, with a clock of its own rate. */
+    private static final class Node {
+        final String name;
+        final double rate;
+        final long offset;
+        Share share;
+        boolean alive = true;
+
+        Node(String name, double rate, long offset, int daemons) {
+            this.name = name;
+            this.rate = rate;
+            this.offset = offset;
+            share = new Share(clock(0), 0, daemons, LEASE, false);
+        }
+
+        long clock(long real) {
+            return offset + (long) (real * rate);
+        }
+    }
+
+    private record Mail(long at, Node from, Node to, Object content) { }
+
+    /**
+     * Up to forty daemons with clocks up to two per cent fast or slow ask each other at random over a network that
+     * loses, delays and doubles, is split in halves now and then, while daemons die with what they borrowed and come
+     * back. At no real moment may the parts add up to more than the whole.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+    void theWholeIsNeverExceeded(long seed) {
+        double[] used = simulate(seed);
+        assertTrue(used[0] <= 1 + 1e-9, "seed " + seed + ": " + used[0]);
+        assertTrue(used[1] > 1.2, "seed " + seed + ": hardly anything was lent, the test shows nothing: " + used[1]);
+    }
+
+    /** The largest sum of all parts, and the largest part of one daemon as a multiple of what it owns. */
+    private static double[] simulate(long seed) {
+        Random random = new Random(seed);
+        int daemons = 2 + random.nextInt(39);
+        List<Node> nodes = new ArrayList<>();
+        for (int i = 0; i < daemons; i++) {
+            double rate = i == 0 ? 1 + Share.DRIFT : i == 1 ? 1 - Share.DRIFT
+                    : 1 + Share.DRIFT * (2 * random.nextDouble() - 1);
+            nodes.add(new Node("d" + i, rate, random.nextInt(1_000_000), daemons));
+        }
+        List<Mail> mails = new ArrayList<>();
+        double highest = 0;
+        double highestOne = 0;
+        for (long now = 0; now < 20 * LEASE; now += 5_000) {
+            boolean split = now / LEASE % 4 == 3;
+            long moment = now;
+            for (Mail mail : mails.stream().filter(m -> m.at() <= moment).toList()) {
+                mails.remove(mail);
+                if (mail.to().alive) {
+                    deliver(random, mails, now, mail);
+                }
+            }
+            for (Node node : nodes) {
+                if (!node.alive || random.nextInt(40) != 0) {
+                    continue;
+                }
+                Node peer = nodes.get(random.nextInt(daemons));
+                if (peer != node) {
+                    Ask ask = node.share.ask(node.clock(now), peer.name, random.nextDouble() / daemons);
+                    post(random, mails, now, node, peer, ask, split && nodes.indexOf(node) % 2 != nodes.indexOf(peer) % 2);
+                }
+            }
+            if (random.nextInt(100) == 0) {
+                Node node = nodes.get(random.nextInt(daemons));
+                node.alive = !node.alive;
+                if (node.alive) {
+                    node.share = new Share(node.clock(now), now, daemons, LEASE, true);
+                }
+            }
+            double sum = 0;
+            for (Node node : nodes) {
+                double part = node.alive ? node.share.ceiling(node.clock(now)) : 0;
+                sum += part;
+                highestOne = Math.max(highestOne, part * daemons);
+            }
+            highest = Math.max(highest, sum);
+        }
+        return new double[] {highest, highestOne};
+    }
+
+    private static void deliver(Random random, List<Mail> mails, long now, Mail mail) {
+        Node to = mail.to();
+        if (mail.content() instanceof Ask ask) {
+            Grant grant = to.share.asked(to.clock(now), mail.from().name, ask, 0.2 * random.nextDouble() / 40);
+            post(random, mails, now, to, mail.from(), grant, false);
+        } else if (mail.content() instanceof Grant grant) {
+            to.share.granted(to.clock(now), mail.from().name, grant);
+        }
+    }
+
+    private static void post(Random random, List<Mail> mails, long now, Node from, Node to, Object content, boolean cut) {
+        for (int copies = random.nextInt(10) == 0 ? 2 : 1; copies > 0; copies--) {
+            if (!cut && random.nextInt(8) != 0) {
+                long delay = random.nextInt(6) == 0 ? random.nextInt((int) (2 * LEASE)) : random.nextInt(20_000);
+                mails.add(new Mail(now + delay, from, to, content));
+            }
+        }
+    }
+}
--- a/testkit/src/main/java/amberroute/testkit/Stage.java
+++ b/testkit/src/main/java/amberroute/testkit/Stage.java
@@ -62,13 +62,21 @@
 
     /** Adds a destination with so many endpoints of these figures, listed as ready. */
     public Stage destination(int number, int endpoints, Partner.Figures figures, String model) throws InterruptedException {
+        return destination(number, endpoints, figures, model, false);
+    }
+
+    /** As above; where asked for, each endpoint is listed by the address of a {@link FaultProxy} in front of it. */
+    public Stage destination(int number, int endpoints, Partner.Figures figures, String model, boolean proxied)
+            throws InterruptedException {
         Partner memory = new Partner(figures, seed);
         for (int i = 0; i < endpoints; i++) {
             String uid = "p" + number + "-" + i;
             PartnerServer server = new PartnerServer(loop, book, number, uid,
                     new Partner(figures, seed + 31L * number + i), memory).listen(0);
             partners.add(server);
-            run(() -> platform.list(uid, server.address(), number, model, "Ready"));
+            String address = !proxied ? server.address() : proxy(new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                    Integer.parseInt(server.address().substring(server.address().indexOf(':') + 1)))).address();
+            run(() -> platform.list(uid, address, number, model, "Ready"));
         }
         return this;
     }
@@ -104,6 +112,20 @@
         return on(() -> book.totals(micros()));
     }
 
+    /** Sets a fault for the connections that open from now on through any proxy. */
+    public void fault(FaultProxy.Fault fault) {
+        run(() -> proxies.forEach(p -> p.fault(fault)));
+    }
+
+    /** Resets all connections through one of the proxies, chosen by the number given. */
+    public void resetOne(int choice) {
+        run(() -> {
+            FaultProxy one = proxies.get(Math.floorMod(choice, proxies.size()));
+            one.cut(FaultProxy.Cut.RESET);
+            one.cut(FaultProxy.Cut.NONE);
+        });
+    }
+
     /** All endpoints of a destination go down or come back. */
     public void become(int destination, Partner.Mode mode) {
         run(() -> partners.stream().filter(p -> p.destination() == destination).forEach(p -> p.become(mode)));
