Mend what a second reading found: early stops, lots after a crash, races and doubles

Cause and change, from reading the whole change once more: - A stop that came while a daemon started met fields that were not set: its steps ended with an error and the daemon never did. It is kept now until the sender serves. - An offer that was given up wrote the lot's end before its messages' ends: a process that died between found them its own again while the heir might call. Timers of the daemon's outlived its connections. The last moments of a stop are a step.

--- a/cli/src/main/java/amberroute/cli/CheckCommand.java
+++ b/cli/src/main/java/amberroute/cli/CheckCommand.java
@@ -1,6 +1,7 @@
 package amberroute.cli;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -30,9 +31,8 @@
             Definition.SCHEMA.describe().forEach(System.out::println);
             return 0;
         }
-        // A definition is told by its name's first key: nobody else has a count.
-        boolean fleet = java.nio.file.Files.exists(file)
-                && java.nio.file.Files.readString(file).lines().anyMatch(l -> l.matches("\\s*(count|sender)\\s*=.*"));
+        // Which of the two it is shows in keys that only a definition has.
+        boolean fleet = Files.exists(file) && Files.readString(file).lines().anyMatch(l -> l.matches("\\s*(count|sender)\\s*=.*"));
         if (fleet) {
             Definition definition = Definition.read(file, Path.of("amberroute.jar"));
             for (Definition.Instance i : definition.instances()) {
--- a/cli/src/main/java/amberroute/cli/ClassArchive.java
+++ b/cli/src/main/java/amberroute/cli/ClassArchive.java
@@ -10,14 +10,13 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Stream;
 
 import amberroute.testkit.Partner;
+import amberroute.testkit.RespRequest;
 import amberroute.testkit.Stage;
 
 /**
@@ -44,11 +43,7 @@
         } catch (Exception e) {
             System.err.println("no class archive, daemons start slower: " + e);
         } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.deleteIfExists(file);
-                }
-            }
+            LocalFleet.delete(folder);
         }
     }
 
@@ -97,11 +92,8 @@
             for (int i = 0; i < MESSAGES; i++) {
                 String options = "c=" + List.of("safe", "keyed", "unsafe").get(i % 3) + ",d=" + (i == 0 ? 1 : 2_000)
                         + ",dest=1,k=k" + i;
-                StringBuilder request = new StringBuilder("*5\r\n");
-                for (String word : List.of("SUBMIT", "000000000000000" + i % 3, "archive" + i, options, "body")) {
-                    request.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
-                }
-                socket.getOutputStream().write(request.toString().getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream().write(RespRequest.of("SUBMIT", "000000000000000" + i % 3, "archive" + i, options,
+                        "body"));
                 in.readLine();
             }
         }
--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/LocalFleet.java
@@ -0,0 +1,85 @@
+package amberroute.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.stream.Stream;
+
+import com.google.gson.JsonObject;
+
+import amberroute.fleet.Definition;
+import amberroute.fleet.FleetClient;
+import amberroute.fleet.Supervision;
+import amberroute.fleet.Supervisor;
+
+/** A fleet of real daemons under a supervisor on a thread of this process, for the demo and the rigs. */
+final class LocalFleet implements AutoCloseable {
+    private static final long STOP_MS = 60_000;
+
+    private final Definition definition;
+    private final Supervisor supervisor;
+    private final Thread thread;
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+
+    /** Takes the fleet's folder; nothing is started yet. */
+    LocalFleet(Definition definition) throws IOException {
+        this.definition = definition;
+        supervisor = new Supervisor(definition, new PrintStream(log, true, StandardCharsets.UTF_8));
+        thread = new Thread(() -> {
+            try {
+                supervisor.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "supervisor");
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    JsonObject ask(String what) throws IOException {
+        return FleetClient.ask(definition.control(), FleetClient.request(what));
+    }
+
+    /** What the supervisor has logged. */
+    String log() {
+        return log.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Stops all daemons and waits for it. */
+    void stop(Supervision.Mode mode) throws IOException {
+        supervisor.stop(mode);
+        try {
+            thread.join(STOP_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (thread.isAlive()) {
+            throw new IOException("the fleet did not stop; the supervisor says: " + log());
+        }
+    }
+
+    /** Ends what still runs. */
+    @Override
+    public void close() throws IOException {
+        try (supervisor) {
+            if (thread.isAlive()) {
+                stop(Supervision.Mode.RESTART);
+            }
+        }
+    }
+
+    /** Removes a run's folder with all that is in it. */
+    static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+}
--- a/cli/src/main/java/amberroute/cli/Play.java
+++ b/cli/src/main/java/amberroute/cli/Play.java
@@ -1,29 +1,22 @@
 package amberroute.cli;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 
 import amberroute.fleet.Definition;
-import amberroute.fleet.FleetClient;
 import amberroute.fleet.Supervision;
-import amberroute.fleet.Supervisor;
 import amberroute.testkit.Book;
 import amberroute.testkit.Clients;
 import amberroute.testkit.FaultProxy;
@@ -56,14 +49,12 @@
     private final Path folder;
     private final Stage stage;
     private final Clients clients;
-    private final Definition definition;
-    private final Supervisor supervisor;
-    private final Thread thread;
-    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final LocalFleet fleet;
     private final Map<String, Long> downSince = new HashMap<>();
     private long lastLook;
     private long upMillis;
-    private JsonObject status;
+    /** What the supervisor said last; the table is drawn on another thread. */
+    private volatile JsonObject status;
     private final Random random;
     private long killed;
 
@@ -85,26 +76,18 @@
         int port = Stage.freePorts(plan.daemons(), plan.seed());
         stage.senderFile(folder, plan.daemons());
         Path file = stage.fleetFile(folder, plan.daemons(), port, Home.daemonJar(), plan.rolling());
-        definition = Definition.read(file, Home.daemonJar());
         List<InetSocketAddress> senders = new ArrayList<>();
         for (int i = 0; i < plan.daemons(); i++) {
             senders.add(new InetSocketAddress("127.0.0.1", port + i));
         }
         clients = stage.clients(senders, Stage.kinds());
-        supervisor = new Supervisor(definition, new PrintStream(log, true, StandardCharsets.UTF_8));
-        thread = new Thread(() -> {
-            try {
-                supervisor.run();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "supervisor");
+        fleet = new LocalFleet(Definition.read(file, Home.daemonJar()));
     }
 
     /** Plays it all; the object has what is asked of the last line. */
     JsonObject run() throws Exception {
         long begun = millis();
-        thread.start();
+        fleet.start();
         until(() -> status.get("ready").getAsBoolean(), READY_MS, "the fleet to be ready");
         upMillis = millis() - begun;
         lines.accept(plan.daemons() + " daemons are ready after " + upMillis + " ms");
@@ -115,7 +98,7 @@
         long rollFrom = quietTo;
         for (int i = 0; i < plan.rolls(); i++) {
             lines.accept("rolling restart " + (i + 1) + " begins");
-            JsonObject answer = FleetClient.ask(definition.control(), FleetClient.request("restart"));
+            JsonObject answer = fleet.ask("restart");
             if (!answer.get("ok").getAsBoolean()) {
                 throw new IOException("restart refused: " + answer);
             }
@@ -142,11 +125,7 @@
         stage.run(clients::pause);
         lines.accept("clients have stopped asking");
         settle();
-        supervisor.stop(Supervision.Mode.FINAL);
-        thread.join(60_000);
-        if (thread.isAlive()) {
-            throw new IOException("the fleet did not stop");
-        }
+        fleet.stop(Supervision.Mode.FINAL);
         return result(quietFrom, quietTo, rollFrom, rollTo);
     }
 
@@ -186,8 +165,7 @@
         look();
         while (status == null || !condition.holds()) {
             if (millis() > end) {
-                throw new IOException("waited in vain for " + what + "; the supervisor says: "
-                        + log.toString(StandardCharsets.UTF_8));
+                throw new IOException("waited in vain for " + what + "; the supervisor says: " + fleet.log());
             }
             watch(100);
         }
@@ -208,7 +186,7 @@
     private void look() {
         long now = Stage.micros();
         try {
-            status = FleetClient.ask(definition.control(), FleetClient.request("status"));
+            status = fleet.ask("status");
         } catch (IOException e) {
             return;
         }
@@ -291,7 +269,7 @@
         if (!ok) {
             stage.on(stage.book()::complaints).forEach(c -> lines.accept("! " + c));
             stage.on(() -> stage.book().lost(Stage.micros())).forEach(c -> lines.accept("! lost " + c));
-            lines.accept(log.toString(StandardCharsets.UTF_8));
+            lines.accept(fleet.log());
         }
         return out;
     }
@@ -304,11 +282,6 @@
         return System.nanoTime() / 1_000_000;
     }
 
-    /** What the supervisor has logged. */
-    String log() {
-        return log.toString(StandardCharsets.UTF_8);
-    }
-
     Path folder() {
         return folder;
     }
@@ -316,20 +289,10 @@
     /** Ends what still runs and clears the run's folder. */
     @Override
     public void close() throws IOException {
-        if (thread.isAlive()) {
-            supervisor.stop(Supervision.Mode.RESTART);
-            try {
-                thread.join(30_000);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-        supervisor.close();
-        stage.close();
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(file);
-            }
+        try (stage; fleet) {
+            // Both are closed, the fleet first.
+        } finally {
+            LocalFleet.delete(folder);
         }
     }
 }
--- a/cli/src/main/java/amberroute/cli/StartRig.java
+++ b/cli/src/main/java/amberroute/cli/StartRig.java
@@ -1,14 +1,10 @@
 package amberroute.cli;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
@@ -18,9 +14,6 @@
 import com.google.gson.JsonObject;
 
 import amberroute.fleet.Definition;
-import amberroute.fleet.FleetClient;
-import amberroute.fleet.Supervision;
-import amberroute.fleet.Supervisor;
 import amberroute.testkit.Partner;
 import amberroute.testkit.Stage;
 
@@ -32,10 +25,6 @@
     "Exit code 0 where every fleet came up, 3 where not."})
 final class StartRig implements Callable<Integer> {
     private static final long READY_MS = 120_000;
-    private static final String PLAIN = "java = [\"java\", \"-XX:+UseSerialGC\", \"-XX:TieredStopAtLevel=1\", "
-            + "\"-Xshare:auto\", \"-XX:-UsePerfData\", \"-Xms40m\", \"-Xmx40m\", \"-Xmn16m\", \"-Xss512k\", "
-            + "\"-XX:MaxMetaspaceSize=48m\", \"-XX:ReservedCodeCacheSize=16m\", \"-XX:MaxDirectMemorySize=16m\", "
-            + "\"-Dio.netty.allocator.type=unpooled\", \"-Dio.netty.noPreferDirect=true\"]\n";
 
     @Option(names = "--daemons", split = ",", defaultValue = "1,5,20", description = "fleet sizes (${DEFAULT-VALUE})")
     private List<Integer> sizes;
@@ -53,8 +42,8 @@
             List<Long> without = new ArrayList<>();
             JsonObject rest = new JsonObject();
             for (int round = 0; round < rounds; round++) {
-                with.add(start(size, "", rest));
-                without.add(start(size, PLAIN, new JsonObject()));
+                with.add(start(size, true, rest));
+                without.add(start(size, false, new JsonObject()));
             }
             ok &= Collections.min(with) >= 0 && Collections.min(without) >= 0;
             JsonObject one = new JsonObject();
@@ -77,47 +66,30 @@
     }
 
     /** Milliseconds until all are ready, -1 where they are not in time. */
-    private long start(int size, String java, JsonObject rest) throws Exception {
+    private long start(int size, boolean archive, JsonObject rest) throws Exception {
         Path folder = Files.createTempDirectory("amberroute-start-");
         try (Stage stage = new Stage(0)) {
             stage.destination(1, 1, Partner.Figures.roomy(), "single");
             stage.senderFile(folder, size);
             Path file = stage.fleetFile(folder, size, Stage.freePorts(size, System.nanoTime()), Home.daemonJar(),
-                    java + "[start]\nat_once = " + atOnce + "\n");
-            Definition definition = Definition.read(file, Home.daemonJar());
-            ByteArrayOutputStream log = new ByteArrayOutputStream();
-            try (Supervisor supervisor = new Supervisor(definition, new PrintStream(log, true, StandardCharsets.UTF_8))) {
-                Thread thread = new Thread(() -> {
-                    try {
-                        supervisor.run();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
+                    "archive = " + archive + "\n[start]\nat_once = " + atOnce + "\n");
+            try (LocalFleet fleet = new LocalFleet(Definition.read(file, Home.daemonJar()))) {
                 long from = System.nanoTime();
-                thread.start();
-                long took = -1;
-                while (took < 0 && System.nanoTime() - from < READY_MS * 1_000_000) {
-                    JsonObject status = FleetClient.ask(definition.control(), FleetClient.request("status"));
+                fleet.start();
+                while (System.nanoTime() - from < READY_MS * 1_000_000) {
+                    JsonObject status = fleet.ask("status");
                     if (status.get("ready").getAsBoolean()) {
-                        took = (System.nanoTime() - from) / 1_000_000;
+                        long took = (System.nanoTime() - from) / 1_000_000;
                         atRest(status.getAsJsonArray("daemons"), rest);
+                        return took;
                     }
                     Thread.sleep(5);
                 }
-                if (took < 0) {
-                    System.out.println(log.toString(StandardCharsets.UTF_8));
-                }
-                supervisor.stop(Supervision.Mode.RESTART);
-                thread.join(60_000);
-                return took;
+                System.out.println(fleet.log());
+                return -1;
             }
         } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.deleteIfExists(path);
-                }
-            }
+            LocalFleet.delete(folder);
         }
     }
 
--- a/cli/src/main/java/amberroute/cli/SubmitCommand.java
+++ b/cli/src/main/java/amberroute/cli/SubmitCommand.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import amberroute.config.Units;
+import amberroute.testkit.RespRequest;
 
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -45,12 +46,7 @@
         try (Socket socket = new Socket()) {
             socket.connect(address, 2_000);
             socket.setSoTimeout(2_000);
-            StringBuilder request = new StringBuilder("*5\r\n");
-            for (String word : new String[] {"SUBMIT", orderKey, name, options, body}) {
-                request.append('$').append(word.getBytes(StandardCharsets.UTF_8).length).append("\r\n").append(word)
-                        .append("\r\n");
-            }
-            socket.getOutputStream().write(request.toString().getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().write(RespRequest.of("SUBMIT", orderKey, name, options, body));
             String answer = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))
                     .readLine();
             System.out.println(name + " " + (answer == null ? "no answer" : answer.replaceAll("\\p{Cntrl}", "?")));
--- a/fleet/src/main/java/amberroute/fleet/Definition.java
+++ b/fleet/src/main/java/amberroute/fleet/Definition.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 
-import amberroute.config.ConfigException;
 import amberroute.config.Schema;
 import amberroute.config.Settings;
 import amberroute.config.Units;
@@ -60,6 +59,7 @@
             .address("listen", true, "where the first listens; each further one has the next port")
             .size("heap", "40MB", "24MB", "64GB", "each daemon's heap, where java is not told")
             .list("java", "the command that starts the JVM, with its flags; lean flags for a small heap if not told")
+            .flag("archive", true, "starts from the class-data archive beside the jar, where there is one and java is not told")
             .text("jar", null, "the daemon's jar; the one beside this program if not told")
             .whole("start.at_once", 4L, 1, 1_000, "daemons that may be starting at a time")
             .duration("start.ready_within", "30s", "100ms", "1h", "one that is not ready by then has failed")
@@ -91,12 +91,14 @@
         if (s.micros("restart.longest") < s.micros("restart.pause")) {
             throw s.bad("restart.longest", "is shorter than restart.pause");
         }
-        return new Definition(file, s.text("name"), folder, instances,
+        Definition definition = new Definition(file, s.text("name"), folder, instances,
                 new Policy(s.whole("start.at_once"), s.millis("start.ready_within"), s.millis("stop.within"),
                         s.millis("stop.grace"), s.millis("restart.pause"), s.millis("restart.longest"),
                         s.whole("restart.deaths"), s.millis("restart.span"), s.whole("rolling.at_once"),
                         s.millis("rolling.pause"), s.millis("restart.steady")),
                 s.bytes("logs.size"));
+        fits(s, definition.control());
+        return definition;
     }
 
     /** What starts one daemon: lean flags and a heap of one size, of which 2/5 are for what is young. */
@@ -106,7 +108,7 @@
             command.addAll(List.of("-Xms" + heap, "-Xmx" + heap, "-Xmn" + heap * 2 / 5));
         }
         Path archive = daemon.resolveSibling(daemon.getFileName().toString().replaceAll("\\.jar$", "") + ".jsa");
-        if (s.list("java").isEmpty() && Files.isRegularFile(archive)) {
+        if (s.list("java").isEmpty() && s.flag("archive") && Files.isRegularFile(archive)) {
             command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:disable", "-Xlog:all=error:stderr",
                     "-Xlog:cds=off:stderr"));
         }
@@ -148,9 +150,7 @@
             claim(s, taken, "names", "name " + name, name);
             claim(s, taken, "listen", "address " + listen, name);
             claim(s, taken, "instance.state", "state folder " + state, name);
-            if (instance.control().toString().getBytes(StandardCharsets.UTF_8).length > LONGEST_SOCKET_PATH) {
-                throw s.bad("folder", "is too long a path: no Unix socket may have " + instance.control());
-            }
+            fits(s, instance.control());
             out.add(instance);
         }
         if (!special.isEmpty()) {
@@ -173,11 +173,13 @@
 
     /** The supervisor's own control socket. */
     public Path control() {
-        Path path = folder.resolve("fleet");
-        if (path.toString().getBytes(StandardCharsets.UTF_8).length > LONGEST_SOCKET_PATH) {
-            throw new ConfigException(file + ": folder is too long a path: no Unix socket may have " + path);
+        return folder.resolve("fleet");
+    }
+
+    private static void fits(Settings s, Path socket) {
+        if (socket.toString().getBytes(StandardCharsets.UTF_8).length > LONGEST_SOCKET_PATH) {
+            throw s.bad("folder", "is too long a path: no Unix socket may have " + socket);
         }
-        return path;
     }
 
     /** A one-line summary for people. */
--- a/fleet/src/main/java/amberroute/fleet/Supervision.java
+++ b/fleet/src/main/java/amberroute/fleet/Supervision.java
@@ -71,6 +71,7 @@
     private String lastRoll = "none";
     private boolean ending;
     private Mode endMode;
+    private boolean leftOver;
 
     public Supervision(Policy policy, List<String> names, Hands hands) {
         this.policy = policy;
@@ -112,8 +113,8 @@
         }
     }
 
-    /** Its process has ended; {@code how} says with what, for people. */
-    public void ended(long now, int daemon, String how) {
+    /** Its process has ended, {@code clean} where it says itself that it owes nothing; {@code how} is for people. */
+    public void ended(long now, int daemon, boolean clean, String how) {
         Daemon d = daemons.get(daemon);
         if (d.state == State.DOWN || d.state == State.GIVEN_UP) {
             return;
@@ -125,6 +126,10 @@
         d.asked = false;
         d.killed = false;
         d.startAt = now;
+        if (ending && endMode == Mode.FINAL && !clean) {
+            leftOver = true;
+            hands.say(d.name + " ended with " + how + ": its journal may still owe something");
+        }
         if (wanted) {
             hands.say(d.name + " has stopped (" + how + ")");
             d.deathsInRow = 0;
@@ -309,6 +314,11 @@
         return ending && daemons.stream().allMatch(d -> d.state == State.DOWN || d.state == State.GIVEN_UP);
     }
 
+    /** Whether a stop for good may have left something in a journal. */
+    public boolean leftOver() {
+        return leftOver;
+    }
+
     /** Whether the fleet is being stopped. */
     public boolean ending() {
         return ending;
--- a/fleet/src/main/java/amberroute/fleet/Supervisor.java
+++ b/fleet/src/main/java/amberroute/fleet/Supervisor.java
@@ -33,6 +33,8 @@
  * finds the locks held and takes them over. Only one supervisor can hold a fleet's folder.
  */
 public final class Supervisor implements AutoCloseable {
+    /** What {@link #run} answers where a stop for good could not end all that was held. */
+    public static final int LEFT_OVER = 3;
     private static final long LOOK_MS = 20;
     private static final long STATUS_MS = 100;
     private static final long LOCK_MS = 100;
@@ -153,7 +155,7 @@
         }
     }
 
-    /** Serves until the fleet has been stopped; 0 where all went well. */
+    /** Serves until the fleet has been stopped; 0 where all went well, 3 where a stop for good left something behind. */
     public int run() throws InterruptedException {
         while (!supervision.over()) {
             look();
@@ -161,7 +163,7 @@
         }
         answerClients();
         log.println("the fleet has stopped");
-        return 0;
+        return supervision.leftOver() ? LEFT_OVER : 0;
     }
 
     /** Asks for a stop of the whole fleet, from any thread. */
@@ -216,13 +218,13 @@
             int code = place.child.exitValue();
             place.child = null;
             place.link.reset();
-            supervision.ended(now, i, code > 128 ? "signal " + (code - 128) : "exit code " + code);
+            supervision.ended(now, i, code == 0, code > 128 ? "signal " + (code - 128) : "exit code " + code);
         } else if (place.found && now - place.lockLooked >= LOCK_MS) {
             place.lockLooked = now;
             if (!lockHeld(place)) {
                 place.found = false;
                 place.link.reset();
-                supervision.ended(now, i, "an end that nobody saw");
+                supervision.ended(now, i, false, "an end that nobody saw");
             }
         }
     }
@@ -269,7 +271,7 @@
                 place.child = builder.start();
             } catch (IOException e) {
                 say(place.instance.name() + " cannot be started: " + e.getMessage());
-                supervision.ended(now(), daemon, "no process");
+                supervision.ended(now(), daemon, false, "no process");
             }
         }
 
@@ -354,10 +356,19 @@
             }
             return true;
         } catch (IOException e) {
+            closeQuietly(client.channel);
             return false;
         }
     }
 
+    private static void closeQuietly(SocketChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // It is given up either way.
+        }
+    }
+
     private JsonObject answer(String line) {
         JsonObject answer = new JsonObject();
         String error;
--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -380,7 +380,8 @@
         return new String(value, StandardCharsets.ISO_8859_1);
     }
 
-    private static boolean printable(String word) {
+    /** What may stand in a header or on a line: at most 128 visible characters of ASCII. */
+    static boolean printable(String word) {
         return word.length() <= LONGEST_NAME && word.chars().allMatch(c -> c > ' ' && c < 127);
     }
 
--- a/sender/src/main/java/amberroute/sender/Config.java
+++ b/sender/src/main/java/amberroute/sender/Config.java
@@ -1,9 +1,7 @@
 package amberroute.sender;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,6 +15,7 @@
 import com.google.gson.JsonParser;
 
 import amberroute.Relay;
+import amberroute.config.Units;
 import amberroute.settings.BadInput;
 import amberroute.settings.Facts;
 
@@ -142,14 +141,9 @@
 
     /** An address in figures and a port; names are never looked up, as there is no DNS. */
     static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon < 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
-            throw new BadInput("not an address: " + text);
-        }
         try {
-            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
-                    Integer.parseInt(text.substring(colon + 1)));
-        } catch (UnknownHostException | IllegalArgumentException e) {
+            return Units.address(text);
+        } catch (IllegalArgumentException e) {
             throw new BadInput("not an address: " + text);
         }
     }
--- a/sender/src/main/java/amberroute/sender/Control.java
+++ b/sender/src/main/java/amberroute/sender/Control.java
@@ -23,11 +23,13 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.timeout.ReadTimeoutHandler;
 
 /**
  * The daemon's control socket, for its supervisor and its operators: one JSON object a line, each answered by one. It
  * is a Unix socket that only its owner may open (0600). At most {@value #MOST_CONNECTIONS} connections, lines of at most
- * {@value #LONGEST_LINE} bytes; a connection is closed when a line cannot be read.
+ * {@value #LONGEST_LINE} bytes; a connection is closed when a line cannot be read or
+ * none has come for ten minutes.
  *
  * <p>Requests have a {@code do}: {@code status}, {@code reload}, or {@code stop} with {@code mode} (restart or final)
  * and {@code within_ms}. Answers have {@code ok}, and an {@code error} where that is false.
@@ -35,6 +37,7 @@
 final class Control {
     static final int MOST_CONNECTIONS = 16;
     static final int LONGEST_LINE = 4_096;
+    private static final int IDLE_MINUTES = 10;
 
     private final EventLoop loop;
     private final BiConsumer<JsonObject, Consumer<JsonObject>> handler;
@@ -57,13 +60,13 @@
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
+                            channel.closeFuture().addListener(closed -> connections--);
                             if (++connections > MOST_CONNECTIONS) {
-                                channel.closeFuture().addListener(closed -> connections--);
                                 channel.close();
                                 return;
                             }
-                            channel.closeFuture().addListener(closed -> connections--);
-                            channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE, true, true), new Session());
+                            channel.pipeline().addLast(new ReadTimeoutHandler(IDLE_MINUTES, TimeUnit.MINUTES),
+                                    new LineBasedFrameDecoder(LONGEST_LINE, true, true), new Session());
                         }
                     }).bind(UnixDomainSocketAddress.of(at)).sync().channel();
         } catch (InterruptedException e) {
@@ -96,13 +99,6 @@
     }
 
     private final class Session extends SimpleChannelInboundHandler<ByteBuf> {
-        private static final long IDLE_MINUTES = 10;
-
-        @Override
-        public void channelActive(ChannelHandlerContext context) {
-            loop.schedule(() -> context.close(), IDLE_MINUTES, TimeUnit.MINUTES);
-        }
-
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
             JsonObject request;
--- a/sender/src/main/java/amberroute/sender/DrainPlan.java
+++ b/sender/src/main/java/amberroute/sender/DrainPlan.java
@@ -25,6 +25,8 @@
         END_ALL,
         /** Waits for notices to be answered. */
         AWAIT_NOTICES,
+        /** Takes no connection any more and closes those on which nobody waits: what was just answered still leaves. */
+        CLOSE,
         /** The process may end. */
         DONE
     }
@@ -83,11 +85,10 @@
         if (load.noticesOut() > 0 && !over) {
             return Step.AWAIT_NOTICES;
         }
-        // Nothing is left, or no time: what was just answered still has to leave.
         if (quietSince < 0) {
             quietSince = now;
         }
-        return now - quietSince >= LINGER ? Step.DONE : Step.AWAIT_NOTICES;
+        return now - quietSince >= LINGER ? Step.DONE : Step.CLOSE;
     }
 
     /**
--- a/sender/src/main/java/amberroute/sender/EndpointFile.java
+++ b/sender/src/main/java/amberroute/sender/EndpointFile.java
@@ -28,6 +28,7 @@
     private final Thread thread;
     private final AtomicBoolean asked = new AtomicBoolean();
     private volatile boolean closed;
+    /** Null before the first look: the file may have been replaced since the sender read it for its start. */
     private Stamp seen;
 
     /** {@code taken} is called on the follower's thread with each new list that can be used. */
@@ -35,13 +36,12 @@
         this.path = path;
         this.config = config;
         this.taken = taken;
-        seen = stamp();
         thread = new Thread(this::follow, "endpoints");
         thread.setDaemon(true);
         thread.start();
     }
 
-    /** Reads the file again though it looks the same. */
+    /** Reads the file again though it looks the same; from any thread. */
     void ask() {
         asked.set(true);
         thread.interrupt();
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -128,8 +128,9 @@
     /** Takes up what an earlier process had offered: only its heirs can tell whose that is. */
     void recover() {
         journal.lots().forEach((lot, kept) -> {
-            if (kept.ownership().status() == Ownership.Status.OFFERED) {
-                Offer offer = new Offer(lot, kept.ownership(), journal.messages(kept.numbers()));
+            List<Held> messages = journal.messages(kept.numbers());
+            if (kept.ownership().status() == Ownership.Status.OFFERED && !messages.isEmpty()) {
+                Offer offer = new Offer(lot, kept.ownership(), messages);
                 offer.back = true;
                 offers.put(lot, offer);
             }
@@ -139,7 +140,7 @@
 
     /** Offers what may move; to be called again and again while this daemon leaves. */
     void offerAll() {
-        if (peers.isEmpty()) {
+        if (peers.isEmpty() || offers.size() >= MOST_OUT) {
             return;
         }
         for (List<Held> messages : host.movable()) {
@@ -168,11 +169,16 @@
         List.copyOf(offers.values()).forEach(this::giveUp);
     }
 
+    /**
+     * Each message's end is written before the lot's: a process that dies between the two finds ended messages under an
+     * offer, where the other way round it would find them its own again while the heir may call.
+     */
     private void giveUp(Offer offer) {
+        host.failed(offer.messages);
+        offers.remove(offer.lot);
         for (Effect effect : offer.ownership.end(offer.lot)) {
-            if (effect instanceof Effect.Write write && host.record(offer.lot, write.ownership(), offer.messages)) {
-                offers.remove(offer.lot);
-                host.failed(offer.messages);
+            if (effect instanceof Effect.Write write) {
+                host.record(offer.lot, write.ownership(), offer.messages);
             }
         }
     }
@@ -401,9 +407,11 @@
         m.attempts = json.get("attempts").getAsInt();
         m.doubtSince = json.get("doubt_since").getAsLong();
         m.doubtAt = json.get("doubt_at").getAsString();
-        if (m.body.length > Resp.LARGEST_VALUE || m.id.length() > 128 || m.idempotencyKey.length() > 128
-                || m.doubtAt.length() > 128 || m.id.isEmpty()) {
-            throw new IllegalArgumentException("a message that is too large");
+        boolean good = !m.id.isEmpty() && ClientServer.printable(m.id) && ClientServer.printable(m.idempotencyKey)
+                && m.doubtAt.length() <= 128 && m.body.length <= Resp.LARGEST_VALUE && m.attempts >= 0 && m.doubtSince >= 0
+                && m.deadline >= 0 && m.deadline <= System.currentTimeMillis() + Sender.LONGEST_LIFE_MS;
+        if (!good) {
+            throw new IllegalArgumentException("a message that no client can have handed in");
         }
         return m;
     }
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -49,7 +49,8 @@
     private static final int MEMORY_BYTES = 64;
     /** Lots of which something is known; with more, none is offered or taken. */
     private static final int MOST_LOTS = 4_096;
-    private static final int LOT_BYTES = 320;
+    /** Room for a lot's record, but for the numbers of its messages. */
+    private static final int LOT_BYTES = 512;
     private static final long REWRITE_LEAST = 256 * 1024;
     private static final int REWRITE_BUFFER = 16 * 1024;
 
@@ -208,19 +209,34 @@
 
     private boolean roomForLot(String name) {
         if (lots.size() >= MOST_LOTS) {
-            long now = System.currentTimeMillis();
-            lots.values().removeIf(lot -> lot.until() < now && lot.ownership().status() != Ownership.Status.OFFERED);
+            dropOldLots();
         }
         return lots.size() < MOST_LOTS || lots.containsKey(name);
     }
 
+    /** What nobody can ask for any more: a late offer of messages whose time is up is refused for that. */
+    private void dropOldLots() {
+        long now = System.currentTimeMillis();
+        List.copyOf(lots.keySet()).forEach(name -> {
+            Lot lot = lots.get(name);
+            if (lot.until() < now && lot.ownership().status() != Ownership.Status.OFFERED) {
+                reserved -= reserve(lots.remove(name));
+            }
+        });
+    }
+
+    private static long reserve(Lot lot) {
+        return LOT_BYTES + 8L * lot.numbers().size();
+    }
+
     private void apply(String name, Lot lot) {
-        lots.put(name, lot);
+        Lot before = lots.put(name, lot);
+        reserved += reserve(lot) - (before == null ? 0 : reserve(before));
         for (long number : lot.numbers()) {
             Held m = live.get(number);
             if (m != null && lot.ownership().status() == Ownership.Status.GIVEN) {
                 drop(m);
-            } else if (m != null) {
+            } else if (m != null && lot.ownership().status() != Ownership.Status.ENDED) {
                 m.frozen = lot.ownership().status() == Ownership.Status.OFFERED;
             }
         }
@@ -484,7 +500,7 @@
 
     private boolean append(byte[] record) {
         try {
-            if (size + record.length + reserved + (long) LOT_BYTES * lots.size() > budget
+            if (size + record.length + reserved > budget
                     || size > REWRITE_LEAST && size > 4 * reserved) {
                 rewrite();
             }
@@ -513,6 +529,7 @@
 
     /** Written through a small buffer: the heap has no room for a second copy of all that is owed. */
     private void rewrite() throws IOException {
+        dropOldLots();
         Path path = path("journal.new");
         FileChannel fresh = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
                 StandardOpenOption.WRITE);
@@ -534,11 +551,8 @@
                     out.write(ending(m));
                 }
             }
-            long now = System.currentTimeMillis();
             for (Map.Entry<String, Lot> lot : lots.entrySet()) {
-                if (lot.getValue().until() >= now || lot.getValue().ownership().status() == Ownership.Status.OFFERED) {
-                    out.write(lotRecord('H', lot.getKey(), lot.getValue(), List.of()));
-                }
+                out.write(lotRecord('H', lot.getKey(), lot.getValue(), List.of()));
             }
             out.flush();
             length = fresh.position();
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -48,7 +48,7 @@
     private static final int REST = 4;
     private static final long DRAIN_STEP_MS = 10;
     /** No message lives longer, so that an offer that was refused cannot come again behind this. */
-    private static final long KEEP_REFUSAL_MS = 3_600_000;
+    static final long LONGEST_LIFE_MS = 3_600_000;
     /** Exit code of a stop for good that left something in the journal. */
     static final int LEFT_OVER = 3;
     /** Origin of the module's clock. */
@@ -98,8 +98,10 @@
     /** The stop that is under way, null while none is; and whether calls are over and what is left is being ended. */
     private DrainPlan drain;
     private boolean endingAll;
-    private boolean doorClosed;
     private Future<?> drainSteps;
+    /** A stop that was asked for before the sender serves: it begins then. */
+    private Runnable earlyStop;
+    private boolean reloading;
     /** Completed with the exit code when a stop is done; its sockets and files are then closed by {@link #stop}. */
     private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
 
@@ -114,6 +116,11 @@
     private Sender(Config config) throws IOException {
         this.config = config;
         Relay.Settings settings = config.settings();
+        try {
+            module = new Policy(settings, true);
+        } catch (IllegalArgumentException e) {
+            throw new BadInput(e.getMessage());
+        }
         lock = StateLock.take(config.state(), config.standalone() != null);
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
@@ -129,7 +136,6 @@
             lock.close();
             throw e;
         }
-        module = new Policy(settings, true);
         directory = new Directory(loop, config, this::onListing);
         receivers = new Receivers(loop, this::onResult, settings.limits().connectTimeout(),
                 settings.limits().idleConnectionLife(), config.mostToReceivers(), config.reportNames());
@@ -186,10 +192,11 @@
     }
 
     private void serving() {
-        if (phase == Phase.STARTING) {
-            phase = Phase.READY;
-            serviceNotify.tell("READY=1");
-            phaseSince = System.nanoTime();
+        phase = Phase.READY;
+        phaseSince = System.nanoTime();
+        serviceNotify.tell("READY=1");
+        if (earlyStop != null) {
+            earlyStop.run();
         }
         if (config.standalone() != null && config.standalone().endpoints() != null) {
             endpointFile = new EndpointFile(config.standalone().endpoints(), config,
@@ -241,9 +248,8 @@
             endpointFile.close();
         }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-        try {
+        try (lock) {
             journal.close();
-            lock.close();
         } catch (IOException e) {
             Log.warn("journal: " + e);
         }
@@ -548,10 +554,18 @@
                     answer.accept(Control.answer(false, "stop needs a mode, restart or final, and a number within_ms"));
                 }
             }
-            case "reload" -> new Thread(() -> {
-                String error = environment == null ? "no configuration to read again" : reload(environment);
-                answer.accept(Control.answer(error == null, error));
-            }, "reload").start();
+            case "reload" -> {
+                if (reloading || environment == null || phase == Phase.STARTING) {
+                    answer.accept(Control.answer(false, reloading ? "a reload is under way" : "nothing to read again yet"));
+                    return;
+                }
+                reloading = true;
+                new Thread(() -> {
+                    String error = reload(environment);
+                    loop.execute(() -> reloading = false);
+                    answer.accept(Control.answer(error == null, error));
+                }, "reload").start();
+            }
             default -> answer.accept(Control.answer(false, "no such command"));
         }
     }
@@ -576,6 +590,10 @@
 
     /** Begins a stop; one for good takes over from one for a restart, any other is under way already. */
     void beginStop(DrainPlan.Mode mode, long within) {
+        if (phase == Phase.STARTING) {
+            earlyStop = () -> beginStop(mode, within);
+            return;
+        }
         if (drain != null && (drain.mode() == mode || mode == DrainPlan.Mode.RESTART)) {
             return;
         }
@@ -611,11 +629,10 @@
             }
             case END_ALL -> endAll();
             case AWAIT_NOTICES -> {
-                if (load.held() == 0 && load.noticesOut() == 0 && !doorClosed) {
-                    doorClosed = true;
-                    clients.closeDoor();
-                    clients.closeIdle();
-                }
+            }
+            case CLOSE -> {
+                clients.closeDoor();
+                clients.closeIdle();
             }
             case DONE -> {
                 drainSteps.cancel(false);
@@ -656,18 +673,17 @@
                 return lots;
             }
             Set<Long> waiting = new HashSet<>();
-            journal.live().forEach(m -> {
+            // In the order of acceptance, which is that of each key.
+            for (Held m : journal.live()) {
                 if (m.notice != null || m.frozen) {
                     waiting.add(m.key);
-                }
-            });
-            for (Held m : held.values().stream().sorted((a, b) -> Long.compare(a.number, b.number)).toList()) {
-                if (inOrder(m)) {
+                } else if (held.containsKey(m.number) && inOrder(m)) {
                     keyed.computeIfAbsent(m.key, k -> new ArrayList<>()).add(m);
-                } else {
+                } else if (held.containsKey(m.number)) {
                     lots.add(List.of(m));
                 }
             }
+
             keyed.forEach((key, messages) -> {
                 // The order passes on with the notice of the one before, which is still to come here.
                 if (!waiting.contains(key)) {
@@ -686,7 +702,7 @@
 
         @Override
         public boolean record(String lot, Ownership ownership, List<Held> messages) {
-            long until = messages.stream().mapToLong(m -> m.deadline).max().orElse(wall() + KEEP_REFUSAL_MS);
+            long until = messages.stream().mapToLong(m -> m.deadline).max().orElse(wall() + LONGEST_LIFE_MS);
             if (!journal.lot(lot, ownership, until, messages)) {
                 return false;
             }
@@ -763,8 +779,8 @@
             }
             loop.execute(() -> {
                 if (read.discovery() == null) {
-                    Log.warn("endpoints: read again");
-                    directory.replace(read.known());
+                    // By the one that follows the file, so that an older reading never comes behind a newer one.
+                    endpointFile.ask();
                 } else {
                     Log.warn("discovery is at " + read.discovery());
                     directory.move(read.discovery());
--- a/testkit/src/main/java/amberroute/testkit/Book.java
+++ b/testkit/src/main/java/amberroute/testkit/Book.java
@@ -131,6 +131,10 @@
             strange++;
             complain("message " + id + " was turned away and carried out");
         }
+        if (entry.end == End.RETURNED && entry.effect == Effect.UNSAFE) {
+            strange++;
+            complain("unsafe message " + id + " was returned as never run and took effect");
+        }
         int times = effectsOfOrigin.merge(entry.origin, 1, Integer::sum);
         if (entry.effect != Effect.SAFE && times > 1) {
             doubled++;
--- a/testkit/src/main/java/amberroute/testkit/Partner.java
+++ b/testkit/src/main/java/amberroute/testkit/Partner.java
@@ -87,7 +87,7 @@
         return mode;
     }
 
-    /** Goes down or comes back; who comes back from anything but silence is cold. */
+    /** Goes down or comes back; who comes back is cold. */
     public void become(Mode next, long now) {
         if (next == Mode.UP && mode != Mode.UP) {
             coldSince = now;
--- a/testkit/src/test/java/amberroute/testkit/BookTest.java
+++ b/testkit/src/test/java/amberroute/testkit/BookTest.java
@@ -110,6 +110,14 @@
         assertEquals(4, totals().strange());
     }
 
+    @Test
+    void findsAnUnsafeMessageThatWasReturnedAndRan() {
+        taken("a", "a", Effect.UNSAFE, 0);
+        book.noticed(1, "a", true);
+        book.effect(2, "a", 1);
+        assertEquals(1, totals().strange());
+    }
+
     @Test
     void findsAnUnsafeMessageThatRanAndWasReturned() {
         taken("a", "a", Effect.UNSAFE, 0);
