--- a/cli/src/test/java/amberroute/cli/FleetProcessTest.java
+++ b/cli/src/test/java/amberroute/cli/FleetProcessTest.java
@@ -8,12 +8,17 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -25,7 +30,9 @@
 
 import amberroute.fleet.Definition;
 import amberroute.fleet.FleetClient;
+import amberroute.fleet.Supervisor;
 import amberroute.testkit.Partner;
+import amberroute.testkit.RespRequest;
 import amberroute.testkit.Stage;
 
 /** The supervisor and its daemons as real processes, which are killed, stopped and hindered. */
@@ -253,6 +260,85 @@
                 .map(a -> List.of(a).contains(file)).orElse(false)).count();
     }
 
+    /** At whatever step of a rolling restart it dies: no daemon is lost by it, and the next one can roll to the end. */
+    @Test
+    void aSupervisorKilledAtAnyStepOfARollingRestartLosesNoDaemon() throws Exception {
+        define(3, QUICK);
+        Process supervisor = up();
+        for (int millis : new int[] {0, 60, 250, 600, 900}) {
+            await(this::allReady);
+            command("restart");
+            Thread.sleep(millis);
+            supervisor.destroyForcibly().waitFor();
+            supervisor = up();
+        }
+        await(this::allReady);
+        List<Long> before = pids();
+        assertEquals(3, before.stream().distinct().count());
+        command("restart");
+        await(() -> status().get("rolling").getAsString().equals("done"));
+        assertTrue(pids().stream().noneMatch(before::contains));
+        await(() -> daemonsOf() == 3);
+    }
+
+    /** Whoever broke off in the middle of a request must not cost the supervisor a descriptor each. */
+    @Test
+    void clientsThatBreakOffLeaveNothingBehind() throws Exception {
+        define(1, QUICK);
+        up();
+        await(this::allReady);
+        long before = descriptors();
+        for (int i = 0; i < 100; i++) {
+            try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(definition.control()))) {
+                channel.write(ByteBuffer.wrap((i % 2 == 0 ? "{\"do\":" : "{\"do\":\"status\"}\n").getBytes(StandardCharsets.UTF_8)));
+            }
+            if (i % 8 == 0) {
+                await(() -> status() != null);
+            }
+        }
+        for (String bad : List.of("nonsense", "{}", "{\"do\":\"dance\"}", "{\"do\":\"restart\",\"names\":[\"nobody\"]}")) {
+            try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(definition.control()))) {
+                channel.write(ByteBuffer.wrap((bad + "\n").getBytes(StandardCharsets.UTF_8)));
+                ByteBuffer answer = ByteBuffer.allocate(4_096);
+                channel.read(answer);
+                assertTrue(new String(answer.array(), 0, answer.position(), StandardCharsets.UTF_8).startsWith("{\"ok\":false"), bad);
+            }
+        }
+        await(() -> descriptors() <= before + 2);
+        assertTrue(allReady());
+    }
+
+    /** Of the supervisor; 0 where the kernel does not tell. */
+    private long descriptors() throws IOException {
+        Path folder = Path.of("/proc", Long.toString(supervisors.get(0).pid()), "fd");
+        if (!Files.isDirectory(folder)) {
+            return 0;
+        }
+        try (Stream<Path> open = Files.list(folder)) {
+            return open.count();
+        }
+    }
+
+    /** Its notices are not answered: a stop for good that leaves them says so, in words and by its exit code. */
+    @Test
+    void aStopForGoodThatLeavesSomethingIsToldSo() throws Exception {
+        define(1, QUICK);
+        stage.become(1, Partner.Mode.HANG);
+        up();
+        await(this::allReady);
+        // A message that is held, and a platform that is gone when its end is to be told.
+        try (java.net.Socket client = new java.net.Socket(InetAddress.getLoopbackAddress(), port)) {
+            client.getOutputStream().write(RespRequest.of("SUBMIT", "0000000000000000", "left", "c=quote-status,d=5000,dest=1", ""));
+            assertEquals('+', client.getInputStream().read());
+        }
+        stage.run(stage.platform()::shut);
+        JsonObject request = FleetClient.request("stop");
+        request.addProperty("final", true);
+        assertTrue(FleetClient.ask(definition.control(), request).get("ok").getAsBoolean());
+        assertEquals(Supervisor.LEFT_OVER, supervisors.get(0).waitFor());
+        assertTrue(log().contains("its journal may still owe something"), log());
+    }
+
     @Test
     void aDaemonKilledAtAReloadComesBackWithTheNewFile() throws Exception {
         define(2, QUICK);
--- a/fleet/src/test/java/amberroute/fleet/SupervisionTest.java
+++ b/fleet/src/test/java/amberroute/fleet/SupervisionTest.java
@@ -273,6 +273,22 @@
         assertEquals("the fleet is stopping", fleet.restart(now, List.of()));
     }
 
+    /** Whoever stops for good has to hear of what was left; a stop for now leaves things on purpose. */
+    @Test
+    void aStopForGoodTellsWhatMayBeLeft() {
+        for (Mode mode : Mode.values()) {
+            for (boolean clean : new boolean[] {true, false}) {
+                fleet(1, POLICY);
+                allReady(1);
+                fleet.stop(now, mode);
+                fleet.ended(now, 0, clean, "exit code " + (clean ? 0 : 3));
+                assertTrue(fleet.over());
+                assertEquals(mode == Mode.FINAL && !clean, fleet.leftOver());
+                assertEquals(fleet.leftOver(), hands.said("may still owe"));
+            }
+        }
+    }
+
     @Test
     void aStopForGoodTakesOverFromAStop() {
         fleet(1, POLICY);
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -334,7 +334,7 @@
             JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
             Word word = word(line);
             String from = line.get("from").getAsString();
-            if (!word.forHeir() || !from.matches("[A-Za-z0-9._-]{1,64}") || word.lot().length() > 128) {
+            if (!word.forHeir() || !from.matches("[A-Za-z0-9._-]{1,64}") || !word.lot().matches("[A-Za-z0-9._-]{1,128}")) {
                 context.close();
                 return;
             }
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -49,8 +49,10 @@
     private static final int MEMORY_BYTES = 64;
     /** Lots of which something is known; with more, none is offered or taken. */
     private static final int MOST_LOTS = 4_096;
-    /** Room for a lot's record, but for the numbers of its messages. */
-    private static final int LOT_BYTES = 512;
+    /** Room for a lot's record, but for the numbers of its messages: names have 128 and 64 characters at most. */
+    private static final int LOT_BYTES = 256;
+    /** Part of the budget that lots may take, so that peers that ask for ever new ones leave room for messages. */
+    private static final int LOTS_SHARE = 8;
     private static final long REWRITE_LEAST = 256 * 1024;
     private static final int REWRITE_BUFFER = 16 * 1024;
 
@@ -208,10 +210,11 @@
     }
 
     private boolean roomForLot(String name) {
-        if (lots.size() >= MOST_LOTS) {
+        long most = Math.min(MOST_LOTS, budget / LOTS_SHARE / LOT_BYTES);
+        if (lots.size() >= most) {
             dropOldLots();
         }
-        return lots.size() < MOST_LOTS || lots.containsKey(name);
+        return lots.size() < most || lots.containsKey(name);
     }
 
     /** What nobody can ask for any more: a late offer of messages whose time is up is refused for that. */
--- a/sender/src/test/java/amberroute/sender/HandOverTest.java
+++ b/sender/src/test/java/amberroute/sender/HandOverTest.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -223,6 +224,19 @@
             assertTrue(noticed("m", "failed"), world.notices.toString());
             assertEquals(0, leaver.owed());
         }
+        // A process that dies between the two records must find the message ended, not its own again.
+        String records = records(folder.resolve("leaver/journal"));
+        assertTrue(records.indexOf('E') >= 0 && records.indexOf('E') < records.lastIndexOf('H'), records);
+    }
+
+    /** The type of each record, in their order. */
+    private static String records(Path journal) throws IOException {
+        ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(journal));
+        StringBuilder types = new StringBuilder();
+        for (int at = 0; at < file.limit(); at += 8 + file.getInt(at)) {
+            types.append((char) file.get(at + 8));
+        }
+        return types.toString();
     }
 
     /** The leaver dies with an offer out; its next process asks, and the heir's word counts, yes or no. */
@@ -254,6 +268,75 @@
         assertEquals(List.of(), world.notices);
     }
 
+    /** What no client could have handed in would stand in headers and times: none of it is taken. */
+    @Test
+    void aPeersMessageIsHeldToWhatClientsMaySay() throws Exception {
+        Sender heir = start("heir", "");
+        String good = "{\"word\":\"OFFER\",\"lot\":\"l\",\"generation\":2,\"from\":\"leaver\",\"messages\":[{\"id\":\"m\","
+                + "\"idempotency_key\":\"\",\"class\":\"safe\",\"key\":\"0\",\"destination\":7,\"deadline\":"
+                + (System.currentTimeMillis() + 15_000) + ",\"attempts\":1,\"doubt_since\":0,\"doubt_at\":\"\",\"body\":\"AAAA\"}]}\n";
+        for (String[] bad : new String[][] {{"\"id\":\"m\"", "\"id\":\"a\\r\\nX: y\""}, {"\"id\":\"m\"", "\"id\":\"\""},
+            {"\"idempotency_key\":\"\"", "\"idempotency_key\":\"a b\""}, {"\"attempts\":1", "\"attempts\":-1"},
+            {"\"doubt_since\":0", "\"doubt_since\":-5"}, {"\"deadline\":1", "\"deadline\":99999999"},
+            {"\"body\":\"AAAA\"", "\"body\":\"!\""}}) {
+            String line = good.replace(bad[0], bad[1]);
+            assertFalse(line.equals(good), bad[0]);
+            assertEquals("", exchange(heir, line), line);
+        }
+        for (String[] refused : new String[][] {{"\"class\":\"safe\"", "\"class\":\"none\""},
+            {"\"destination\":7", "\"destination\":99"}, {"\"lot\":\"l\"", "\"lot\":\"empty\""}}) {
+            String line = good.replace(refused[0], refused[1]).replace("\"lot\":\"l\"", "\"lot\":\"" + refused[1].length() + "\"");
+            line = refused[0].contains("lot") ? line.replaceAll("\\[\\{.*\\}\\]", "[]") : line;
+            assertTrue(exchange(heir, line).contains("\"NO\""), line);
+        }
+        assertEquals(0, heir.owed());
+        assertTrue(exchange(heir, good).contains("\"YES\""));
+        await(() -> heir.owed() == 0);
+        assertEquals(1, world.receiver.requests.size());
+    }
+
+    private static String exchange(Sender heir, String line) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), heir.handOverAddress().getPort())) {
+            socket.setSoTimeout(10_000);
+            World.write(socket, line);
+            byte[] answer = new byte[300];
+            int length = socket.getInputStream().read(answer);
+            return length < 0 ? "" : new String(answer, 0, length, java.nio.charset.StandardCharsets.UTF_8);
+        }
+    }
+
+    /** The heir dies right after it said yes, before it called anybody: its next process owns the message. */
+    @Test
+    void anHeirThatDiesRightAfterItsYesDeliversWhenItIsBack() throws Exception {
+        world.receiver.answers = r -> null;
+        Sender heir = start("heir", "");
+        offer(heir, "lot", "m", "safe", 0);
+        heir.stop();
+        senders.remove(heir);
+        world.receiver.answers = r -> ok(200, "");
+        Sender again = start("heir", "");
+        await(() -> again.owed() == 0);
+        assertTrue(world.receiver.requests.stream().anyMatch(r -> r.header("X-Request-ID").equals("m")));
+        assertEquals(List.of(), world.notices);
+    }
+
+    /** Withdrawn before it was ever heard of: a late offer of it is refused for good, over a restart too. */
+    @Test
+    void aWithdrawnOfferIsNeverTaken() throws Exception {
+        Sender heir = start("heir", "");
+        String cancel = "{\"word\":\"CANCEL\",\"lot\":\"lot\",\"generation\":2,\"from\":\"leaver\"}\n";
+        assertTrue(exchange(heir, cancel).contains("\"NO\""));
+        heir.stop();
+        senders.remove(heir);
+        Sender again = start("heir", "");
+        String late = "{\"word\":\"OFFER\",\"lot\":\"lot\",\"generation\":2,\"from\":\"leaver\",\"messages\":[{\"id\":\"m\","
+                + "\"idempotency_key\":\"\",\"class\":\"safe\",\"key\":\"0\",\"destination\":7,\"deadline\":"
+                + (System.currentTimeMillis() + 15_000) + ",\"attempts\":0,\"doubt_since\":0,\"doubt_at\":\"\",\"body\":\"\"}]}\n";
+        assertTrue(exchange(again, late).contains("\"NO\""));
+        assertEquals(0, again.owed());
+        assertEquals(0, world.receiver.requests.size());
+    }
+
     @Test
     void nonsenseFromAPeerClosesItsConnectionOnly() throws Exception {
         Sender heir = start("heir", "");
--- /dev/null
+++ b/sender/src/test/java/amberroute/sender/JournalLotsTest.java
@@ -0,0 +1,232 @@
+package amberroute.sender;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import amberroute.handover.Ownership;
+import amberroute.handover.Ownership.Status;
+
+/** Lots in the journal: whatever a process had written when it died, no message is lost by it or has two owners. */
+class JournalLotsTest {
+    private static final long SOON = System.currentTimeMillis() + 60_000;
+    private static final Ownership OFFERED = new Ownership(2, Status.OFFERED, "heir");
+
+    @TempDir
+    Path folder;
+
+    private Journal open() throws IOException {
+        return Journal.open(folder, 3_000_000);
+    }
+
+    private static Held message(Journal journal, String id, int size) {
+        return new Held(journal.nextNumber(), id, "idem-" + id, "unsafe", 7, 3, SOON, new byte[size]);
+    }
+
+    private static List<Held> two(Journal journal) {
+        List<Held> messages = List.of(message(journal, "a", 10), message(journal, "b", 2_000));
+        messages.forEach(m -> assertTrue(journal.accept(m)));
+        return messages;
+    }
+
+    private byte[] file() throws IOException {
+        return Files.readAllBytes(folder.resolve("journal"));
+    }
+
+    /** Lengths of the file at which a whole record ends, the empty file among them. */
+    private static List<Integer> boundaries(byte[] file) {
+        List<Integer> out = new ArrayList<>(List.of(0));
+        for (int at = 0; at < file.length;) {
+            at += 8 + ByteBuffer.wrap(file).getInt(at);
+            out.add(at);
+        }
+        return out;
+    }
+
+    private Journal cut(byte[] whole, int length) throws IOException {
+        Files.write(folder.resolve("journal"), java.util.Arrays.copyOf(whole, length));
+        return open();
+    }
+
+    /** The leaver's side up to a yes: at each moment a message is its own, frozen, or another's; never gone before. */
+    @Test
+    void aLeaverThatDiesAnywhereKnowsWhatItOffered() throws IOException {
+        try (Journal journal = open()) {
+            List<Held> messages = two(journal);
+            assertTrue(journal.lot("lot", OFFERED, SOON, messages));
+            assertTrue(journal.lot("lot", new Ownership(2, Status.GIVEN, "heir"), SOON, messages));
+        }
+        byte[] whole = file();
+        List<Integer> ends = boundaries(whole);
+        int[][] liveAndFrozen = {{0, 0}, {1, 0}, {2, 0}, {2, 2}, {0, 0}};
+        for (int i = 0; i < ends.size(); i++) {
+            try (Journal journal = cut(whole, ends.get(i))) {
+                assertEquals(liveAndFrozen[i][0], journal.live().size(), "after record " + i);
+                assertEquals(liveAndFrozen[i][1], journal.live().stream().filter(m -> m.frozen).count(), "after record " + i);
+            }
+        }
+    }
+
+    /** A refusal thaws them, with all that was known; a second offer freezes them again. */
+    @Test
+    void aRefusalGivesThemBack() throws IOException {
+        try (Journal journal = open()) {
+            List<Held> messages = two(journal);
+            journal.lot("lot", OFFERED, SOON, messages);
+            journal.lot("lot", new Ownership(2, Status.OWNED, ""), SOON, messages);
+        }
+        try (Journal journal = open()) {
+            assertEquals(2, journal.live().size());
+            assertTrue(journal.live().stream().noneMatch(m -> m.frozen));
+            journal.lot("lot", new Ownership(3, Status.OFFERED, "other"), SOON, List.copyOf(journal.live()));
+        }
+        try (Journal journal = open()) {
+            assertTrue(journal.live().stream().allMatch(m -> m.frozen));
+            assertEquals("other", journal.lots().get("lot").ownership().peer());
+        }
+    }
+
+    /** Given up: at no moment is a message the leaver's own again, as the heir may carry it out. */
+    @Test
+    void whatWasGivenUpIsNeverItsOwnAgain() throws IOException {
+        try (Journal journal = open()) {
+            List<Held> messages = two(journal);
+            journal.lot("lot", OFFERED, SOON, messages);
+            messages.forEach(m -> journal.end(m, m.failed()));
+            journal.lot("lot", new Ownership(2, Status.ENDED, ""), SOON, messages);
+        }
+        byte[] whole = file();
+        List<Integer> ends = boundaries(whole);
+        for (int i = 3; i < ends.size(); i++) {
+            try (Journal journal = cut(whole, ends.get(i))) {
+                assertEquals(2, journal.live().size());
+                for (Held m : journal.live()) {
+                    assertTrue(m.frozen || m.notice != null, "after record " + i + " it owns " + m.id);
+                }
+            }
+        }
+    }
+
+    /** The heir's side: messages and ownership stand in one record, so a torn one leaves neither, at whatever byte. */
+    @Test
+    void aTornAdoptionLeavesNothing() throws IOException {
+        try (Journal journal = open()) {
+            Held doubt = message(journal, "doubt", 50);
+            doubt.attempts = 3;
+            doubt.doubtSince = 12_345;
+            doubt.doubtAt = "s-1";
+            assertTrue(journal.adopt("lot", new Ownership(2, Status.OWNED, ""), SOON,
+                    List.of(doubt, message(journal, "other", 70))));
+        }
+        byte[] whole = file();
+        for (int length = 0; length < whole.length; length++) {
+            try (Journal journal = cut(whole, length)) {
+                assertTrue(journal.live().isEmpty() && journal.lots().isEmpty(), "at byte " + length);
+            }
+        }
+        try (Journal journal = cut(whole, whole.length)) {
+            assertEquals(2, journal.live().size());
+            Held doubt = journal.live().iterator().next();
+            assertEquals(3, doubt.attempts);
+            assertEquals(12_345, doubt.doubtSince);
+            assertEquals("s-1", doubt.doubtAt);
+            assertEquals("idem-doubt", doubt.idempotencyKey);
+            assertTrue(journal.lots().get("lot").ownership().mine());
+        }
+    }
+
+    /** A rewrite keeps what lots say, and forgets those whose time is up. */
+    @Test
+    void survivesARewrite() throws IOException {
+        try (Journal journal = open()) {
+            List<Held> messages = two(journal);
+            journal.lot("kept", OFFERED, SOON, messages);
+            journal.lot("refused", new Ownership(2, Status.REFUSED, ""), SOON, List.of());
+            journal.lot("old", new Ownership(2, Status.REFUSED, ""), 1, List.of());
+            long before = Files.size(folder.resolve("journal"));
+            long most = before;
+            for (int i = 0; i < 4_000; i++) {
+                Held m = message(journal, "x" + i, 100);
+                assertTrue(journal.accept(m));
+                journal.conclude(m);
+                most = Math.max(most, Files.size(folder.resolve("journal")));
+            }
+            assertTrue(Files.size(folder.resolve("journal")) < most, "never rewritten");
+        }
+        try (Journal journal = open()) {
+            assertEquals(2, journal.live().stream().filter(m -> m.frozen).count());
+            assertEquals(OFFERED, journal.lots().get("kept").ownership());
+            assertEquals(Status.REFUSED, journal.lots().get("refused").ownership().status());
+            assertFalse(journal.lots().containsKey("old"));
+        }
+    }
+
+    /** Many lots must not make each append a rewrite of them all. */
+    @Test
+    void manyLotsDoNotRewriteTheFileEachTime() throws IOException {
+        try (Journal journal = Journal.open(folder, 16_000_000)) {
+            for (int i = 0; i < 3_000; i++) {
+                assertTrue(journal.lot("lot" + i, new Ownership(2, Status.REFUSED, ""), SOON, List.of()));
+            }
+            Object file = Files.readAttributes(folder.resolve("journal"),
+                    java.nio.file.attribute.BasicFileAttributes.class).fileKey();
+            int rewrites = 0;
+            for (int i = 0; i < 200; i++) {
+                Held m = message(journal, "m" + i, 10);
+                assertTrue(journal.accept(m));
+                journal.conclude(m);
+                Object now = Files.readAttributes(folder.resolve("journal"),
+                        java.nio.file.attribute.BasicFileAttributes.class).fileKey();
+                rewrites += now.equals(file) ? 0 : 1;
+                file = now;
+            }
+            assertTrue(rewrites <= 2, rewrites + " rewrites for 400 records");
+        }
+    }
+
+    /** Peers that ask for ever new lots leave the room for messages alone. */
+    @Test
+    void lotsTakeOnlyTheirShare() throws IOException {
+        try (Journal journal = open()) {
+            int lots = 0;
+            while (journal.lot("lot" + lots, new Ownership(2, Status.REFUSED, ""), SOON, List.of())) {
+                lots++;
+            }
+            assertTrue(lots > 1_000 && lots < 2_000, lots + " lots");
+            assertTrue(journal.lot("lot0", new Ownership(3, Status.REFUSED, ""), SOON, List.of()), "a known one has its place");
+            for (int i = 0; i < 400; i++) {
+                assertTrue(journal.accept(message(journal, "m" + i, 500)), "message " + i);
+            }
+        }
+    }
+
+    @Test
+    void aFullDiskRefusesLotsAndKeepsWhatIsOwed() throws IOException {
+        try (Journal journal = Journal.open(folder, 400_000)) {
+            int taken = 0;
+            while (journal.adopt("lot" + taken, new Ownership(2, Status.OWNED, ""), SOON,
+                    List.of(message(journal, "m" + taken, 20_000)))) {
+                taken++;
+            }
+            assertTrue(taken > 2 && taken < 20, "took " + taken);
+            assertFalse(journal.knows("m" + taken));
+            for (Held m : List.copyOf(journal.live())) {
+                journal.end(m, m.failed());
+            }
+            assertTrue(Files.size(folder.resolve("journal")) <= 400_000);
+        }
+        try (Journal journal = Journal.open(folder, 400_000)) {
+            assertTrue(journal.live().stream().allMatch(m -> m.notice != null));
+        }
+    }
+}
--- a/sender/src/test/java/amberroute/sender/StandaloneTest.java
+++ b/sender/src/test/java/amberroute/sender/StandaloneTest.java
@@ -19,6 +19,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import com.google.gson.JsonObject;
@@ -284,6 +285,67 @@
         assertTrue(noticed(C, "failed"), world.notices.toString());
     }
 
+    /** Asked on the socket that is there before all else: it must neither fail nor be forgotten. */
+    @Test
+    void aStopThatComesWhileItStartsIsCarriedOut() throws Exception {
+        try (Journal journal = Journal.open(folder.resolve("s"), 16_000_000)) {
+            for (int i = 0; i < 3_000; i++) {
+                journal.accept(new Held(journal.nextNumber(), "m" + i, "", "safe", 0, 7,
+                        System.currentTimeMillis() + 15_000, new byte[500]));
+            }
+        }
+        world.receiver.answers = r -> null;
+        Config config = read();
+        CompletableFuture<Sender> starting = CompletableFuture.supplyAsync(() -> {
+            try {
+                return Sender.start(config);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        await(() -> !state().equals("gone"));
+        assertTrue(ask("{\"do\":\"stop\",\"mode\":\"restart\",\"within_ms\":300}").get("ok").getAsBoolean());
+        sender = starting.get(20, TimeUnit.SECONDS);
+        assertEquals(0, code());
+        assertTrue(sender.owed() > 0);
+    }
+
+    /** Between the start's reading and the first look at the file. */
+    @Test
+    void aListThatIsReplacedDuringTheStartIsTaken() throws IOException {
+        Config config = read();
+        endpoints("Terminating");
+        sender = Sender.start(config);
+        await(() -> !sender.ready("s-1"));
+    }
+
+    @Test
+    void aReloadReadsTheListAgainAndSaysWhatIsWrong() throws IOException {
+        started();
+        Map<String, String> environment = Map.of("GW_CONFIG", folder.resolve("amberroute.toml").toString());
+        endpoints("Terminating");
+        assertEquals(null, sender.reload(environment));
+        await(() -> !sender.ready("s-1"));
+        Files.writeString(folder.resolve("endpoints.json"), "{}");
+        String error = sender.reload(environment);
+        assertTrue(error.contains("targets is missing") && error.lines().count() == 1, error);
+        Files.writeString(folder.resolve("amberroute.toml"), Files.readString(folder.resolve("amberroute.toml"))
+                .replace("endpoints = \"endpoints.json\"", "discovery = \"127.0.0.1:1\""));
+        assertTrue(sender.reload(environment).contains("takes a restart"));
+    }
+
+    /** What only the decisions find wrong is one line too, and leaves neither lock nor thread behind. */
+    @Test
+    void settingsThatTheDecisionsRefuseAreOneLine() throws IOException {
+        Map<String, String> platform = world.environment();
+        Path file = Path.of(platform.get("GW_CONFIG"));
+        Files.writeString(file, Files.readString(file).replace("\"balancers\":1", "\"balancers\":0"));
+        String message = assertThrows(BadInput.class, () -> Sender.start(Config.read(platform))).getMessage();
+        assertEquals("setting senders or classes is out of range", message);
+        sender = world.start();
+        assertTrue(sender.ready("s-1"));
+    }
+
     /** What surely never ran is returned, what may have run and must not run twice has failed. */
     @Test
     void aStopForGoodGivesEveryMessageItsFinalAnswer() throws Exception {
--- a/testkit/src/main/java/amberroute/testkit/PlatformServer.java
+++ b/testkit/src/main/java/amberroute/testkit/PlatformServer.java
@@ -126,7 +126,8 @@
         return noticeLines;
     }
 
-    void close() {
+    /** Goes away for good: its connections end and new ones are refused; on the event loop. */
+    public void shut() {
         server.close();
         List.copyOf(connections).forEach(Channel::close);
     }
--- a/testkit/src/main/java/amberroute/testkit/Stage.java
+++ b/testkit/src/main/java/amberroute/testkit/Stage.java
@@ -238,7 +238,7 @@
     @Override
     public void close() {
         run(() -> {
-            platform.close();
+            platform.shut();
             partners.forEach(PartnerServer::close);
             proxies.forEach(FaultProxy::close);
         });
