Come back faster from outages: trials and slow starts sized by the told limit

Ruled out: refusals (none there), slow answers, full connection tables. At fault in Policy.open: the pause between trials grows to 0.7 s times the senders, 9.8 s each, however much the destination can take; in rampPace: half of the told limit. Now trials of all together come as fast as a slow start begins, and three quarters of the told limit count in it. FleetPlay plays 2, 14 and 50 instances against a modelled destination: back at a tenth of the limit within 2 s, push under the rule; it fails without the change.

--- a/decisions/src/main/java/amberroute/Policy.java
+++ b/decisions/src/main/java/amberroute/Policy.java
@@ -88,6 +88,9 @@
     private static final double LOW_ALLOWANCE = 0.1;
     /** Share of the permitted push that a slow start uses: other senders may see more than their part. */
     private static final double RAMP_SAFETY = 0.9;
+    /** Share of a told limit that a slow start reckons with. What can be done is no less than the limit, so
+     * the rule stands a third above this: room for the noise of reports and for trials. */
+    private static final double TOLD = 0.75;
     /** Spans over which sent and served rates are averaged. */
     private static final double SENT_SPAN = 2_000_000;
     private static final double SERVED_SPAN = 8_000_000;
@@ -1254,6 +1257,8 @@
         }
         scope.breaker = Breaker.OPEN;
         long pause = pause(BACKOFF, longestTime, 1 + ++scope.trials);
+        // All senders' trials together come no faster than a slow start begins: what returns can take them.
+        pause = Math.min(pause, jitter((long) (1.5 * SECOND / rampPace(0, scope))));
         scope.trialAt = now + Math.min(TRIAL_LONGEST * settings.senders(), pause);
     }
 
@@ -1266,7 +1271,7 @@
     private double rampPace(double warm, Scope scope) {
         Rules rules = settings.rules();
         double capacity = rules.startCapacity() + (1 - rules.startCapacity()) * warm;
-        double told = Math.max(LEAST_PACE, scope.weight / 2) / settings.senders();
+        double told = Math.max(LEAST_PACE, TOLD * scope.weight) / settings.senders();
         return RAMP_SAFETY * rules.fallMultiple() * capacity * Math.max(scope.formerPace, told);
     }
 
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -247,7 +247,7 @@
     /** A module with these settings, which it checks. */
     private static Relay checked(Relay.Settings settings) {
         try {
-            return new Policy(settings, true);
+            return ModuleTrace.around(new Policy(settings, true), settings);
         } catch (IllegalArgumentException e) {
             throw new BadInput(e.getMessage());
         }
