Give up each message with its own call where a turn starts two at one endpoint

Two messages with 0.27 s left and five with more went to one endpoint in one turn, as two calls of the module; Sender.startCalls grouped the first five whatever their call and gave them the latest time to be given up, so the two were answered 0.23 and 0.40 s behind their deadline.

--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/CallGroups.java
@@ -0,0 +1,36 @@
+package amberroute.sender;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongToIntFunction;
+
+/** Which sends of one turn travel as one call. */
+final class CallGroups {
+    private record Together(long endpoint, long giveUpAt) { }
+
+    private CallGroups() {
+    }
+
+    /**
+     * Those to one endpoint that are given up at one time, as far as its kind takes several messages: the module gives all
+     * messages of a call one time, and where it starts two calls to one endpoint in a turn, messages that have little time
+     * left must not be given up as late as the others.
+     */
+    static List<List<Sender.Send>> of(List<Sender.Send> sends, LongToIntFunction messagesPerCall) {
+        List<List<Sender.Send>> groups = new ArrayList<>();
+        Map<Together, List<Sender.Send>> open = new LinkedHashMap<>();
+        for (Sender.Send s : sends) {
+            Together key = new Together(s.endpoint(), s.giveUpAt());
+            List<Sender.Send> group = open.get(key);
+            if (group == null || group.size() >= messagesPerCall.applyAsInt(s.endpoint())) {
+                group = new ArrayList<>();
+                groups.add(group);
+                open.put(key, group);
+            }
+            group.add(s);
+        }
+        return groups;
+    }
+}
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -1272,31 +1272,25 @@
         return (micros + 999) / 1_000;
     }
 
-    /** Sends of one turn to one endpoint travel as one call, as far as its kind takes several messages. */
     private void startCalls(long now, List<Action> actions) {
-        Map<Long, List<Send>> open = new LinkedHashMap<>();
-        for (Action action : actions) {
+        List<Send> sends = new ArrayList<>();
+        actions.forEach(action -> {
             if (action instanceof Send s) {
-                List<Send> group = open.computeIfAbsent(s.endpoint(), e -> new ArrayList<>());
-                group.add(s);
-                if (group.size() >= directory.messagesPerCall(s.endpoint())) {
-                    startCall(now, open.remove(s.endpoint()));
-                }
+                sends.add(s);
             }
-        }
-        open.values().forEach(group -> startCall(now, group));
+        });
+        CallGroups.of(sends, directory::messagesPerCall).forEach(group -> startCall(now, group));
     }
 
     private void startCall(long now, List<Send> group) {
         long endpoint = group.get(0).endpoint();
         Receivers.Route route = directory.route(endpoint);
         List<Receivers.Item> items = new ArrayList<>();
-        long giveUpAt = now;
+        long giveUpAt = group.get(0).giveUpAt();
         for (Send s : group) {
             Held m = held.get(s.id());
             if (m != null && route != null && journal.attempt(m, directory.uid(endpoint), wall())) {
                 items.add(new Receivers.Item(m, m.attempts - 1));
-                giveUpAt = Math.max(giveUpAt, s.giveUpAt());
             } else if (m != null) {
                 m.attempts++;
                 note(new Event.Outcome(m.number, m.attempts - 1, endpoint, Ending.MOOT, 0, false, 0,
@@ -1307,9 +1301,8 @@
         }
         if (!items.isEmpty()) {
             boolean repeatable = items.stream().allMatch(item -> repeatable(item.message()));
-            long until = giveUpAt;
             long longestIdle = repeatable ? NO_LIMIT : recorder.trusted;
-            journal.whenSafe(() -> start(route, items, until, longestIdle), () -> callOff(route, items));
+            journal.whenSafe(() -> start(route, items, giveUpAt, longestIdle), () -> callOff(route, items));
         }
     }
 
@@ -1811,7 +1804,7 @@
 
     private sealed interface Action { }
 
-    private record Send(long id, long endpoint, long giveUpAt) implements Action { }
+    record Send(long id, long endpoint, long giveUpAt) implements Action { }
 
     private record Refuse(long id, long retryAfter) implements Action { }
 
