Ask discovery again at times of each sender's own, and keep the list through an empty one

Each sender opened its watch again at 200, 400, 800 ms and so on behind its end: all of a fleet in step when discovery restarts. Any byte of an answer took the pauses back to 200 ms, so a discovery that answered an empty or torn list was asked five times a second by each (19 times in 4 s in the test), and a whole list without receivers emptied the known one. Now a pause is drawn from a span that doubles up to 2 s, from the sender's seed (WatchPauses), only a list that could be read shortens it, and a whole list without receivers is passed over while something is known. DiscoveryTroubleTest: three of its five cases were seen to fail without the change; a restart with messages owed serves them meanwhile.

--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -47,8 +47,6 @@
     /** An empty line comes every 2 s: after a few missed ones the watch is taken to be dead. */
     private static final long SILENCE_MS = 5_000;
     private static final long CONNECT_MS = 1_000;
-    private static final long PAUSE_MS = 200;
-    private static final long PAUSE_MOST_MS = 2_000;
     private static final int LONGEST_LINE = 1 << 20;
     private static final int MOST_GONE = 1_024;
     private static final int LONGEST_UID = 128;
@@ -96,7 +94,7 @@
     /** The watch in use or being opened, null while a pause lasts. */
     private Watch watch;
     private Future<?> pause;
-    private int failures;
+    private final WatchPauses pauses;
     private boolean stopped;
 
     Directory(EventLoop loop, Config config, Listener listener) {
@@ -104,6 +102,7 @@
         this.config = config;
         this.listener = listener;
         address = config.discovery();
+        pauses = new WatchPauses(config.settings().seed());
     }
 
     /** Starts from the list that this sender last had, then watches. */
@@ -350,7 +349,7 @@
     /** Watches another address from now on; the list and its version are kept. */
     void move(InetSocketAddress to) {
         address = to;
-        failures = 0;
+        pauses.good();
         if (pause != null) {
             pause.cancel(false);
             pause = null;
@@ -390,11 +389,10 @@
         if (stopped) {
             return;
         }
-        long wait = Math.min(PAUSE_MOST_MS, PAUSE_MS << Math.min(failures++, 8));
         pause = loop.schedule(() -> {
             pause = null;
             open();
-        }, wait, TimeUnit.MILLISECONDS);
+        }, pauses.next(), TimeUnit.MILLISECONDS);
     }
 
     /** A cut network says nothing: the connection stays open, and only the missing lines tell. */
@@ -441,7 +439,6 @@
             }
             if (part instanceof HttpContent content && good) {
                 lastLine = System.nanoTime();
-                failures = 0;
                 pending.discardReadBytes().writeBytes(content.content());
                 readLines();
             }
@@ -466,7 +463,13 @@
             try {
                 JsonObject news = JsonParser.parseString(line).getAsJsonObject();
                 boolean all = news.has("all") && news.get("all").getAsBoolean();
+                if (all && !targets.isEmpty() && news.getAsJsonArray("targets").isEmpty()) {
+                    // A discovery that has just started knows nothing yet; what is known is served on.
+                    Log.warn("discovery: passed over a whole list without a receiver");
+                    return;
+                }
                 take(news, all ? ListKind.FULL : ListKind.DELTA);
+                pauses.good();
             } catch (RuntimeException e) {
                 Log.warn("discovery: skipped a line: " + e.getMessage());
             }
--- /dev/null
+++ b/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
@@ -0,0 +1,95 @@
+package amberroute.sender;
+
+import static amberroute.sender.World.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.function.Function;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Discovery turns callers away in its many ways: what is known is served from, and asking costs little. */
+class DiscoveryTroubleTest {
+    private static final String NO_KEY = "0000000000000000";
+    private static final String ID = "0123456789abcdef0123456789abcde";
+
+    @TempDir
+    Path folder;
+    private World world;
+    private Sender sender;
+
+    @BeforeEach
+    void open() throws IOException {
+        world = new World(folder);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        if (sender != null) {
+            sender.stop();
+        }
+        world.close();
+    }
+
+    private static Function<World.Request, String> trouble(String how) {
+        String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        return r -> switch (how) {
+            case "refuses" -> World.ok(503, "");
+            case "says nothing and closes" -> "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+            case "empty" -> chunked + World.chunk("{\"rev\":9,\"all\":true,\"targets\":[]}\n") + "0\r\n\r\n";
+            case "torn" -> chunked + World.chunk("{\"rev\":9,\"all\":true,\"targets\":[{\"uid\":\"s-\n") + "0\r\n\r\n";
+            default -> throw new IllegalArgumentException(how);
+        };
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"refuses", "says nothing and closes", "empty", "torn"})
+    void servesFromWhatIsKnownAsksSeldomAndTakesTheNextGoodList(String how) throws IOException {
+        Function<World.Request, String> good = world.discovery.answers;
+        Function<World.Request, String> bad = trouble(how);
+        world.discovery.answers = r -> r.head().startsWith("POST") ? good.apply(r) : bad.apply(r);
+        sender = world.start();
+        World.Client client = world.client(sender);
+        assertEquals("+OK", client.submit("safe", ID + "0", NO_KEY));
+        await(() -> world.receiver.requests.size() == 1);
+        long asked = asked();
+        long from = System.nanoTime();
+        await(() -> System.nanoTime() - from > 4_000_000_000L);
+        long since = asked() - asked;
+        assertTrue(since >= 1 && since <= 12, "asked " + since + " times in 4 s");
+        assertTrue(sender.ready("s-1"), "what is known is kept");
+        world.discovery.answers = good;
+        await(() -> world.watched());
+        world.announce(world.list(3, false, "Terminating"));
+        await(() -> !sender.ready("s-1"));
+    }
+
+    private long asked() {
+        return world.discovery.requests.stream().filter(r -> r.head().contains("/api/targets")).count();
+    }
+
+    /** A restart with much held while discovery is away: what is owed is served from the known list. */
+    @Test
+    void whatIsOwedIsServedFromTheKnownListWhileDiscoveryIsAway() throws IOException {
+        world.receiver.answers = r -> null;
+        sender = world.start();
+        World.Client client = world.client(sender);
+        for (int i = 0; i < 4; i++) {
+            assertEquals("+OK", client.submit("safe", ID + i, NO_KEY));
+        }
+        sender.stop();
+        world.discovery.greet = s -> false;
+        world.receiver.answers = r -> World.ok(200, "");
+        world.receiver.requests.clear();
+        sender = world.start();
+        // Slowly, as the first process saw the receiver fail when it ended.
+        await(() -> world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).distinct().count() == 4);
+    }
+}
--- a/sender/src/test/java/amberroute/sender/World.java
+++ b/sender/src/test/java/amberroute/sender/World.java
@@ -356,7 +356,7 @@
         assertTrue(condition.getAsBoolean(), "waited in vain");
     }
 
-    private static String chunk(String text) {
+    static String chunk(String text) {
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
