--- a/decisions/src/test/java/amberroute/FleetPlay.java
+++ b/decisions/src/test/java/amberroute/FleetPlay.java
@@ -188,6 +188,14 @@
         });
     }
 
+    double told0() {
+        return told0;
+    }
+
+    double told1() {
+        return told1;
+    }
+
     /** Answers in a span since the start, a second. */
     double rate(long from, long until) {
         return answers.stream().filter(t -> t >= from && t < until).count() * 1e6 / (until - from);
--- a/decisions/src/test/java/amberroute/FleetTest.java
+++ b/decisions/src/test/java/amberroute/FleetTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
@@ -131,4 +133,22 @@
         assertTrue(play.push < 1, seen);
         assertTrue(play.rate(26_000_000, 34_000_000) > 0.25 * play.limit, seen);
     }
+
+    /** Reports that are 8 s old are read as though they were of now: the limit has halved and come back since. */
+    @Test
+    void oldReportsDoNotStarveADestination() {
+        FleetPlay play = overloaded(14, false);
+        Deque<List<Double>> old = new ArrayDeque<>();
+        play.lie = () -> {
+            old.addLast(List.of(play.told0(), play.told1()));
+            return old.size() > 280 ? old.removeFirst() : old.peekFirst();
+        };
+        play.when(8_000_000, () -> play.limit = 20);
+        play.when(17_000_000, () -> play.limit = 40);
+        play.run(34_000_000);
+        String seen = "old reports: at the end " + play.rate(26_000_000, 34_000_000) + " a second, refused " + play.refused
+                + " of " + play.calls + ", seed " + SEED;
+        System.out.println(seen);
+        assertTrue(play.rate(26_000_000, 34_000_000) > 0.4 * 40, seen);
+    }
 }
--- a/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
@@ -42,6 +42,14 @@
         String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         return r -> switch (how) {
             case "refuses" -> World.ok(503, "");
+            case "closes" -> {
+                try {
+                    r.socket().close();
+                } catch (IOException e) {
+                    // It is closed already.
+                }
+                yield null;
+            }
             case "says nothing and closes" -> "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
             case "empty" -> chunked + World.chunk("{\"rev\":9,\"all\":true,\"targets\":[]}\n") + "0\r\n\r\n";
             case "torn" -> chunked + World.chunk("{\"rev\":9,\"all\":true,\"targets\":[{\"uid\":\"s-\n") + "0\r\n\r\n";
@@ -50,7 +58,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"refuses", "says nothing and closes", "empty", "torn"})
+    @ValueSource(strings = {"refuses", "closes", "says nothing and closes", "empty", "torn"})
     void servesFromWhatIsKnownAsksSeldomAndTakesTheNextGoodList(String how) throws IOException {
         Function<World.Request, String> good = world.discovery.answers;
         Function<World.Request, String> bad = trouble(how);
