--- a/decisions/src/test/java/amberroute/FleetPlay.java
+++ b/decisions/src/test/java/amberroute/FleetPlay.java
@@ -36,6 +36,9 @@
     Supplier<List<Double>> lie;
     /** A count in fixed spans of 2 s, and what is refused in one is charged to the next, up to half; else a plain rate. */
     boolean windows;
+    /** Calls that may be connected at once; any further one finds no place. */
+    int places = Integer.MAX_VALUE;
+    int crowdedOut;
     /** Instances that stop, and when. */
     int dying;
     long diesAt = Long.MAX_VALUE;
@@ -69,6 +72,7 @@
     private double tokens = Double.NaN;
     private long filledAt = now;
     private double free = now;
+    private int connected;
     private double told0 = 1;
     private double told1;
     private long toldAt = Long.MIN_VALUE / 2;
@@ -147,6 +151,11 @@
             at(now + 1_000, () -> from.ended(id, attempt, Ending.CONNECT_FAILED, 1_000));
             return;
         }
+        if (connected >= places) {
+            crowdedOut++;
+            at(now + 1_000, () -> from.ended(id, attempt, Ending.CONNECT_FAILED, 1_000));
+            return;
+        }
         calls++;
         if (now - start >= outUntil) {
             recent.addLast(now);
@@ -180,7 +189,9 @@
         free = Math.max(free, now) + each;
         long took = (long) (free - now) + (long) (SERVICE / Math.max(0.3, warmth()) * (0.5 + random.nextDouble()));
         long sent = now;
+        connected++;
         at(now + took, () -> {
+            connected--;
             answered++;
             answeredBy[from.index]++;
             answers.add(now - start);
--- a/decisions/src/test/java/amberroute/FleetTest.java
+++ b/decisions/src/test/java/amberroute/FleetTest.java
@@ -151,4 +151,22 @@
         System.out.println(seen);
         assertTrue(play.rate(26_000_000, 34_000_000) > 0.4 * 40, seen);
     }
+
+    /**
+     * A destination with few places for connections, on average half of them taken: that a place is free only now and then
+     * costs messages of some senders time, and must not shut it to all.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 14, 50})
+    void aFullHouseIsNotLeftAlone(int senders) {
+        FleetPlay play = new FleetPlay(senders, SEED);
+        play.limit = 100;
+        play.places = 5;
+        play.run(30_000_000);
+        String seen = senders + " senders, five places: answered " + play.answered + " of " + play.offered + ", "
+                + play.crowdedOut + " found no place, in the last ten seconds " + play.rate(20_000_000, 30_000_000)
+                + " a second, seed " + SEED;
+        System.out.println(seen);
+        assertTrue(play.answered > (senders > 14 ? 0.75 : 0.9) * play.offered, seen);
+    }
 }
