Share one way to pause before a next try, and bring about the hard starts in tests

Need: the reading found the doubling pause written twice, for the watch and for notices, and only the watch's drawn by chance: all senders repeated notices in step behind an outage of discovery. The loop over sizes stood in two rigs. No test had a fleet that starts in one moment with much held, and the restart without discovery held four messages. Change: Pauses serves both, from the sender's seed; RunsBySize serves both rigs; FleetTest starts 2, 14 and 50 at once, the restart holds 40.

--- a/cli/src/main/java/amberroute/cli/HandOverRig.java
+++ b/cli/src/main/java/amberroute/cli/HandOverRig.java
@@ -18,7 +18,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 
 import amberroute.fleet.FleetClient;
@@ -48,20 +47,7 @@
 
     @Override
     public Integer call() throws Exception {
-        JsonArray runs = new JsonArray();
-        boolean ok = true;
-        for (int size : sizes) {
-            JsonObject run = play(size);
-            System.out.println(run);
-            runs.add(run);
-            ok &= run.get("ok").getAsBoolean();
-        }
-        JsonObject out = new JsonObject();
-        out.addProperty("seed", seed);
-        out.add("runs", runs);
-        out.addProperty("ok", ok);
-        System.out.println(out);
-        return ok ? 0 : Main.BAD;
+        return RunsBySize.play(sizes, seed, this::play);
     }
 
     private JsonObject play(int size) throws Exception {
--- a/decisions/src/test/java/amberroute/FleetPlay.java
+++ b/decisions/src/test/java/amberroute/FleetPlay.java
@@ -36,6 +36,8 @@
     Supplier<List<Double>> lie;
     /** A count in fixed spans of 2 s, and what is refused in one is charged to the next, up to half; else a plain rate. */
     boolean windows;
+    /** Messages that each instance has to deliver when all start in the same moment. */
+    int heldAtStart;
     /** Calls that may be connected at once; any further one finds no place. */
     int places = Integer.MAX_VALUE;
     int crowdedOut;
@@ -103,6 +105,10 @@
     void run(long span) {
         for (Instance i : fleet) {
             i.list();
+            for (int n = 0; n < heldAtStart; n++) {
+                offered++;
+                i.arrive();
+            }
         }
         arrival();
         while (!due.isEmpty() && due.peek().at() <= start + span) {
@@ -207,6 +213,11 @@
         return told1;
     }
 
+    /** Refusals in a span since the start. */
+    long refused(long from, long until) {
+        return refusals.stream().filter(t -> t >= from && t < until).count();
+    }
+
     /** Answers in a span since the start, a second. */
     double rate(long from, long until) {
         return answers.stream().filter(t -> t >= from && t < until).count() * 1e6 / (until - from);
--- a/decisions/src/test/java/amberroute/FleetTest.java
+++ b/decisions/src/test/java/amberroute/FleetTest.java
@@ -169,4 +169,22 @@
         System.out.println(seen);
         assertTrue(play.answered > (senders > 14 ? 0.75 : 0.9) * play.offered, seen);
     }
+
+    /** All start in the same millisecond with 300 messages held in all, 7 s of the limit; nobody knows anything yet. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 14, 50})
+    void aFleetThatStartsTogetherSpreadsWhatItHolds(int senders) {
+        FleetPlay play = new FleetPlay(senders, SEED);
+        play.limit = 40;
+        play.load = 0.3;
+        play.heldAtStart = 300 / senders;
+        play.run(20_000_000);
+        String seen = senders + " senders that start together: refused in the first second " + play.refused(0, 1_000_000)
+                + ", then " + play.refused(1_000_000, 20_000_000) + ", answered a second up to 8 s "
+                + play.rate(0, 8_000_000) + ", of all " + play.answered + " of " + play.offered + ", seed " + SEED;
+        System.out.println(seen);
+        assertTrue(play.refused(0, 1_000_000) <= 2 * senders + 20, seen);
+        assertTrue(play.refused(1_000_000, 20_000_000) < 0.3 * play.calls, seen);
+        assertTrue(play.rate(0, 8_000_000) > (senders > 14 ? 0.4 : 0.75) * play.limit, seen);
+    }
 }
--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -47,6 +47,8 @@
     /** An empty line comes every 2 s: after a few missed ones the watch is taken to be dead. */
     private static final long SILENCE_MS = 5_000;
     private static final long CONNECT_MS = 1_000;
+    /** What discovery has to tell counts as told 6 s later at the latest: two tries fit in. */
+    private static final long PAUSE_MOST_MS = 2_000;
     private static final int LONGEST_LINE = 1 << 20;
     private static final int MOST_GONE = 1_024;
     private static final int LONGEST_UID = 128;
@@ -94,7 +96,7 @@
     /** The watch in use or being opened, null while a pause lasts. */
     private Watch watch;
     private Future<?> pause;
-    private final WatchPauses pauses;
+    private final Pauses pauses;
     private boolean stopped;
 
     Directory(EventLoop loop, Config config, Listener listener) {
@@ -102,7 +104,7 @@
         this.config = config;
         this.listener = listener;
         address = config.discovery();
-        pauses = new WatchPauses(config.settings().seed());
+        pauses = new Pauses(100, 200, PAUSE_MOST_MS, config.settings().seed());
     }
 
     /** Starts from the list that this sender last had, then watches. */
--- a/sender/src/main/java/amberroute/sender/Notices.java
+++ b/sender/src/main/java/amberroute/sender/Notices.java
@@ -37,8 +37,6 @@
 final class Notices {
     private static final int MOST_LINES = 256;
     private static final long ANSWER_MS = 1_000;
-    private static final long PAUSE_MS = 50;
-    private static final long PAUSE_MOST_MS = 1_000;
 
     private final EventLoop loop;
     private final Consumer<Held> answered;
@@ -49,12 +47,13 @@
     private Future<?> pause;
     private boolean due;
     private boolean single;
-    private int failures;
+    private final Pauses pauses;
 
-    Notices(EventLoop loop, InetSocketAddress address, Consumer<Held> answered) {
+    Notices(EventLoop loop, InetSocketAddress address, long seed, Consumer<Held> answered) {
         this.loop = loop;
         this.address = address;
         this.answered = answered;
+        pauses = new Pauses(25, 50, 1_000, seed);
     }
 
     /** How many notices are not answered yet. */
@@ -71,7 +70,7 @@
     /** From now on notices go to this address; what the old one has not answered is repeated there. */
     void move(InetSocketAddress to) {
         address = to;
-        failures = 0;
+        pauses.good();
         if (pause != null) {
             pause.cancel(false);
             pause = null;
@@ -116,11 +115,10 @@
 
     private void again() {
         if (pause == null) {
-            long wait = Math.min(PAUSE_MOST_MS, PAUSE_MS << Math.min(failures++, 8));
             pause = loop.schedule(() -> {
                 pause = null;
                 postSoon();
-            }, wait, TimeUnit.MILLISECONDS);
+            }, pauses.next(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -130,7 +128,7 @@
                 Log.warn("notice cannot be read: " + told.get(0).notice);
             }
             single = single && pending.size() > told.size();
-            failures = 0;
+            pauses.good();
             for (Held m : told) {
                 pending.remove(m.number);
                 answered.accept(m);
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -212,7 +212,7 @@
         directory = new Directory(loop, config, this::onListing);
         receivers = new Receivers(loop, looks, new CallEvents(), settings.limits().connectTimeout(),
                 settings.limits().idleConnectionLife(), config.mostToReceivers(), config.reportNames());
-        notices = new Notices(loop, config.notices(), this::onNoticeAnswered);
+        notices = new Notices(loop, config.notices(), config.settings().seed() + 1, this::onNoticeAnswered);
         clients = new ClientServer(loop, this::onSubmission, config.mostClients(), config.requestBytes());
     }
 
--- a/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
@@ -103,18 +103,18 @@
     /** A restart with much held while discovery is away: what is owed is served from the known list. */
     @Test
     void whatIsOwedIsServedFromTheKnownListWhileDiscoveryIsAway() throws IOException {
-        world.receiver.answers = r -> null;
+        int many = 40;
+        world.receiver.answers = r -> World.ok(429, "", "Retry-After: 1");
         sender = world.start();
         World.Client client = world.client(sender);
-        for (int i = 0; i < 4; i++) {
-            assertEquals("+OK", client.submit("safe", ID + i, NO_KEY));
+        for (int i = 0; i < many; i++) {
+            assertEquals("+OK", client.submit("safe", ID.substring(1) + (10 + i), NO_KEY, 20_000, 7));
         }
         sender.stop();
         world.discovery.greet = s -> false;
         world.receiver.answers = r -> World.ok(200, "");
         world.receiver.requests.clear();
         sender = world.start();
-        // Slowly, as the first process saw the receiver fail when it ended.
-        await(() -> world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).distinct().count() == 4);
+        await(() -> world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).distinct().count() == many);
     }
 }
--- a/sender/src/test/java/amberroute/sender/WatchPausesTest.java
+++ b/sender/src/test/java/amberroute/sender/PausesTest.java
@@ -7,13 +7,13 @@
 
 import org.junit.jupiter.api.Test;
 
-class WatchPausesTest {
+class PausesTest {
     /** Fifty senders lose discovery at one moment: no 50 ms sees more than two fifths of them come back. */
     @Test
     void sendersThatLoseDiscoveryTogetherComeBackApart() {
         List<Long> times = new ArrayList<>();
         for (int seed = 1; seed <= 50; seed++) {
-            times.add(new WatchPauses(seed).next());
+            times.add(new Pauses(100, 200, 2_000, seed).next());
         }
         for (long from = 0; from < 400; from += 50) {
             long start = from;
@@ -25,7 +25,7 @@
 
     @Test
     void pausesGrowUpToABoundAndAreShortAgainBehindAList() {
-        WatchPauses pauses = new WatchPauses(7);
+        Pauses pauses = new Pauses(100, 200, 2_000, 7);
         long sum = 0;
         for (int i = 0; i < 40; i++) {
             long pause = pauses.next();
