Hand in through one client in both rigs, and find a remembered id without a walk

Need: the reading found the pipelined client of two rigs written twice, without a word when the daemon closed the connection, and an id that comes again looked for through up to all remembered ones on the event loop. Change: Pipelined serves both rigs; RememberedIds keeps each kind by id, in order.

--- a/cli/src/main/java/amberroute/cli/HandOverRig.java
+++ b/cli/src/main/java/amberroute/cli/HandOverRig.java
@@ -1,12 +1,6 @@
 package amberroute.cli;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -32,7 +26,6 @@
     "how many bytes it is, and how long the heir's loop was held up at most. Exit code 0 where all moved and none is owed twice."})
 final class HandOverRig implements Callable<Integer> {
     private static final Pattern MOVED = Pattern.compile("; ([0-9]+) messages were handed over in ([0-9]+) lots, ([0-9]+) bytes");
-    private static final int PIPELINED = 32;
 
     @Option(names = "--messages", split = ",", defaultValue = "10,1000,50000", description = "how many, one run each (${DEFAULT-VALUE})")
     private List<Integer> sizes;
@@ -120,25 +113,11 @@
     /** Hands in so many, some at a time on one connection; returns how many were taken on. */
     private int fill(int port, int size) throws IOException {
         Random random = new Random(seed);
-        int taken = 0;
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.setSoTimeout(60_000);
-            OutputStream out = socket.getOutputStream();
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            for (int from = 0; from < size; from += PIPELINED) {
-                int n = Math.min(PIPELINED, size - from);
-                for (int i = from; i < from + n; i++) {
-                    boolean order = random.nextDouble() < keyed;
-                    String key = order ? String.format("%016x", 1 + i / 4) : "0000000000000000";
-                    out.write(RespRequest.of("SUBMIT", key, "m" + i, (order ? "c=policy-order,k=k" + i : "c=quote-status")
-                            + ",d=600000,dest=1", "x".repeat(120)));
-                }
-                out.flush();
-                for (int i = 0; i < n; i++) {
-                    taken += in.readLine().startsWith("+") ? 1 : 0;
-                }
-            }
-        }
-        return taken;
+        return Pipelined.hand(port, size, i -> {
+            boolean order = random.nextDouble() < keyed;
+            String key = order ? String.format("%016x", 1 + i / 4) : Pipelined.NO_KEY;
+            return RespRequest.of("SUBMIT", key, "m" + i, (order ? "c=policy-order,k=k" + i : "c=quote-status")
+                    + ",d=600000,dest=1", Pipelined.BODY);
+        });
     }
 }
--- a/cli/src/main/java/amberroute/cli/HeldLoadRig.java
+++ b/cli/src/main/java/amberroute/cli/HeldLoadRig.java
@@ -1,12 +1,6 @@
 package amberroute.cli;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -26,7 +20,6 @@
     "that keep 32 under way hand them in: messages a second, CPU time for each, and the longest turn. Exit code 0 where every message",
     "that was taken on for the partner that is well was delivered, and what was held is still held."})
 final class HeldLoadRig implements Callable<Integer> {
-    private static final int PIPELINED = 32;
     private static final long DRAIN_MS = 20_000;
 
     @Option(names = "--held", split = ",", defaultValue = "100,10000,50000", description = "how many, one run each (${DEFAULT-VALUE})")
@@ -105,25 +98,7 @@
 
     /** Hands in so many, some at a time on one connection; returns how many were taken on. */
     private static int hand(int port, int size, int destination, String name) throws IOException {
-        int taken = 0;
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.setSoTimeout(60_000);
-            socket.setTcpNoDelay(true);
-            OutputStream out = socket.getOutputStream();
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            for (int from = 0; from < size; from += PIPELINED) {
-                int n = Math.min(PIPELINED, size - from);
-                StringBuilder requests = new StringBuilder();
-                for (int i = from; i < from + n; i++) {
-                    requests.append(new String(RespRequest.of("SUBMIT", "0000000000000000", name + i,
-                            "c=quote-status,d=600000,dest=" + destination, "x".repeat(120)), StandardCharsets.ISO_8859_1));
-                }
-                out.write(requests.toString().getBytes(StandardCharsets.ISO_8859_1));
-                for (int i = 0; i < n; i++) {
-                    taken += in.readLine().startsWith("+") ? 1 : 0;
-                }
-            }
-        }
-        return taken;
+        return Pipelined.hand(port, size, i -> RespRequest.of("SUBMIT", Pipelined.NO_KEY, name + i,
+                "c=quote-status,d=600000,dest=" + destination, Pipelined.BODY));
     }
 }
--- a/sender/src/main/java/amberroute/sender/RememberedIds.java
+++ b/sender/src/main/java/amberroute/sender/RememberedIds.java
@@ -1,9 +1,8 @@
 package amberroute.sender;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -33,14 +32,14 @@
     private final long most;
     private long bytes;
     private final Map<String, Entry> all = new HashMap<>();
-    /** By kind of effect, the oldest first. */
-    private final List<Deque<Entry>> kinds = new ArrayList<>();
+    /** By kind of effect and id, the oldest first; one that comes again takes no walk to find. */
+    private final List<Map<String, Entry>> kinds = new ArrayList<>();
 
     /** All together count for so many bytes at most, which is what they may have on the disk. */
     RememberedIds(long most) {
         this.most = most;
         for (int i = 0; i < Relay.Effect.values().length; i++) {
-            kinds.add(new ArrayDeque<>());
+            kinds.add(new LinkedHashMap<>());
         }
     }
 
@@ -50,11 +49,11 @@
         Entry entry = new Entry(id, content, number, now);
         Entry before = all.put(id, entry);
         if (before != null) {
-            kinds.forEach(kind -> kind.remove(before));
+            kinds.forEach(kind -> kind.remove(id));
             bytes -= before.bytes();
             forgotten.add(before.number());
         }
-        kinds.get(effect.ordinal()).add(entry);
+        kinds.get(effect.ordinal()).put(id, entry);
         bytes += entry.bytes();
         while (bytes > most) {
             forgotten.add(forget(leastNeeded()).number());
@@ -62,7 +61,7 @@
         return forgotten;
     }
 
-    private Deque<Entry> leastNeeded() {
+    private Map<String, Entry> leastNeeded() {
         for (Relay.Effect effect : List.of(Relay.Effect.SAFE, Relay.Effect.KEYED, Relay.Effect.UNSAFE)) {
             if (!kinds.get(effect.ordinal()).isEmpty()) {
                 return kinds.get(effect.ordinal());
@@ -71,18 +70,23 @@
         throw new IllegalStateException("nothing to forget");
     }
 
-    private Entry forget(Deque<Entry> kind) {
-        Entry oldest = kind.poll();
+    private Entry forget(Map<String, Entry> kind) {
+        Entry oldest = oldest(kind);
+        kind.remove(oldest.id());
         all.remove(oldest.id());
         bytes -= oldest.bytes();
         return oldest;
     }
 
+    private static Entry oldest(Map<String, Entry> kind) {
+        return kind.values().iterator().next();
+    }
+
     /** Forgets what is past its reach; returns the numbers. */
     List<Long> expire(long now) {
         List<Long> forgotten = new ArrayList<>();
-        for (Deque<Entry> kind : kinds) {
-            while (!kind.isEmpty() && now - kind.peek().at() > REACH_NANOS) {
+        for (Map<String, Entry> kind : kinds) {
+            while (!kind.isEmpty() && now - oldest(kind).at() > REACH_NANOS) {
                 forgotten.add(forget(kind).number());
             }
         }
@@ -103,7 +107,7 @@
     List<Known> all() {
         List<Known> out = new ArrayList<>();
         for (Relay.Effect effect : Relay.Effect.values()) {
-            kinds.get(effect.ordinal()).forEach(entry -> out.add(new Known(entry.id(), entry.content(), effect)));
+            kinds.get(effect.ordinal()).values().forEach(entry -> out.add(new Known(entry.id(), entry.content(), effect)));
         }
         return out;
     }
--- /dev/null
+++ b/sender/src/test/java/amberroute/sender/RememberedIdsTest.java
@@ -0,0 +1,74 @@
+package amberroute.sender;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import amberroute.Relay.Effect;
+
+class RememberedIdsTest {
+    /** What one id of one character counts for. */
+    private static final long ONE = 49;
+
+    private final RememberedIds ids = new RememberedIds(3 * ONE);
+
+    @Test
+    void whatMayBeRepeatedGoesFirstAndTheOldestOfIt() {
+        ids.add("a", 1, Effect.UNSAFE, 1, 0);
+        ids.add("b", 2, Effect.SAFE, 2, 1);
+        ids.add("c", 3, Effect.KEYED, 3, 2);
+        assertEquals(List.of(2L), ids.add("d", 4, Effect.SAFE, 4, 3));
+        assertEquals(List.of(4L), ids.add("e", 5, Effect.UNSAFE, 5, 4));
+        assertEquals(List.of(3L), ids.add("f", 6, Effect.UNSAFE, 6, 5));
+        assertEquals(List.of(1L), ids.add("g", 7, Effect.UNSAFE, 7, 6));
+        assertEquals(List.of("e", "f", "g"), ids.all().stream().map(RememberedIds.Known::id).toList());
+    }
+
+    /** Also under another effect: its place is then among the youngest of that. */
+    @Test
+    void anIdThatComesAgainTakesTheEarlierOnesPlace() {
+        ids.add("a", 1, Effect.SAFE, 1, 0);
+        ids.add("b", 2, Effect.SAFE, 2, 1);
+        assertEquals(List.of(1L), ids.add("a", 9, Effect.SAFE, 3, 2));
+        assertEquals(9, ids.content("a"));
+        ids.add("c", 4, Effect.SAFE, 4, 3);
+        assertEquals(List.of(2L), ids.add("d", 5, Effect.SAFE, 5, 4));
+        assertEquals(List.of(3L), ids.add("a", 1, Effect.UNSAFE, 6, 5));
+        assertEquals(3, ids.size());
+    }
+
+    @Test
+    void whatIsPastItsReachIsForgotten() {
+        ids.add("a", 1, Effect.UNSAFE, 1, 0);
+        ids.add("b", 2, Effect.KEYED, 2, 5);
+        assertEquals(List.of(), ids.expire(RememberedIds.REACH_NANOS));
+        assertEquals(List.of(1L), ids.expire(RememberedIds.REACH_NANOS + 1));
+        assertFalse(ids.knows("a"));
+        assertTrue(ids.knows("b"));
+        assertEquals(0, ids.content("a"));
+    }
+
+    /** Whatever comes in whatever order, it keeps to its bound, and each number is forgotten once or still known. */
+    @Test
+    void itKeepsToItsBoundAndLosesNoNumber() {
+        long seed = 20_262;
+        SplittableRandom random = new SplittableRandom(seed);
+        RememberedIds many = new RememberedIds(50 * ONE);
+        List<Long> forgotten = new ArrayList<>();
+        for (long n = 1; n <= 5_000; n++) {
+            forgotten.addAll(many.add(Character.toString('a' + random.nextInt(200)), (int) n,
+                    Effect.values()[random.nextInt(Effect.values().length)], n, n * RememberedIds.REACH_NANOS / 100));
+            assertTrue(many.size() <= 50, "seed " + seed);
+        }
+        Stream<Long> left = many.all().stream().map(known -> (long) known.content());
+        assertEquals(5_000, Stream.concat(forgotten.stream(), left).distinct().count(), "seed " + seed);
+        assertEquals(5_000, forgotten.size() + many.size(), "seed " + seed);
+    }
+}
