--- /dev/null
+++ b/membership/src/test/java/amberroute/membership/SwimTest.java
@@ -0,0 +1,185 @@
+package amberroute.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+/** Fleets in virtual time: every datagram goes through bytes, a way that delays and loses, and members that stop. */
+class SwimTest {
+    private static final long STEP = 20_000;
+
+    private record Flying(long due, long order, String to, ByteBuffer bytes) { }
+
+    private static final class Fleet {
+        final List<String> names = new ArrayList<>();
+        final List<Swim> members = new ArrayList<>();
+        final PriorityQueue<Flying> ways = new PriorityQueue<>((a, b) -> a.due() != b.due() ? Long.compare(a.due(), b.due())
+                : Long.compare(a.order(), b.order()));
+        final Set<String> stopped = new HashSet<>();
+        final Set<String> slow = new HashSet<>();
+        final Random random;
+        double loss;
+        long now;
+        long sent;
+        long bytes;
+        long largest;
+
+        Fleet(int size, long seed) {
+            random = new Random(seed);
+            System.out.println("fleet of " + size + " seed " + seed);
+            for (int i = 0; i < size; i++) {
+                names.add("m" + i);
+            }
+            for (int i = 0; i < size; i++) {
+                Swim swim = new Swim("m" + i, "z" + i % 3, names, 1_000, new SplittableRandom(seed + i));
+                swim.phase(FleetView.Phase.READY);
+                members.add(swim);
+            }
+        }
+
+        void run(long span) {
+            long end = now + span;
+            while (now < end) {
+                now += STEP;
+                while (!ways.isEmpty() && ways.peek().due() <= now) {
+                    Flying f = ways.poll();
+                    if (!stopped.contains(f.to())) {
+                        Probe probe = Probe.read(f.bytes());
+                        send(members.get(names.indexOf(f.to())).heard(f.due(), probe));
+                    }
+                }
+                for (int i = 0; i < members.size(); i++) {
+                    if (!stopped.contains(names.get(i))) {
+                        send(members.get(i).tick(now));
+                    }
+                }
+            }
+        }
+
+        private void send(List<Swim.Out> out) {
+            for (Swim.Out o : out) {
+                ByteBuffer written = o.probe().write();
+                sent++;
+                bytes += written.remaining();
+                largest = Math.max(largest, written.remaining());
+                if (random.nextDouble() >= loss) {
+                    // What a slow member hears and says comes late.
+                    long late = slow.contains(o.to()) || slow.contains(o.probe().from()) ? 300_000 : 0;
+                    ways.add(new Flying(now + 1_000 + random.nextInt(10_000) + late, sent, o.to(), written));
+                }
+            }
+        }
+
+        long takenForGone(String name) {
+            return members.stream().filter(m -> m.gone(name)).count();
+        }
+
+        /** Living members that some living member takes for gone. */
+        long falselyGone() {
+            return names.stream().filter(n -> !stopped.contains(n)).filter(n -> {
+                for (int i = 0; i < names.size(); i++) {
+                    if (!stopped.contains(names.get(i)) && members.get(i).gone(n)) {
+                        return true;
+                    }
+                }
+                return false;
+            }).count();
+        }
+    }
+
+    @Test
+    void aLossIsKnownToAllAndTheLoadDoesNotGrow() {
+        double[] each = new double[2];
+        int at = 0;
+        for (int size : new int[] {10, 100}) {
+            Fleet fleet = new Fleet(size, 7);
+            fleet.run(10_000_000);
+            assertEquals(0, fleet.falselyGone());
+            assertTrue(fleet.members.get(0).members(fleet.now).stream().allMatch(FleetView.Member::serves));
+            long before = fleet.sent;
+            fleet.run(10_000_000);
+            each[at++] = (fleet.sent - before) / 10.0 / size;
+            fleet.stopped.add("m3");
+            long since = fleet.now;
+            while (fleet.takenForGone("m3") < size - 1 && fleet.now - since < 20_000_000) {
+                fleet.run(100_000);
+            }
+            System.out.println("size " + size + ": " + each[at - 1] + " datagrams a member a second, largest " + fleet.largest
+                    + ", known to all after ms " + (fleet.now - since) / 1_000);
+            assertTrue(fleet.now - since < 6_000_000, "known to all after " + (fleet.now - since));
+            assertEquals(0, fleet.falselyGone());
+            assertTrue(fleet.largest <= Beat.MOST_BYTES);
+        }
+        assertTrue(each[1] < 1.3 * each[0], each[0] + " to " + each[1]);
+    }
+
+    @Test
+    void lostDatagramsAndSlowMembersAccuseNobody() {
+        Fleet fleet = new Fleet(60, 11);
+        fleet.run(10_000_000);
+        fleet.loss = 0.2;
+        fleet.slow.addAll(List.of("m1", "m2"));
+        long falsely = 0;
+        for (int i = 0; i < 60; i++) {
+            fleet.run(1_000_000);
+            falsely += names(fleet);
+        }
+        System.out.println("falsely taken for gone, sums of seconds over members that are not slow: " + falsely);
+        assertEquals(0, falsely);
+        assertTrue(fleet.members.get(1).unwell() > 0 || fleet.members.get(2).unwell() > 0);
+    }
+
+    private static long names(Fleet fleet) {
+        return fleet.names.stream().filter(n -> !fleet.slow.contains(n))
+                .filter(n -> fleet.members.stream().anyMatch(m -> m.gone(n))).count();
+    }
+
+    @Test
+    void whoWasTakenForGoneComesBackWithAHigherIncarnation() {
+        Fleet fleet = new Fleet(7, 3);
+        fleet.run(5_000_000);
+        fleet.stopped.add("m2");
+        fleet.run(6_000_000);
+        assertEquals(6, fleet.takenForGone("m2"));
+        fleet.stopped.clear();
+        fleet.run(8_000_000);
+        assertEquals(0, fleet.falselyGone());
+        assertTrue(fleet.members.get(0).members(fleet.now).stream().filter(m -> m.name().equals("m2")).findFirst()
+                .orElseThrow().incarnation() > 1_000);
+        assertEquals("z2", fleet.members.get(0).zone("m2"));
+    }
+
+    @Test
+    void whatIsNoProbeIsPassedOver() {
+        Random random = new Random(5);
+        Probe probe = new Probe(Probe.Kind.ASK, 7, "m1", 9, FleetView.Phase.READY, "z", "m2",
+                List.of(new Probe.News("m3", Probe.State.SUSPECT, 4, FleetView.Phase.READY, "")));
+        assertEquals(probe, Probe.read(probe.write()));
+        byte[] good = new byte[probe.write().remaining()];
+        probe.write().get(good);
+        for (int i = 0; i < good.length; i++) {
+            assertNull(Probe.read(ByteBuffer.wrap(good, 0, i)));
+        }
+        int read = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bad = new byte[random.nextInt(100)];
+            random.nextBytes(bad);
+            read += Probe.read(ByteBuffer.wrap(bad)) == null ? 0 : 1;
+        }
+        assertEquals(0, read);
+        assertNull(Beat.read(probe.write()));
+        assertFalse(new Swim("a", "", List.of("a", "b"), 1, new SplittableRandom(1)).heard(0, probe).iterator().hasNext());
+    }
+}
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -28,6 +28,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import amberroute.Relay;
 import amberroute.handover.KeyHolds;
@@ -55,6 +56,9 @@
     private static final int MEMORY = 5;
     private static final int CLASS = 6;
     private static final int RANK = 7;
+    /** How far the estate's record has come, and who holds copies of it; for whoever keeps copies. */
+    private static final int PLACE = 8;
+    private static final int GROUP = 9;
     // Forms of a message.
     private static final int WHOLE = 0;
     private static final int ENDED = 1;
@@ -116,6 +120,18 @@
         void soon(Runnable work);
     }
 
+    /** Takes each change on to where copies of this journal are kept. */
+    interface Copies {
+        /** What stands with the next change of its place in the estate's record; null where that is not counted now. */
+        byte[] place();
+
+        /** The change is on the disk. */
+        void wrote(Batch batch);
+
+        /** Runs an effect when all that was written so far is copied; {@code failed}, if there is one, when it is not in time. */
+        void whenAgreed(Runnable effect, Runnable failed);
+    }
+
     /** What may happen once all up to a record is on the disk for good; {@code failed} is null where it just waits on. */
     private record Waiting(long sequence, Runnable effect, Runnable failed) { }
 
@@ -146,6 +162,10 @@
     private final LongSupplier clock = System::nanoTime;
     /** Looked for behind each record, null where nobody may take the folder over. */
     private File fence;
+    /** Null where nobody keeps copies. */
+    private Copies copies;
+    private byte[] place;
+    private byte[] holders;
     private Runnable onFenced = () -> { };
     private long reserved;
     /** Bytes of an earlier version's file that could not be read, where that is what was looked at. */
@@ -306,12 +326,18 @@
     // ---- Writing. ----
 
     private boolean write(Batch batch) {
+        byte[] at = copies == null || batch.isEmpty() ? null : copies.place();
+        Batch whole = at == null ? batch : new Batch().and(batch).put(numberOf("estate"), PLACE, at);
         try {
-            log.write(batch);
+            log.write(whole);
         } catch (IOException e) {
             failed(e);
             return false;
         }
+        if (at != null) {
+            place = at;
+            copies.wrote(whole);
+        }
         if (durability == Durability.EACH) {
             forceNow();
         }
@@ -326,11 +352,19 @@
     // ---- Power. ----
 
     /**
-     * Runs an effect as soon as all that was written for it outlasts a loss of power: at once where nothing is forced, or
-     * has been. Where a force fails, {@code failed} runs in its place; with null it waits until what was written is on the disk
+     * Runs an effect as soon as all that was written for it outlasts what it has to: a loss of power where that is forced, a
+     * loss of the machine where copies are kept; at once where neither is. Where a force fails, {@code failed} runs in its place; with null it waits until what was written is on the disk
      * by other ways.
      */
     void whenSafe(Runnable effect, Runnable failed) {
+        if (copies == null) {
+            whenForced(effect, failed);
+        } else {
+            copies.whenAgreed(() -> whenForced(effect, failed), failed);
+        }
+    }
+
+    private void whenForced(Runnable effect, Runnable failed) {
         if (durability == Durability.NONE || waiting.isEmpty() && !log.unsafe() && log.forced() >= log.sequence()) {
             effect.run();
             return;
@@ -555,6 +589,32 @@
         return reserved + more <= room;
     }
 
+    // ---- Copies of it elsewhere. ----
+
+    /** From now on each change goes on to copies, and effects wait for them. */
+    void copyTo(Copies to) {
+        copies = to;
+    }
+
+    /** Where the estate's record had come to when this journal was last written, null where it never was copied. */
+    byte[] place() {
+        return place;
+    }
+
+    /** Who holds copies, as last written; null where nobody ever did. */
+    byte[] holders() {
+        return holders;
+    }
+
+    /** Writes who holds copies: a change like others. */
+    boolean holders(byte[] group) {
+        if (!write(new Batch().put(numberOf("estate"), GROUP, group))) {
+            return false;
+        }
+        holders = group;
+        return true;
+    }
+
     // ---- Messages. ----
 
     /** Messages that have not been concluded, in the order of acceptance. */
@@ -1066,6 +1126,12 @@
                     numbers.put("class " + number, owner);
                     keep(number, readVersion(in));
                 }
+                case PLACE, GROUP -> {
+                    numbers.put("estate", owner);
+                    byte[] bytes = in.readAllBytes();
+                    place = kind == PLACE ? bytes : place;
+                    holders = kind == GROUP ? bytes : holders;
+                }
                 default -> throw new IOException("content of kind " + kind + ", which this version does not know");
             }
         });
@@ -1143,26 +1209,54 @@
 
     /** All that is known but ids, as one owner after another. */
     private void writeAll() throws IOException {
-        for (Map.Entry<Integer, ClassBook.Version> version : classes.entrySet()) {
-            log.write(new Batch().put(numberOf("class " + version.getKey()), CLASS,
-                    defined(version.getKey(), version.getValue())));
+        for (Supplier<Batch> part : parts()) {
+            log.write(part.get());
         }
-        for (Memory memory : memories.values()) {
-            log.write(new Batch().put(numberOf("place " + memory.place()), MEMORY, remembered(memory)));
+    }
+
+    /**
+     * All that is wanted, an owner after another and each as it is when it is asked for, empty where it is gone by then:
+     * whoever takes this and each change from now on in their order has all.
+     */
+    List<Supplier<Batch>> contents() {
+        List<Supplier<Batch>> parts = parts();
+        for (RememberedIds.Known known : remembered.all()) {
+            parts.add(() -> !remembered.knows(known.id()) ? new Batch()
+                    : new Batch().putSole(known.number(), MESSAGE, gone(known.id(), known.content(), known.effect())));
+        }
+        parts.add(() -> holders == null ? new Batch() : new Batch().put(numberOf("estate"), GROUP, holders));
+        return parts;
+    }
+
+    private List<Supplier<Batch>> parts() {
+        List<Supplier<Batch>> parts = new ArrayList<>();
+        for (int number : classes.keySet()) {
+            parts.add(() -> new Batch().put(numberOf("class " + number), CLASS, defined(number, classes.get(number))));
+        }
+        for (String place : memories.keySet()) {
+            parts.add(() -> memories.containsKey(place)
+                    ? new Batch().put(numberOf("place " + place), MEMORY, remembered(memories.get(place))) : new Batch());
         }
         for (KeyHolds.Hold hold : holds.all()) {
-            Batch batch = new Batch();
-            holdOn(batch, hold.origin(), hold.key(), hold.until());
-            log.write(batch);
+            parts.add(() -> {
+                Batch batch = new Batch();
+                if (holds.origins(hold.key()).contains(hold.origin())) {
+                    holdOn(batch, hold.origin(), hold.key(), hold.until());
+                }
+                return batch;
+            });
         }
         for (Held m : live.values()) {
-            log.write(m.notice != null ? new Batch().putSole(m.number, MESSAGE, ended(m))
+            parts.add(() -> !live.containsKey(m.number) ? new Batch()
+                    : m.notice != null ? new Batch().putSole(m.number, MESSAGE, ended(m))
                     : new Batch().put(m.number, MESSAGE, whole(m)).put(m.number, STANDING, standing(m))
                             .put(m.number, RANK, bytes(out -> out.writeLong(m.rank))));
         }
-        for (Map.Entry<String, Lot> lot : lots.entrySet()) {
-            log.write(new Batch().put(numberOf("lot " + lot.getKey()), LOT, lotContent(lot.getKey(), lot.getValue())));
+        for (String name : lots.keySet()) {
+            parts.add(() -> lots.containsKey(name)
+                    ? new Batch().put(numberOf("lot " + name), LOT, lotContent(name, lots.get(name))) : new Batch());
         }
+        return parts;
     }
 
     private void take(OldJournal old) {
--- a/sender/src/main/java/amberroute/sender/RememberedIds.java
+++ b/sender/src/main/java/amberroute/sender/RememberedIds.java
@@ -19,8 +19,8 @@
     /** What one counts for beside its id, which is in ASCII. */
     private static final long BYTES = 48;
 
-    /** One of them, as it is kept. */
-    record Known(String id, int content, Relay.Effect effect) { }
+    /** One of them, as it is kept, with its number in the journal. */
+    record Known(String id, int content, Relay.Effect effect, long number) { }
 
     /** What the id's message was, 0 where that is not known, and its number in the journal. */
     private record Entry(String id, int content, long number, long at) {
@@ -107,7 +107,7 @@
     List<Known> all() {
         List<Known> out = new ArrayList<>();
         for (Relay.Effect effect : Relay.Effect.values()) {
-            kinds.get(effect.ordinal()).values().forEach(entry -> out.add(new Known(entry.id(), entry.content(), effect)));
+            kinds.get(effect.ordinal()).values().forEach(entry -> out.add(new Known(entry.id(), entry.content(), effect, entry.number())));
         }
         return out;
     }
--- a/storage/src/main/java/amberroute/storage/Batch.java
+++ b/storage/src/main/java/amberroute/storage/Batch.java
@@ -1,5 +1,7 @@
 package amberroute.storage;
 
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -48,4 +50,51 @@
     public boolean isEmpty() {
         return puts.isEmpty() && ends.isEmpty();
     }
+
+    /** The changes as bytes, for a copy of the log elsewhere; {@link #read} takes them. */
+    public byte[] bytes() {
+        int size = 8 + 8 * ends.size();
+        for (Put put : puts) {
+            size += PUT_BYTES + put.content().length;
+        }
+        ByteBuffer out = ByteBuffer.allocate(size).putInt(puts.size());
+        for (Put put : puts) {
+            out.putLong(put.owner()).put((byte) put.kind()).put((byte) (put.sole() ? 1 : 0)).putInt(put.content().length)
+                    .put(put.content());
+        }
+        out.putInt(ends.size());
+        ends.forEach(out::putLong);
+        return out.array();
+    }
+
+    /** Reads what {@link #bytes} wrote; IllegalArgumentException where it is anything else. */
+    public static Batch read(byte[] bytes) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        try {
+            Batch batch = new Batch();
+            for (int i = in.getInt(); i > 0; i--) {
+                long owner = in.getLong();
+                int kind = in.get();
+                boolean sole = in.get() == 1;
+                int length = in.getInt();
+                if (length < 0 || length > in.remaining()) {
+                    throw new IllegalArgumentException("a content of " + length + " bytes");
+                }
+                byte[] content = new byte[length];
+                in.get(content);
+                batch.put(owner, kind, content, sole);
+            }
+            for (int i = in.getInt(); i > 0; i--) {
+                batch.end(in.getLong());
+            }
+            if (in.hasRemaining()) {
+                throw new IllegalArgumentException("more than a batch");
+            }
+            return batch;
+        } catch (BufferUnderflowException e) {
+            throw new IllegalArgumentException("less than a batch");
+        }
+    }
+
+    private static final int PUT_BYTES = 14;
 }
