--- a/cli/src/main/java/amberroute/cli/RigDaemon.java
+++ b/cli/src/main/java/amberroute/cli/RigDaemon.java
@@ -17,6 +17,12 @@
     final Process process;
 
     RigDaemon(Path folder, Path file, String name, int port, int heapMb, Map<String, String> more) throws IOException {
+        this(folder, file, name, port, heapMb, more, false);
+    }
+
+    /** {@code again}: its log goes on behind that of the process before. */
+    RigDaemon(Path folder, Path file, String name, int port, int heapMb, Map<String, String> more, boolean again)
+            throws IOException {
         state = folder.resolve(name);
         log = folder.resolve(name + ".log");
         ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
@@ -25,7 +31,12 @@
         builder.environment().put("GW_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("GW_STATE", state.toString());
         builder.environment().putAll(more);
-        process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        process = builder.redirectErrorStream(true).redirectOutput(again ? ProcessBuilder.Redirect.appendTo(log.toFile())
+                : ProcessBuilder.Redirect.to(log.toFile())).start();
+    }
+
+    static JsonObject status(Path state) throws IOException {
+        return FleetClient.ask(state.resolve("control"), FleetClient.request("status"));
     }
 
     JsonObject status() throws IOException {
--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -0,0 +1,403 @@
+package amberroute.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+
+import com.google.gson.JsonObject;
+
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.FaultNet;
+import amberroute.testkit.FaultScript;
+import amberroute.testkit.FaultScript.Fault;
+import amberroute.testkit.FaultScript.Kind;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "survivors", mixinStandardHelpOptions = true, description = {
+    "Daemons that hold copies of one another's work, under load, with a net of faults between them: in each round one or two",
+    "faults (killed, killed with the folder gone, stopped, cut off, split, datagrams lost), then all heals.",
+    "Exit code 0 where nothing was lost, doubled or out of order and every notice came in time."})
+final class SurvivorsRig implements Callable<Integer> {
+    private static final int DESTINATIONS = 4;
+    private static final long READY_MS = 30_000;
+    /** A loss is told in docs/survival.md as costing so much: what falls due meanwhile is told late. */
+    private static final long TAKEOVER_MICROS = 4_000_000;
+    private static final int OVER = 7;
+
+    @Option(names = "--daemons", defaultValue = "7", description = "how many (${DEFAULT-VALUE})")
+    private int daemons;
+    @Option(names = "--rounds", defaultValue = "20", description = "rounds of faults (${DEFAULT-VALUE})")
+    private int rounds;
+    @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
+    private long seed;
+    @Option(names = "--per-second", defaultValue = "100", description = "messages a second (${DEFAULT-VALUE})")
+    private double perSecond;
+    @Option(names = "--kinds", split = ",", defaultValue = "KILL,LOSE,PAUSE,CUT,ONE_WAY,SPLIT,FLAP,STORM",
+            description = "which faults are drawn (${DEFAULT-VALUE})")
+    private List<Kind> kinds;
+    @Option(names = "--script", description = "the faults of every round, in place of drawn ones: KIND:TARGET:AT_MS:LASTS_MS,...")
+    private String script;
+    @Option(names = "--off", description = "without copies: what the same costs there")
+    private boolean off;
+    @Option(names = "--logs", description = "print the daemons' logs at the end")
+    private boolean logs;
+
+    private final List<Slot> slots = new ArrayList<>();
+    private final List<Long> takeovers = new ArrayList<>();
+    private final Map<Kind, Integer> played = new TreeMap<>();
+    private Path folder;
+    private Path file;
+    private FaultNet net;
+    private Stage stage;
+    private long estatesOver;
+    private long restarts;
+    private long cpuMillis;
+
+    /** One daemon over all its processes. */
+    private final class Slot {
+        final int index;
+        final int port;
+        final String handOver;
+        Process process;
+        long lostAt;
+        boolean held;
+
+        Slot(int index, int port, String handOver) {
+            this.index = index;
+            this.port = port;
+            this.handOver = handOver;
+        }
+
+        Path state() {
+            return folder.resolve("s" + index);
+        }
+
+        void start() throws IOException {
+            List<String> peers = new ArrayList<>();
+            for (int i = 0; i < daemons; i++) {
+                if (i != index) {
+                    peers.add("s" + i + "=" + net.address(index, i));
+                }
+            }
+            process = new RigDaemon(folder, file, "s" + index, port, 96,
+                    Map.of("GW_HANDOVER", handOver, "GW_PEERS", String.join(",", peers)), true).process;
+        }
+
+        void kill() throws InterruptedException {
+            cpuMillis += process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+            process.destroyForcibly().waitFor();
+        }
+
+        void signal(String name) throws Exception {
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+        }
+
+        /** A process that ended because its estate goes on elsewhere is started again, as a supervisor does. */
+        void look() throws IOException {
+            if (!held && !process.isAlive()) {
+                estatesOver += process.exitValue() == OVER ? 1 : 0;
+                restarts++;
+                start();
+            }
+        }
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        folder = Files.createTempDirectory("amberroute-survivors-");
+        Random random = new Random(seed);
+        try (Stage made = new Stage(seed)) {
+            stage = made;
+            for (int d = 1; d <= DESTINATIONS; d++) {
+                stage.destination(d, 2, Partner.Figures.roomy().sized(8, 32, 40_000), d % 2 == 0 ? "batch" : "single");
+            }
+            file = stage.senderFile(folder, daemons, "handover.listen = \"127.0.0.1:1\"\nhandover.peers = [\"none=127.0.0.1:1\"]\n"
+                    + (off ? "" : "survival.on = true\n"));
+            int port = Stage.freePorts(2 * daemons + daemons * daemons, seed);
+            List<InetSocketAddress> senders = new ArrayList<>();
+            List<InetSocketAddress> listeners = new ArrayList<>();
+            for (int i = 0; i < daemons; i++) {
+                senders.add(new InetSocketAddress("127.0.0.1", port + i));
+                listeners.add(new InetSocketAddress("127.0.0.1", port + daemons + i));
+                slots.add(new Slot(i, port + i, "127.0.0.1:" + (port + daemons + i)));
+            }
+            net = stage.net(listeners, port + 2 * daemons);
+            for (Slot slot : slots) {
+                slot.start();
+            }
+            awaitReady();
+            Clients clients = stage.clients(senders, Stage.kinds());
+            stage.run(() -> clients.run(new Clients.Load(perSecond, 0.2, 8, 40, 8)));
+            Thread.sleep(3_000);
+            for (int round = 0; round < rounds; round++) {
+                FaultScript faults = script != null ? FaultScript.read(script) : FaultScript.draw(random, daemons, kinds);
+                int away = 1 + random.nextInt(DESTINATIONS);
+                System.out.println("round " + round + " destination " + away + " faults " + faults);
+                // A partner that is away fills what is in hand.
+                stage.become(away, random.nextBoolean() ? Partner.Mode.DEAD : Partner.Mode.HANG);
+                Thread.sleep(400);
+                play(faults, away);
+            }
+            stage.run(clients::pause);
+            long end = System.nanoTime() + 20_000_000_000L;
+            while (System.nanoTime() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
+                slots.forEach(slot -> quietly(slot));
+                Thread.sleep(50);
+            }
+            return result();
+        } finally {
+            if (logs) {
+                for (Slot slot : slots) {
+                    System.out.println("-- s" + slot.index);
+                    System.out.println(Files.readString(folder.resolve("s" + slot.index + ".log")));
+                }
+            }
+            for (Slot slot : slots) {
+                slot.process.destroyForcibly().waitFor();
+            }
+            LocalFleet.delete(folder);
+        }
+    }
+
+    private static void quietly(Slot slot) {
+        try {
+            slot.look();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void awaitReady() throws Exception {
+        long end = System.nanoTime() + READY_MS * 1_000_000;
+        for (Slot slot : slots) {
+            while (!ready(slot)) {
+                if (System.nanoTime() > end) {
+                    throw new IOException("s" + slot.index + " is not ready: " + Files.readString(folder.resolve("s" + slot.index
+                            + ".log")));
+                }
+                slot.look();
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    private static boolean ready(Slot slot) {
+        try {
+            return RigDaemon.status(slot.state()).get("state").getAsString().equals("ready");
+        } catch (IOException | RuntimeException e) {
+            return false;
+        }
+    }
+
+    /** One thing that is to be done at a moment of the round. */
+    private record Due(long at, Callable<Void> work) { }
+
+    private void play(FaultScript faults, int away) throws Exception {
+        List<Due> due = new ArrayList<>();
+        long longest = 0;
+        for (Fault f : faults.faults()) {
+            played.merge(f.kind(), 1, Integer::sum);
+            due.add(new Due(f.at(), () -> begin(f)));
+            if (f.kind() == Kind.FLAP) {
+                for (long at = f.at() + 200; at < f.at() + f.lasts(); at += 200) {
+                    boolean cut = (at - f.at()) / 200 % 2 == 0;
+                    due.add(new Due(at, () -> split(List.of(f.target()), cut)));
+                }
+            }
+            due.add(new Due(f.at() + f.lasts(), () -> end(f)));
+            longest = Math.max(longest, f.at() + f.lasts());
+        }
+        due.add(new Due(1_200, () -> {
+            stage.become(away, Partner.Mode.UP);
+            return null;
+        }));
+        due.sort((a, b) -> Long.compare(a.at(), b.at()));
+        long start = System.nanoTime();
+        long rest = longest + 2_500;
+        int next = 0;
+        while (next < due.size() || (System.nanoTime() - start) / 1_000_000 < rest) {
+            while (next < due.size() && (System.nanoTime() - start) / 1_000_000 >= due.get(next).at()) {
+                due.get(next++).work().call();
+            }
+            for (Slot slot : slots) {
+                slot.look();
+            }
+            Thread.sleep(10);
+        }
+        stage.run(net::heal);
+        awaitReady();
+        for (Slot slot : slots) {
+            if (slot.lostAt > 0) {
+                long took = takenOver(slot);
+                if (took >= 0) {
+                    takeovers.add(took);
+                }
+                slot.lostAt = 0;
+            }
+        }
+    }
+
+    private Void begin(Fault f) throws Exception {
+        Slot slot = slots.get(f.target());
+        long now = Stage.micros();
+        switch (f.kind()) {
+            case KILL, LOSE, OLD_FOLDER -> {
+                if (slot.held) {
+                    return null;
+                }
+                slot.held = true;
+                if (f.kind() == Kind.OLD_FOLDER) {
+                    copy(slot.state(), folder.resolve("old" + slot.index));
+                    Thread.sleep(100);
+                }
+                slot.kill();
+                if (f.kind() == Kind.LOSE) {
+                    slot.lostAt = System.currentTimeMillis();
+                    LocalFleet.delete(slot.state());
+                }
+            }
+            case PAUSE -> slot.signal("STOP");
+            case CUT, FLAP -> split(List.of(f.target()), true);
+            case ONE_WAY -> oneWay(f.target(), true);
+            case SPLIT -> split(half(f.target()), true);
+            default -> stage.run(() -> net.weather(new FaultNet.Weather(0.2, 0.05, 60_000)));
+        }
+        stage.run(() -> stage.book().down(f.target(), now, now + Math.max(TAKEOVER_MICROS, f.lasts() * 1_000)));
+        if (f.kind() == Kind.SPLIT) {
+            half(f.target()).forEach(i -> stage.run(() -> stage.book().down(i, now, now + f.lasts() * 1_000 + TAKEOVER_MICROS)));
+        }
+        return null;
+    }
+
+    private Void end(Fault f) throws Exception {
+        Slot slot = slots.get(f.target());
+        switch (f.kind()) {
+            case KILL, LOSE, OLD_FOLDER -> {
+                if (f.kind() == Kind.OLD_FOLDER) {
+                    LocalFleet.delete(slot.state());
+                    copy(folder.resolve("old" + slot.index), slot.state());
+                    LocalFleet.delete(folder.resolve("old" + slot.index));
+                }
+                slot.held = false;
+            }
+            case PAUSE -> slot.signal("CONT");
+            case CUT, FLAP -> split(List.of(f.target()), false);
+            case ONE_WAY -> oneWay(f.target(), false);
+            case SPLIT -> split(half(f.target()), false);
+            default -> stage.run(() -> net.weather(FaultNet.Weather.CLEAR));
+        }
+        return null;
+    }
+
+    /** Milliseconds from a loss until an heir had resumed what was lost, as the daemons' logs tell; -1 where none did. */
+    private long takenOver(Slot lost) throws IOException {
+        long best = -1;
+        for (Slot slot : slots) {
+            boolean takes = false;
+            for (String line : Files.readAllLines(folder.resolve("s" + slot.index + ".log"))) {
+                int space = line.indexOf(' ');
+                if (space < 1 || !line.substring(0, space).matches("[0-9]+") || Long.parseLong(line.substring(0, space)) < lost.lostAt) {
+                    continue;
+                }
+                takes |= line.contains("takes over s" + lost.index + ".");
+                if (takes && line.contains("resumed")) {
+                    long took = Long.parseLong(line.substring(0, space)) - lost.lostAt;
+                    best = best < 0 ? took : Math.min(best, took);
+                    break;
+                }
+            }
+        }
+        return best;
+    }
+
+    private List<Integer> half(int from) {
+        List<Integer> out = new ArrayList<>();
+        for (int i = 0; i < daemons / 2; i++) {
+            out.add((from + i) % daemons);
+        }
+        return out;
+    }
+
+    private Void split(List<Integer> some, boolean on) {
+        stage.run(() -> net.split(some, on));
+        return null;
+    }
+
+    private void oneWay(int from, boolean on) {
+        stage.run(() -> {
+            for (int to = 0; to < daemons; to++) {
+                if (to != from) {
+                    net.cut(from, to, on);
+                }
+            }
+        });
+    }
+
+    private static void copy(Path from, Path to) throws IOException {
+        try (Stream<Path> files = Files.walk(from)) {
+            for (Path each : files.toList()) {
+                Path there = to.resolve(from.relativize(each).toString());
+                if (Files.isDirectory(each)) {
+                    Files.createDirectories(there);
+                } else if (Files.isRegularFile(each)) {
+                    Files.write(there, Files.readAllBytes(each));
+                }
+            }
+        }
+    }
+
+    private int result() throws Exception {
+        Book.Totals t = stage.totals();
+        for (Slot slot : slots) {
+            cpuMillis += slot.process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+        }
+        JsonObject out = new JsonObject();
+        out.addProperty("rounds", rounds);
+        out.addProperty("daemons", daemons);
+        out.addProperty("seed", seed);
+        out.addProperty("faults", played.toString());
+        out.addProperty("taken", t.taken());
+        out.addProperty("delivered", t.delivered());
+        out.addProperty("returned", t.returned());
+        out.addProperty("failed", t.failed());
+        out.addProperty("refused", t.refused());
+        out.addProperty("errors", t.errors());
+        out.addProperty("silent", t.silent());
+        out.addProperty("open", t.open());
+        out.addProperty("lost", t.lost());
+        out.addProperty("doubled", t.doubled());
+        out.addProperty("out_of_order", t.outOfOrder());
+        out.addProperty("late_notices", t.lateNotices());
+        out.addProperty("strange", t.strange());
+        out.addProperty("in_time", t.inTime());
+        out.addProperty("estates_over", estatesOver);
+        out.addProperty("takeovers_seen", takeovers.size());
+        takeovers.sort(null);
+        if (!takeovers.isEmpty()) {
+            out.addProperty("takeover_ms_median", takeovers.get(takeovers.size() / 2));
+            out.addProperty("takeover_ms_p99", takeovers.get((int) Math.min(takeovers.size() - 1, takeovers.size() * 99L / 100)));
+        }
+        out.addProperty("cpu_us_a_message", t.taken() == 0 ? 0 : cpuMillis * 1_000 / t.taken());
+        boolean ok = t.ok() && t.lateNotices() == 0 && t.taken() > 0;
+        out.addProperty("ok", ok);
+        if (!ok) {
+            stage.on(stage.book()::complaints).forEach(c -> System.out.println("! " + c));
+            stage.on(() -> stage.book().lost(Stage.micros())).forEach(c -> System.out.println("! lost " + c));
+        }
+        System.out.println(out);
+        return ok ? 0 : Main.BAD;
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/amberroute/cli/SurvivorsRigTest.java
@@ -0,0 +1,28 @@
+package amberroute.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** The short forms of the rig that loses daemons; its books come from stand-in partners and clients. */
+class SurvivorsRigTest {
+    private static void play(String script) {
+        assertEquals(0, Main.execute("rig", "survivors", "--daemons", "4", "--rounds", "1", "--per-second", "60", "--seed", "5",
+                "--script", script));
+    }
+
+    @Test
+    void aMachineGoneWithItsFolder() {
+        play("LOSE:1:200:2500");
+    }
+
+    @Test
+    void aFrozenOwnerWakesBehindItsTakeover() {
+        play("PAUSE:2:200:3000");
+    }
+
+    @Test
+    void anOwnerCutOffFromItsPeersAlone() {
+        play("CUT:0:200:3000");
+    }
+}
--- a/sender/src/main/java/amberroute/sender/Config.java
+++ b/sender/src/main/java/amberroute/sender/Config.java
@@ -42,6 +42,15 @@
         return memoryBytes / 32;
     }
 
+    /**
+     * Of an estate that goes on in this process: its name and folder, a quarter of the descriptors, and no door. Its slots are
+     * those that its own process had, which is gone: the destinations get no more calls for it than before.
+     */
+    Config caretaker(String theirs, Path folder, StandaloneConfig.Standalone there) {
+        return new Config(theirs, null, discovery, folder, Math.max(2 * OWN_DESCRIPTORS, sockets / 4), memoryBytes / 4, diskBytes,
+                known, settings, classes, zones, kinds, reportNames, null, keys, there);
+    }
+
     /** Who is told of messages that end undelivered. */
     InetSocketAddress notices() {
         return standalone == null ? discovery : standalone.notices();
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/Copying.java
@@ -0,0 +1,451 @@
+package amberroute.sender;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.util.concurrent.ScheduledFuture;
+
+import amberroute.storage.Batch;
+import amberroute.survival.Group;
+import amberroute.survival.Position;
+import amberroute.survival.Tenure;
+
+/**
+ * The owner's side of one estate: takes each change of its journal on to the holders of its group, and lets an effect
+ * happen once the change that allows it is at a majority, as {@link Tenure} counts. The changes of one pass of the loop travel
+ * together. A holder whose connection is new gets the whole first, a slice at a time, with the changes of meanwhile between.
+ *
+ * <p>What waits for a holder is bounded by {@value #MOST_PENDING} bytes, beyond which its connection is closed and it gets
+ * the whole again; effects that wait are bounded by what is held. Lives on the event loop.
+ */
+final class Copying implements Journal.Copies {
+    /** Raw bytes in one line, so that with their encoding it stays within what a peer reads. */
+    private static final int LINE_BYTES = 96 << 10;
+    private static final long MOST_PENDING = 8 << 20;
+    private static final long STEP_MS = 10;
+    private static final long CONNECT_AGAIN_MS = 200;
+    private static final int CONNECT_MS = 500;
+    /** How often a holder hears of the estate at least. */
+    private static final long BEAT_NANOS = 100_000_000;
+    /** A holder that has not answered for so long is not counted on for what is taken on now: three beats and some delay. */
+    private static final long DEAF_NANOS = 400_000_000;
+    /** An effect that has not been allowed for so long is told as not in time; a client waits no longer for its answer. */
+    private static final long PATIENCE_NANOS = 200_000_000;
+
+    /** What may happen once a majority has all up to a number. */
+    private record Waiting(long number, Runnable effect, Runnable failed, long since) { }
+
+    /** Told when somebody else has a later term. */
+    interface Over {
+        void over(long term, String owner);
+    }
+
+    private final EventLoop loop;
+    private final String self;
+    private final String estate;
+    private final Journal journal;
+    private final Map<String, InetSocketAddress> peers;
+    private final Over onOver;
+    private final Map<String, Link> links = new LinkedHashMap<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private ScheduledFuture<?> steps;
+    /** Null until the term is won. */
+    private Tenure tenure;
+    private long reached = -1;
+    private boolean flushDue;
+    private boolean closed;
+    private long late;
+
+    Copying(EventLoop loop, String self, String estate, Journal journal, Map<String, InetSocketAddress> peers, Over onOver) {
+        this.loop = loop;
+        this.self = self;
+        this.estate = estate;
+        this.journal = journal;
+        this.peers = peers;
+        this.onOver = onOver;
+        steps = loop.scheduleWithFixedDelay(this::step, STEP_MS, STEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The term is this daemon's; false where that cannot be written. */
+    boolean begin(long term, Position at, Group group) {
+        tenure = new Tenure(self, term, at.number(), group);
+        if (!journal.holders(EstateLine.group(estate, group))) {
+            tenure = null;
+            return false;
+        }
+        group.holders().forEach(this::link);
+        return true;
+    }
+
+    /** A change of the group, one more or one less; not before the last one is agreed on. */
+    boolean regroup(Group next) {
+        if (tenure == null || !tenure.settled() || !journal.holders(EstateLine.group(estate, next))) {
+            return false;
+        }
+        tenure.regrouped(next);
+        next.holders().forEach(this::link);
+        List.copyOf(links.keySet()).stream().filter(name -> !next.holders().contains(name)).forEach(name -> {
+            links.remove(name).close();
+        });
+        release();
+        return true;
+    }
+
+    /** Brings somebody up to date who may then become a holder. */
+    void teach(String name) {
+        link(name);
+    }
+
+    /** Whether it has all, be it a holder or not. */
+    boolean taught(String name) {
+        return links.containsKey(name) && links.get(name).taught;
+    }
+
+    /** Whether what it has does not count, as it lost what it had promised. */
+    boolean fresh(String name) {
+        return links.containsKey(name) && links.get(name).fresh;
+    }
+
+    private void link(String name) {
+        if (!name.equals(self) && peers.containsKey(name) && !links.containsKey(name)) {
+            Link link = new Link(name);
+            links.put(name, link);
+            link.connect();
+        }
+    }
+
+    /** Null before the term is won. */
+    Tenure tenure() {
+        return tenure;
+    }
+
+    /** How far this daemon's own record has come, null before the term is won. */
+    Position at() {
+        return tenure == null ? null : new Position(tenure.term(), tenure.last());
+    }
+
+    /** Whether what is taken on now can be copied: a majority has the whole. */
+    boolean ready() {
+        if (tenure == null || tenure.over()) {
+            return false;
+        }
+        Set<String> there = new HashSet<>(Set.of(self));
+        long now = System.nanoTime();
+        tenure.group().holders().stream().filter(h -> tenure.behind(h) >= 0 && links.containsKey(h)
+                && now - links.get(h).heardAt < DEAF_NANOS).forEach(there::add);
+        return tenure.group().majority(there);
+    }
+
+    /** Effects that were not allowed in time, since the start. */
+    long late() {
+        return late;
+    }
+
+    /** Effects that wait. */
+    int waiting() {
+        return waiting.size();
+    }
+
+    /** Tells the holders that nothing is owed any more. */
+    void done() {
+        links.values().forEach(link -> {
+            if (link.channel != null && link.channel.isActive()) {
+                link.channel.writeAndFlush(PeerLine.bytes(EstateLine.of("DONE", self, estate, tenure.term())));
+            }
+        });
+    }
+
+    /** Nothing more is agreed on. */
+    void end() {
+        if (tenure != null) {
+            tenure.end();
+        }
+    }
+
+    void close() {
+        closed = true;
+        steps.cancel(false);
+        List.copyOf(links.values()).forEach(Link::close);
+        links.clear();
+    }
+
+    // ---- The journal's side. ----
+
+    @Override
+    public byte[] place() {
+        return tenure == null || tenure.over() ? null
+                : EstateLine.place(new Position(tenure.term(), tenure.last() + 1));
+    }
+
+    @Override
+    public void wrote(Batch batch) {
+        tenure.wrote();
+        if (!links.isEmpty()) {
+            byte[] bytes = batch.bytes();
+            links.values().forEach(link -> link.add(bytes));
+            if (!flushDue) {
+                flushDue = true;
+                loop.execute(this::flush);
+            }
+        }
+    }
+
+    @Override
+    public void whenAgreed(Runnable effect, Runnable failed) {
+        long number = tenure == null ? 0 : tenure.last();
+        if (waiting.isEmpty() && tenure != null && !tenure.over() && reached >= number) {
+            effect.run();
+        } else {
+            waiting.add(new Waiting(number, effect, failed, System.nanoTime()));
+        }
+    }
+
+    // ---- Steps. ----
+
+    private void flush() {
+        flushDue = false;
+        List.copyOf(links.values()).forEach(Link::pump);
+    }
+
+    private void release() {
+        if (tenure == null || tenure.over()) {
+            return;
+        }
+        reached = Math.max(reached, tenure.agreed());
+        while (!waiting.isEmpty() && reached >= 0 && waiting.peek().number() <= reached) {
+            waiting.poll().effect().run();
+        }
+    }
+
+    private void step() {
+        flush();
+        long now = System.nanoTime();
+        List.copyOf(links.values()).forEach(link -> link.beat(now));
+        List<Runnable> failed = new ArrayList<>();
+        for (Iterator<Waiting> each = waiting.iterator(); each.hasNext();) {
+            Waiting w = each.next();
+            if (now - w.since() < PATIENCE_NANOS) {
+                break;
+            }
+            if (w.failed() != null) {
+                each.remove();
+                failed.add(w.failed());
+            }
+        }
+        late += failed.size();
+        failed.forEach(Runnable::run);
+    }
+
+    /** The connection to one holder. */
+    private final class Link extends SimpleChannelInboundHandler<ByteBuf> {
+        private final String holder;
+        private final Deque<byte[]> pending = new ArrayDeque<>();
+        private long pendingBytes;
+        /** What is left of the whole, null once the holder has been sent all of it. */
+        private Iterator<Supplier<Batch>> whole;
+        private boolean first;
+        private long sent;
+        private long spokeAt;
+        private long heardAt;
+        private boolean taught;
+        private boolean fresh;
+        private Channel channel;
+
+        Link(String holder) {
+            this.holder = holder;
+        }
+
+        void connect() {
+            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel fresh) {
+                            fresh.pipeline().addLast(new LineBasedFrameDecoder(1 << 12, true, true), Link.this);
+                        }
+                    }).connect(peers.get(holder)).addListener((io.netty.channel.ChannelFuture done) -> {
+                        if (closed || links.get(holder) != this) {
+                            done.channel().close();
+                        } else if (done.isSuccess()) {
+                            channel = done.channel();
+                            again();
+                        } else {
+                            loop.schedule(this::anew, CONNECT_AGAIN_MS, TimeUnit.MILLISECONDS);
+                        }
+                    });
+        }
+
+        /** The connection is gone: another takes its place, and begins with the whole. */
+        private void anew() {
+            if (!closed && links.get(holder) == this) {
+                Link next = new Link(holder);
+                links.put(holder, next);
+                next.connect();
+            }
+        }
+
+        /** The holder gets the whole, from the beginning. */
+        private void again() {
+            tenure.lacks(holder);
+            pending.clear();
+            pendingBytes = 0;
+            whole = journal.contents().iterator();
+            first = true;
+            pump();
+        }
+
+        void add(byte[] change) {
+            if (channel == null) {
+                // The whole will have it.
+                return;
+            }
+            pending.add(change);
+            pendingBytes += change.length;
+            if (pendingBytes > MOST_PENDING) {
+                Log.warn("survival: " + holder + " takes copies too slowly and is begun anew");
+                channel.close();
+            }
+        }
+
+        void pump() {
+            if (channel == null || !channel.isActive() || tenure.over()) {
+                return;
+            }
+            while (channel.isWritable() && (whole != null || !pending.isEmpty())) {
+                // What was written before a content of the whole is read goes ahead of it.
+                List<byte[]> some = new ArrayList<>();
+                long bytes = 0;
+                while (!pending.isEmpty() && (some.isEmpty() || bytes + pending.peek().length <= LINE_BYTES)) {
+                    byte[] next = pending.poll();
+                    bytes += next.length;
+                    pendingBytes -= next.length;
+                    some.add(next);
+                }
+                long changes = some.size();
+                while (whole != null && pending.isEmpty() && whole.hasNext() && bytes < LINE_BYTES / 2) {
+                    Batch part = whole.next().get();
+                    if (!part.isEmpty()) {
+                        byte[] next = part.bytes();
+                        bytes += next.length;
+                        some.add(next);
+                    }
+                }
+                if (whole == null) {
+                    JsonObject line = EstateLine.of("COPY", self, estate, tenure.term());
+                    line.addProperty("behind", sent);
+                    sent += changes;
+                    line.addProperty("upto", sent);
+                    write(line, some);
+                    continue;
+                }
+                boolean last = pending.isEmpty() && !whole.hasNext();
+                JsonObject line = EstateLine.of("WHOLE", self, estate, tenure.term());
+                line.addProperty("first", first);
+                line.addProperty("last", last);
+                if (last) {
+                    sent = tenure.last();
+                    line.addProperty("upto", sent);
+                    some.add(journal.placed().bytes());
+                    whole = null;
+                }
+                first = false;
+                write(line, some);
+            }
+        }
+
+        private void write(JsonObject line, List<byte[]> some) {
+            EstateLine.add(line, some);
+            EstateLine.add(line, tenure.group());
+            spokeAt = System.nanoTime();
+            channel.writeAndFlush(PeerLine.bytes(line));
+        }
+
+        /** That the estate has its owner is said again from time to time, as is what the holder has. */
+        void beat(long now) {
+            if (channel != null && channel.isActive() && whole == null && pending.isEmpty() && now - spokeAt > BEAT_NANOS) {
+                JsonObject line = EstateLine.of("COPY", self, estate, tenure.term());
+                line.addProperty("behind", sent);
+                line.addProperty("upto", sent);
+                write(line, List.of());
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
+            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+            if (links.get(holder) != this || line.get("term").getAsLong() < tenure.term()) {
+                return;
+            }
+            heardAt = System.nanoTime();
+            switch (line.get("word").getAsString()) {
+                case "HAVE" -> {
+                    taught = whole == null;
+                    fresh = !line.get("counts").getAsBoolean();
+                    if (!fresh) {
+                        tenure.has(holder, line.get("number").getAsLong());
+                        release();
+                    }
+                }
+                case "LACKS" -> {
+                    if (whole == null) {
+                        again();
+                    }
+                }
+                case "OVER" -> {
+                    tenure.end();
+                    onOver.over(line.get("term").getAsLong(), line.get("owner").getAsString());
+                }
+                default -> throw new IllegalArgumentException("no answer to a copy");
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            pump();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (links.get(holder) == this) {
+                tenure.lacks(holder);
+                loop.schedule(this::anew, CONNECT_AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        void close() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            Log.warn("survival: closed the connection to " + holder + ": " + cause);
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/EstateLine.java
@@ -0,0 +1,101 @@
+package amberroute.sender;
+
+import java.io.ByteArrayInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+
+import amberroute.storage.Batch;
+import amberroute.survival.Group;
+import amberroute.survival.Position;
+
+/**
+ * Words about estates between daemons, beside those of {@link PeerLine}: copies, claims and their answers. And the two
+ * contents that stand in an estate's own record: its place, and the group of its holders.
+ */
+final class EstateLine {
+    private EstateLine() {
+    }
+
+    static JsonObject of(String word, String from, String estate, long term) {
+        JsonObject line = new JsonObject();
+        line.addProperty("word", word);
+        line.addProperty("from", from);
+        line.addProperty("estate", estate);
+        line.addProperty("term", term);
+        return line;
+    }
+
+    static void add(JsonObject line, List<byte[]> batches) {
+        JsonArray list = new JsonArray();
+        batches.forEach(b -> list.add(Base64.getEncoder().encodeToString(b)));
+        line.add("batches", list);
+    }
+
+    static void add(JsonObject line, Group group) {
+        line.add("holders", PeerLine.names(group.holders()));
+        line.addProperty("version", group.version());
+    }
+
+    static Group group(JsonObject line) {
+        List<String> holders = new ArrayList<>();
+        line.getAsJsonArray("holders").forEach(name -> holders.add(PeerLine.plain(name.getAsString())));
+        return new Group(line.get("version").getAsLong(), holders);
+    }
+
+    static List<Batch> batches(JsonObject line) {
+        List<Batch> out = new ArrayList<>();
+        for (JsonElement item : line.getAsJsonArray("batches")) {
+            out.add(Batch.read(Base64.getDecoder().decode(item.getAsString())));
+        }
+        return out;
+    }
+
+    static byte[] place(Position at) {
+        return Journal.bytes(out -> {
+            out.writeLong(at.term());
+            out.writeLong(at.number());
+        });
+    }
+
+    static Position place(byte[] bytes) throws IOException {
+        if (bytes == null) {
+            return Position.NONE;
+        }
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+        return new Position(in.readLong(), in.readLong());
+    }
+
+    /** With the estate's name, which a folder keeps for as long as what is in it is one estate. */
+    static byte[] group(String estate, Group group) {
+        return Journal.bytes(out -> {
+            out.writeUTF(estate);
+            out.writeLong(group.version());
+            out.writeByte(group.holders().size());
+            for (String holder : group.holders()) {
+                out.writeUTF(holder);
+            }
+        });
+    }
+
+    static String estate(byte[] bytes) throws IOException {
+        return new DataInputStream(new ByteArrayInputStream(bytes)).readUTF();
+    }
+
+    static Group group(byte[] bytes) throws IOException {
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+        in.readUTF();
+        long version = in.readLong();
+        List<String> holders = new ArrayList<>();
+        for (int i = in.readByte(); i > 0; i--) {
+            holders.add(in.readUTF());
+        }
+        return new Group(version, holders);
+    }
+}
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -0,0 +1,342 @@
+package amberroute.sender;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+import amberroute.storage.Batch;
+import amberroute.storage.FolderDisk;
+import amberroute.storage.SegmentLog;
+import amberroute.survival.Group;
+import amberroute.survival.Holding;
+import amberroute.survival.Position;
+
+/**
+ * What this daemon holds of estates, its own and others': for each a file with the term that it has granted, and, for
+ * others, the copy, which is a journal's folder like any. A new whole is built beside the copy and takes its place once it is all there.
+ * What was promised is in the file before it is answered; the kernel has it, as with the journal.
+ *
+ * <p>At most {@value #MOST} estates, each copy within the budget of a journal. Not thread-safe: lives on the event loop.
+ */
+final class EstateStore {
+    private static final int MOST = 256;
+    private static final String FILE = "holding";
+    private static final long SLICE = 64 << 10;
+    /** Of what was never heard of. */
+    private static final long LONG_AGO_NANOS = 60_000_000_000L;
+
+    /** One estate. */
+    static final class Kept {
+        final String estate;
+        final Path folder;
+        Holding holding = Holding.NONE;
+        /** As the copy names it; null where there is none. */
+        Group group;
+        /** Nothing is owed of it any more; only the term is kept, so that nobody can begin it again. */
+        boolean done;
+        /** Name of the copy's folder in this one's, empty where there is no whole copy. */
+        String copy = "";
+        SegmentLog log;
+        /** A whole that is not all there, and by which term. */
+        Path staging;
+        SegmentLog stagingLog;
+        long stagingTerm;
+        /** Monotonic nanoseconds at which its owner last spoke of it, and by which name. */
+        long heardAt = System.nanoTime();
+        /** Owned by this process: the copy is a running journal. */
+        boolean open;
+        /** Monotonic nanoseconds since which its owner is that one. */
+        long ownedAt = System.nanoTime();
+
+        Kept(String estate, Path folder) {
+            this.estate = estate;
+            this.folder = folder;
+        }
+
+        /** The daemon whose estate it was at first. */
+        String origin() {
+            return estate.substring(0, estate.lastIndexOf('.'));
+        }
+
+        Path copyFolder() {
+            return folder.resolve(copy);
+        }
+    }
+
+    private final Path folder;
+    private final long budget;
+    private final Map<String, Kept> all = new LinkedHashMap<>();
+    private long staged;
+
+    EstateStore(Path folder, long budget) throws IOException {
+        this.folder = folder;
+        this.budget = budget;
+        Files.createDirectories(folder);
+        try (Stream<Path> folders = Files.list(folder)) {
+            for (Path each : folders.sorted().toList()) {
+                read(each);
+            }
+        }
+    }
+
+    /** A folder whose file cannot be read holds nothing: it is no holder until it has the whole again. */
+    private void read(Path each) throws IOException {
+        Kept kept = new Kept(each.getFileName().toString(), each);
+        if (!kept.estate.matches("[A-Za-z0-9._-]{1,96}") || kept.estate.lastIndexOf('.') < 1) {
+            return;
+        }
+        try {
+            JsonObject json = JsonParser.parseString(Files.readString(each.resolve(FILE))).getAsJsonObject();
+            kept.copy = json.get("copy").getAsString();
+            kept.done = json.get("done").getAsBoolean();
+            kept.holding = new Holding(json.get("term").getAsLong(), json.get("owner").getAsString(), Position.NONE,
+                    json.get("fresh").getAsInt());
+        } catch (IOException | RuntimeException e) {
+            Log.warn("survival: " + each.resolve(FILE) + " cannot be read, nothing is held of " + kept.estate + ": " + e);
+            return;
+        }
+        if (kept.done) {
+            kept.holding = done(kept.holding);
+        } else if (!kept.copy.isEmpty()) {
+            openCopy(kept);
+        }
+        sweep(kept);
+        all.put(kept.estate, kept);
+    }
+
+    private static Holding done(Holding holding) {
+        return holding.reaching(new Position(Long.MAX_VALUE, 0));
+    }
+
+    /** Reads how far the copy reaches; one that is damaged is none. */
+    private void openCopy(Kept kept) {
+        try {
+            kept.log = SegmentLog.open(new FolderDisk(kept.copyFolder()), limits(), EstateStore::salt);
+            byte[][] found = new byte[2][];
+            kept.log.read((owner, kind, version, content) -> {
+                if (kind == Journal.PLACE || kind == Journal.GROUP) {
+                    found[kind == Journal.PLACE ? 0 : 1] = bytes(content);
+                }
+            });
+            if (!kept.log.losses().isEmpty() || found[0] == null || found[1] == null) {
+                throw new IOException("it is damaged");
+            }
+            kept.group = EstateLine.group(found[1]);
+            kept.holding = kept.holding.reaching(EstateLine.place(found[0]));
+        } catch (IOException | RuntimeException e) {
+            Log.warn("survival: the copy of " + kept.estate + " counts for nothing until it is made anew: " + e.getMessage());
+            dropCopy(kept);
+        }
+    }
+
+    private static byte[] bytes(ByteBuffer content) {
+        byte[] bytes = new byte[content.remaining()];
+        content.get(bytes);
+        return bytes;
+    }
+
+    private SegmentLog.Limits limits() {
+        return SegmentLog.Limits.of(budget - 4_096, false);
+    }
+
+    private static long salt() {
+        return System.nanoTime() * 0x9e3779b97f4a7c15L;
+    }
+
+    private void dropCopy(Kept kept) {
+        close(kept.log);
+        kept.log = null;
+        kept.copy = "";
+        // What it had counted; without it this holder is as one that never heard of the estate.
+        kept.holding = new Holding(kept.holding.term(), kept.holding.owner(), Position.NONE, Holding.NAMED);
+    }
+
+    private static void close(SegmentLog log) {
+        try {
+            if (log != null) {
+                log.close();
+            }
+        } catch (IOException e) {
+            // What was written is with the kernel.
+        }
+    }
+
+    Map<String, Kept> all() {
+        return all;
+    }
+
+    /** What is known of an estate; null where there is no room for one more. */
+    Kept of(String estate) {
+        Kept kept = all.get(estate);
+        if (kept == null && all.size() < MOST) {
+            kept = new Kept(estate, folder.resolve(estate));
+            kept.heardAt -= LONG_AGO_NANOS;
+            all.put(estate, kept);
+        }
+        return kept;
+    }
+
+    /** Has the term on disk; false where it cannot be written, and nothing has changed. */
+    boolean promise(Kept kept, Holding next) {
+        boolean same = next.term() == kept.holding.term() && next.owner().equals(kept.holding.owner())
+                && next.fresh() == kept.holding.fresh();
+        if (same || write(kept, next, kept.copy)) {
+            kept.ownedAt = next.owner().equals(kept.holding.owner()) ? kept.ownedAt : System.nanoTime();
+            kept.holding = next;
+            return true;
+        }
+        return false;
+    }
+
+    private boolean write(Kept kept, Holding holding, String copy) {
+        JsonObject json = new JsonObject();
+        json.addProperty("term", holding.term());
+        json.addProperty("owner", holding.owner());
+        json.addProperty("copy", copy);
+        json.addProperty("done", kept.done);
+        json.addProperty("fresh", holding.fresh());
+        try {
+            Files.createDirectories(kept.folder);
+            Path aside = kept.folder.resolve(FILE + ".new");
+            Files.writeString(aside, json.toString());
+            Files.move(aside, kept.folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            return true;
+        } catch (IOException e) {
+            Log.warn("survival: cannot write what is held of " + kept.estate + ": " + e);
+            return false;
+        }
+    }
+
+    /** Takes part of a whole; false where it cannot be kept, and the whole has to begin anew. */
+    boolean part(Kept kept, boolean first, long term, List<Batch> batches) {
+        try {
+            if (first) {
+                close(kept.stagingLog);
+                kept.staging = kept.folder.resolve("copy-" + term + "-" + System.currentTimeMillis() + "-" + ++staged);
+                Files.createDirectories(kept.staging);
+                kept.stagingLog = SegmentLog.open(new FolderDisk(kept.staging), limits(), EstateStore::salt);
+                kept.stagingTerm = term;
+            }
+            if (kept.stagingLog == null || kept.stagingTerm != term) {
+                return false;
+            }
+            apply(kept.stagingLog, batches);
+            return true;
+        } catch (IOException e) {
+            Log.warn("survival: cannot keep the copy of " + kept.estate + ": " + e.getMessage());
+            return false;
+        }
+    }
+
+    /** The whole is all there: it takes the place of the copy that was. */
+    boolean whole(Kept kept, Holding next) {
+        if (!write(kept, next, kept.staging.getFileName().toString())) {
+            return false;
+        }
+        close(kept.log);
+        kept.log = kept.stagingLog;
+        kept.copy = kept.staging.getFileName().toString();
+        kept.holding = next;
+        kept.stagingLog = null;
+        kept.staging = null;
+        sweep(kept);
+        return true;
+    }
+
+    /** Changes that follow what is there; false where they could not be written, and the copy counts for what it had. */
+    boolean changes(Kept kept, Holding next, List<Batch> batches) {
+        if (kept.log == null || !promise(kept, next.reaching(kept.holding.copy()))) {
+            return false;
+        }
+        try {
+            apply(kept.log, batches);
+            kept.holding = next;
+            return true;
+        } catch (IOException e) {
+            Log.warn("survival: cannot keep the copy of " + kept.estate + ": " + e.getMessage());
+            // What it reaches now nobody can say without reading it.
+            dropCopy(kept);
+            write(kept, kept.holding, "");
+            return false;
+        }
+    }
+
+    private static void apply(SegmentLog log, List<Batch> batches) throws IOException {
+        for (Batch batch : batches) {
+            log.write(batch);
+        }
+        if (log.worthCompacting()) {
+            log.compact(SLICE);
+        }
+    }
+
+    /** Hands the copy's folder to a journal; null where there is none. */
+    Path lend(Kept kept) {
+        close(kept.log);
+        kept.log = null;
+        kept.open = true;
+        return kept.copy.isEmpty() ? null : kept.copyFolder();
+    }
+
+    /** The journal that had the folder is closed. */
+    void takeBack(Kept kept) {
+        kept.open = false;
+        if (!kept.done) {
+            openCopy(kept);
+        }
+    }
+
+    /** Nothing is owed of it any more. */
+    void finish(Kept kept) {
+        close(kept.log);
+        kept.log = null;
+        kept.done = true;
+        kept.holding = done(kept.holding);
+        write(kept, kept.holding, "");
+        kept.copy = "";
+        sweep(kept);
+    }
+
+    /** Removes what is no copy any more. */
+    private void sweep(Kept kept) {
+        if (!Files.isDirectory(kept.folder)) {
+            return;
+        }
+        List<Path> old = new ArrayList<>();
+        try (Stream<Path> folders = Files.list(kept.folder)) {
+            folders.filter(Files::isDirectory).filter(f -> !f.getFileName().toString().equals(kept.copy)
+                    && !f.equals(kept.staging)).forEach(old::add);
+            for (Path each : old) {
+                delete(each);
+            }
+        } catch (IOException e) {
+            Log.warn("survival: cannot remove an old copy of " + kept.estate + ": " + e.getMessage());
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+
+    void close() {
+        all.values().forEach(kept -> {
+            close(kept.log);
+            close(kept.stagingLog);
+        });
+    }
+}
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 import com.google.gson.JsonObject;
@@ -61,6 +62,14 @@
     private static final int MOST_PENDING = 256;
     /** Milliseconds by which the ends of holds are set apart, so that two moves of one key do not have the same. */
     private static final long UNLIKE = 499;
+    /** A word that could not leave in time is asked for again. */
+    private static final Runnable IGNORED = () -> { };
+
+    /** Understands further words. */
+    interface Estates {
+        /** False where the line is none of its own. */
+        boolean heard(ChannelHandlerContext context, JsonObject line, String from);
+    }
 
     /** What the sender does for it. */
     interface Host {
@@ -143,6 +152,9 @@
     /** Keys of which a message has come while another has them; their origin is told once. */
     private final Set<Long> wanted = new HashSet<>();
     private final Set<String> absent = new HashSet<>();
+    private final List<ScheduledFuture<?>> repeating = new ArrayList<>();
+    /** Takes lines about estates; null where nothing is copied. */
+    private Estates estates;
     private Naming naming;
     private Channel server;
     private int connections;
@@ -194,8 +206,12 @@
                 offers.put(lot, offer);
             }
         });
-        loop.scheduleWithFixedDelay(this::askAgain, ASK_MS, ASK_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(this::releaseDone, DONE_MS, DONE_MS, TimeUnit.MILLISECONDS);
+        repeating.add(loop.scheduleWithFixedDelay(this::askAgain, ASK_MS, ASK_MS, TimeUnit.MILLISECONDS));
+        repeating.add(loop.scheduleWithFixedDelay(this::releaseDone, DONE_MS, DONE_MS, TimeUnit.MILLISECONDS));
+    }
+
+    void estates(Estates understands) {
+        estates = understands;
     }
 
     /** Offers what may move; to be called again and again while this daemon leaves. */
@@ -278,6 +294,7 @@
     }
 
     void close() {
+        repeating.forEach(each -> each.cancel(false));
         if (server != null) {
             server.close();
         }
@@ -439,7 +456,12 @@
                 if (link.ready()) {
                     offer.sentOn = link.channel;
                     offer.sentAt = millis();
-                    link.send(send.word(), offer);
+                    // One that cannot leave yet, or any more, is asked again.
+                    journal.whenSafe(() -> {
+                        if (link.ready()) {
+                            link.send(send.word(), offer);
+                        }
+                    }, () -> offer.sentAt = 0);
                 }
             }
         }
@@ -621,8 +643,9 @@
             switch (line.get("word").getAsString()) {
                 case "HOLD" -> {
                     long until = Math.min(line.get("until").getAsLong(), System.currentTimeMillis() + Sender.LONGEST_LIFE_MS);
+                    int batch = line.get("batch").getAsInt();
                     if (host.hold(from, PeerLine.keys(line.getAsJsonArray("keys")), until)) {
-                        context.writeAndFlush(PeerLine.bytes(PeerLine.held(line.get("batch").getAsInt())));
+                        journal.whenSafe(() -> context.writeAndFlush(PeerLine.bytes(PeerLine.held(batch))), IGNORED);
                     }
                 }
                 case "RELEASE" -> released(line);
@@ -635,7 +658,11 @@
                         context.writeAndFlush(PeerLine.bytes(PeerLine.release(name, from, known)));
                     }
                 }
-                default -> word(context, line, from);
+                default -> {
+                    if (estates == null || !estates.heard(context, line, from)) {
+                        word(context, line, from);
+                    }
+                }
             }
         }
 
@@ -665,7 +692,7 @@
                     if (send.word().kind() == Word.Kind.NO && refusal != null) {
                         answer.addProperty("why", refusal.name());
                     }
-                    context.writeAndFlush(PeerLine.bytes(answer));
+                    journal.whenSafe(() -> context.writeAndFlush(PeerLine.bytes(answer)), IGNORED);
                 } else if (effect instanceof Effect.Write write) {
                     boolean mine = write.ownership().mine();
                     boolean written = mine ? host.adopt(write.lot(), write.ownership(), messages, from)
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -57,8 +57,8 @@
     private static final int CLASS = 6;
     private static final int RANK = 7;
     /** How far the estate's record has come, and who holds copies of it; for whoever keeps copies. */
-    private static final int PLACE = 8;
-    private static final int GROUP = 9;
+    static final int PLACE = 8;
+    static final int GROUP = 9;
     // Forms of a message.
     private static final int WHOLE = 0;
     private static final int ENDED = 1;
@@ -606,6 +606,11 @@
         return holders;
     }
 
+    /** The place as a change of its own, for the end of a whole copy. */
+    Batch placed() {
+        return new Batch().put(numberOf("estate"), PLACE, place);
+    }
+
     /** Writes who holds copies: a change like others. */
     boolean holders(byte[] group) {
         if (!write(new Batch().put(numberOf("estate"), GROUP, group))) {
--- a/sender/src/main/java/amberroute/sender/PeerBeats.java
+++ b/sender/src/main/java/amberroute/sender/PeerBeats.java
@@ -46,6 +46,8 @@
     private final Consumer<ColdLimits.Ceiling> ceilings;
     private Channel channel;
     private boolean newsDue;
+    /** Takes what is no beat; null where nobody wants it. */
+    private Consumer<DatagramPacket> others;
 
     PeerBeats(EventLoop loop, String name, Map<String, InetSocketAddress> peers, LongSupplier clock, ColdLimits limits,
             Supplier<FleetView.Phase> phase, IntToDoubleFunction waiting, Consumer<ColdLimits.Ceiling> ceilings) {
@@ -69,6 +71,12 @@
         loop.scheduleWithFixedDelay(this::step, 0, STEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Shares the socket with whoever understands other datagrams; null before it listens. */
+    Channel share(Consumer<DatagramPacket> with) {
+        others = with;
+        return channel;
+    }
+
     /** Who is there, as far as this daemon can tell. */
     FleetView view() {
         return heartbeats;
@@ -124,6 +132,9 @@
                 return;
             }
             Beat beat = Beat.read(packet.content().nioBuffer());
+            if (beat == null && others != null) {
+                others.accept(packet);
+            }
             if (beat == null || !packet.sender().equals(peers.get(beat.from()))) {
                 return;
             }
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/PeerProbes.java
@@ -0,0 +1,106 @@
+package amberroute.sender;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+
+import amberroute.membership.Beat;
+import amberroute.membership.FleetView;
+import amberroute.membership.Probe;
+import amberroute.membership.Swim;
+
+/**
+ * Carries the membership protocol's datagrams over UDP, on the heartbeats' socket where there is one. What they mean is
+ * decided by {@link Swim}. One is taken from a configured peer's address only; what cannot be read is dropped without a
+ * word. Lives on the event loop.
+ */
+final class PeerProbes {
+    private static final long STEP_MS = 20;
+    /** Datagrams that are read in one pass of the loop at most, so that a flood does not hold it up. */
+    private static final int MOST_READ = 64;
+
+    private final EventLoop loop;
+    private final Map<String, InetSocketAddress> peers;
+    private final LongSupplier clock;
+    private final Supplier<FleetView.Phase> phase;
+    private final Swim swim;
+    private Channel channel;
+
+    /** {@code clock} is monotonic, in microseconds. */
+    PeerProbes(EventLoop loop, String name, String zone, Map<String, InetSocketAddress> peers, LongSupplier clock,
+            Supplier<FleetView.Phase> phase) {
+        this.loop = loop;
+        this.peers = Map.copyOf(peers);
+        this.clock = clock;
+        this.phase = phase;
+        swim = new Swim(name, zone, peers.keySet(), System.currentTimeMillis(), new SplittableRandom());
+    }
+
+    Swim view() {
+        return swim;
+    }
+
+    /** Begins, on this socket, or on one of its own where that is null. */
+    void listen(Channel shared, InetSocketAddress address) throws InterruptedException {
+        channel = shared != null ? shared : new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Beat.MOST_BYTES + 1)
+                        .maxMessagesPerRead(MOST_READ))
+                .handler(new Reader()).bind(address).sync().channel();
+        loop.scheduleWithFixedDelay(() -> {
+            swim.phase(phase.get());
+            send(swim.tick(clock.getAsLong()));
+        }, 0, STEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A datagram that is no heartbeat. */
+    void heard(DatagramPacket packet) {
+        if (packet.content().readableBytes() > Beat.MOST_BYTES) {
+            return;
+        }
+        Probe probe = Probe.read(packet.content().nioBuffer());
+        if (probe != null && packet.sender().equals(peers.get(probe.from()))) {
+            send(swim.heard(clock.getAsLong(), probe));
+        }
+    }
+
+    private void send(List<Swim.Out> out) {
+        for (Swim.Out o : out) {
+            if (channel != null && channel.isActive()) {
+                channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(o.probe().write()), peers.get(o.to())));
+            }
+        }
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private final class Reader extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            heard(packet);
+        }
+
+        /** A peer that is away answers by an error of the network; the next datagram may be heard. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        }
+    }
+}
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -75,6 +75,8 @@
     private static final long FENCE_MS = 100;
     /** Exit code of a process whose state folder was taken over. */
     static final int FENCED = 5;
+    /** Exit code of a process whose estate goes on elsewhere; it may be started again, and begins a new one. */
+    static final int OVER = 7;
     /** Origin of the module's clock. */
     private static final long START = System.nanoTime() / 1_000 - 1_000_000;
 
@@ -179,8 +181,17 @@
     private record Undecided(ClientServer.Submission submission, ClientServer.Answer reply) { }
 
     private static final int MOST_UNDECIDED = 4_096;
-
-    private final LoopLooks looks = new LoopLooks();
+    /** When a client is to come again that found too few holders of copies: they are looked for all the time. */
+    private static final long UNCOPIED_MS = 500;
+
+    private final LoopLooks looks;
+    /** Null unless peers hold copies of what is in hand here; and of an estate that goes on here, its copies. */
+    private Survival survival;
+    private PeerProbes probes;
+    private Copying copying;
+    /** Null but in an estate that goes on in another sender's process, and on its loop. */
+    private final Sender around;
+    private final List<Future<?>> repeating = new ArrayList<>();
     private final LateEnds endedLate = new LateEnds("were given up on");
     private final LateEnds answeredLate = new LateEnds("had their notice answered");
     /** Attempts that were called off while they waited for their record to be forced; at most one for each message. */
@@ -188,15 +199,22 @@
 
     /** {@code inherited} is the socket that clients connect to, null if this process is to open one. */
     private Sender(Config config, ServerSocketChannel inherited) throws IOException {
+        this(config, inherited, null);
+    }
+
+    private Sender(Config config, ServerSocketChannel inherited, Sender around) throws IOException {
         this.config = config;
         this.inherited = inherited;
+        this.around = around;
+        looks = around == null ? new LoopLooks() : around.looks;
         settings = config.settings();
         module = ModuleTrace.around(checked(settings), settings);
         boolean succeeds = inherited != null && Succession.possible(config.state());
         lock = succeeds ? StateLock.tryTake(config.state(), config.standalone() != null)
                 : StateLock.take(config.state(), config.standalone() != null);
-        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), looks));
-        loop = group.next();
+        group = around != null ? around.group
+                : new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), looks));
+        loop = around != null ? around.loop : group.next();
         control = new Control(loop, this::onControl);
         successors = succeeds ? new Successors(loop, new Giving()) : null;
         if (lock != null) {
@@ -204,7 +222,9 @@
                 open();
             } catch (IOException | RuntimeException e) {
                 control.close();
-                group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+                if (around == null) {
+                    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+                }
                 lock.close();
                 throw e;
             }
@@ -223,9 +243,12 @@
             throw new BadInput("state folder " + config.state() + " was taken over by " + fence.by()
                     + "; this instance needs another one");
         }
-        if (config.standalone() != null) {
+        if (config.standalone() != null && around == null) {
             control.listen(config.standalone().control());
         }
+        if (config.standalone() != null && config.standalone().survive() != null) {
+            OldEstates.putAside(config.state());
+        }
         Durability durability = config.standalone() == null ? Durability.NONE : config.standalone().durability();
         journal = Journal.open(config.state(), new FolderDisk(config.state()), config.diskBytes(), durability,
                 durability == Durability.NONE ? null : new Forcer());
@@ -310,19 +333,29 @@
             if (lock == null) {
                 takeOver();
             }
+            if (config.standalone() != null && config.standalone().survive() != null) {
+                loop.submit(this::survive).sync();
+            }
             loop.submit(this::recover).sync();
+            if (survival != null) {
+                handOver.estates(survival::heard);
+            }
             if (handOver != null && config.standalone().handOver() != null) {
                 handOverBound = handOver.listen(config.standalone().handOver());
             }
             if (beats != null) {
                 beats.listen(handOverBound);
             }
+            if (survival != null) {
+                probes.listen(beats == null ? null : beats.share(probes::heard), handOverBound);
+                loop.execute(survival::start);
+            }
             if (config.standalone() != null) {
                 for (Path folder : config.standalone().adopt()) {
                     replace(folder);
                 }
             }
-            bound = inherited == null ? listen() : clients.listen(inherited);
+            bound = around != null ? null : inherited == null ? listen() : clients.listen(inherited);
             loop.submit(this::serving).sync();
             if (successors != null) {
                 successors.listen(config.state());
@@ -334,7 +367,9 @@
             stop();
             throw new IOException("cannot start: " + e.getMessage(), e);
         }
-        Log.warn(config.name() + " is ready at " + bound);
+        if (around == null) {
+            Log.warn(config.name() + " is ready at " + bound);
+        }
     }
 
     /** Where this process replaces one that was stopped, that one's socket is free only once it has met the fence. */
@@ -420,6 +455,9 @@
         if (ops != null) {
             ops.close();
         }
+        if (survival != null) {
+            loop.submit(survival::close).awaitUninterruptibly(1_000);
+        }
         if (handOver != null) {
             loop.submit(handOver::close).awaitUninterruptibly(1_000);
         }
@@ -429,6 +467,10 @@
         if (endpointFile != null) {
             endpointFile.close();
         }
+        if (around != null) {
+            // The loop is another's; whoever began this one lets go of the rest there.
+            return;
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         closeJournal();
     }
@@ -522,19 +564,19 @@
                 || journal.holds().size() > 0)) {
             handOver = new HandOver(loop, config.name(), alone.peers(), new HandOverHost(), journal);
             handOver.recover();
-            loop.scheduleWithFixedDelay(() -> {
+            repeating.add(loop.scheduleWithFixedDelay(() -> {
                 if (!given) {
                     journal.dropOldLots();
                     free(journal.expireHolds(wall()));
                 }
-            }, HOLDS_MS, HOLDS_MS, TimeUnit.MILLISECONDS);
+            }, HOLDS_MS, HOLDS_MS, TimeUnit.MILLISECONDS));
         }
-        loop.scheduleWithFixedDelay(() -> {
+        repeating.add(loop.scheduleWithFixedDelay(() -> {
             if (!given) {
                 journal.retry();
                 journal.tidy();
             }
-        }, RETRY_MS, RETRY_MS, TimeUnit.MILLISECONDS);
+        }, RETRY_MS, RETRY_MS, TimeUnit.MILLISECONDS));
         Log.warn("resumed " + held.size() + " messages");
         turnSoon();
     }
@@ -583,11 +625,8 @@
                 wall() * 1_000);
         Map<String, InetSocketAddress> peers = new LinkedHashMap<>(alone.peers());
         peers.remove(config.name());
-        beats = new PeerBeats(loop, config.name(), peers, Sender::now, limits, () -> switch (phase) {
-            case STARTING -> FleetView.Phase.STARTING;
-            case READY -> FleetView.Phase.READY;
-            default -> FleetView.Phase.DRAINING;
-        }, this::heldFor, this::ceiling);
+        beats = new PeerBeats(loop, config.name(), peers, Sender::now, limits, this::fleetPhase, this::heldFor,
+                this::ceiling);
     }
 
     private double heldFor(int destination) {
@@ -814,9 +853,128 @@
         }
     }
 
+    // ---- Work in hand that outlasts its machine (docs/survival.md). ----
+
+    private Void survive() throws IOException {
+        StandaloneConfig.Standalone alone = config.standalone();
+        Map<String, InetSocketAddress> others = new LinkedHashMap<>(alone.peers());
+        others.remove(config.name());
+        if (others.size() + 1 < alone.survive().copies()) {
+            Log.warn("survival: " + alone.survive().copies() + " copies need as many senders, and there are "
+                    + (others.size() + 1) + ": what is in hand is in this folder alone, and waits for it when it is lost");
+            return null;
+        }
+        probes = new PeerProbes(loop, config.name(), alone.zone(), others, Sender::now, this::fleetPhase);
+        survival = new Survival(loop, config, journal, probes, new SurvivalHost());
+        return null;
+    }
+
+    private FleetView.Phase fleetPhase() {
+        return switch (phase) {
+            case STARTING -> FleetView.Phase.STARTING;
+            case READY -> FleetView.Phase.READY;
+            default -> FleetView.Phase.DRAINING;
+        };
+    }
+
+    private final class SurvivalHost implements Survival.Host {
+        @Override
+        public void fenced(String why) {
+            Log.warn("survival: this estate is over here: " + why + "; this process ends, and the next one begins a new estate");
+            OldEstates.mark(config.state());
+            Runtime.getRuntime().halt(OVER);
+        }
+
+        @Override
+        public Survival.Caretaker takeOver(EstateStore.Kept kept, Path folder, long term) throws IOException {
+            Map<String, InetSocketAddress> others = new LinkedHashMap<>(config.standalone().peers());
+            others.put(config.name(), handOverBound);
+            // Under the estate's name: the daemon that had it may be there again, and has to hold its keys like any peer.
+            return new Heir(new Sender(config.caretaker(kept.estate, folder, config.standalone().caretaker(others)), null,
+                    Sender.this), kept, term);
+        }
+
+        @Override
+        public long longestLife() {
+            return settings.classes().stream().mapToLong(Relay.MessageClass::deadline).max().orElse(0) / 1_000;
+        }
+    }
+
+    /** An estate that goes on in this process, as though its own had been started again: a sender without a door. */
+    private final class Heir implements Survival.Caretaker {
+        private final Sender sender;
+
+        Heir(Sender sender, EstateStore.Kept kept, long term) throws IOException {
+            this.sender = sender;
+            try {
+                loop.submit(() -> {
+                    sender.copying = survival.carry(kept, this, term);
+                    return null;
+                }).sync();
+                sender.start();
+                loop.execute(() -> {
+                    if (sender.handOver != null && !sender.given) {
+                        // Peers hold back what comes of its keys until that is over, and are offered what can move.
+                        sender.handOver.name(sender.orderedKeys());
+                    }
+                });
+            } catch (Exception e) {
+                loop.submit(this::stop).awaitUninterruptibly();
+                throw new IOException(e.getMessage(), e);
+            }
+        }
+
+        @Override
+        public Journal journal() {
+            return sender.journal;
+        }
+
+        @Override
+        public Copying copying() {
+            return sender.copying;
+        }
+
+        @Override
+        public boolean idle() {
+            return sender.phase == Phase.READY && sender.journal.live().isEmpty() && sender.receivers.callsOut() == 0
+                    && (sender.handOver == null || sender.handOver.waiting() == 0);
+        }
+
+        @Override
+        public void stop() {
+            if (sender.given) {
+                return;
+            }
+            sender.given = true;
+            if (sender.copying != null) {
+                sender.copying.close();
+            }
+            sender.repeating.forEach(each -> each.cancel(false));
+            if (sender.timer != null) {
+                sender.timer.cancel(false);
+            }
+            sender.events.clear();
+            sender.receivers.callOff();
+            sender.receivers.closeIdle(endpoint -> true);
+            sender.directory.stop();
+            sender.notices.stop();
+            if (sender.handOver != null) {
+                sender.handOver.close();
+            }
+            if (sender.endpointFile != null) {
+                sender.endpointFile.close();
+            }
+            sender.closeJournal();
+        }
+    }
+
     private final class CallEvents implements Receivers.Listener {
         @Override
         public void ended(Receivers.Result result) {
+            if (given && successors == null) {
+                // An estate that goes on elsewhere: its new owner takes this call for one that may have run.
+                return;
+            }
             if (given) {
                 successors.outcome(result, directory.uid(result.endpoint()));
             } else {
@@ -989,7 +1147,17 @@
             return;
         }
         if (known) {
-            reply.ok();
+            told(journal, reply);
+            return;
+        }
+        Journal elsewhere = survival == null ? null : survival.knowing(s.id());
+        if (elsewhere != null) {
+            told(elsewhere, reply);
+            return;
+        }
+        if (survival != null && !survival.ready() && drain == null) {
+            // Too few copies of it could be made: nothing is taken on, so coming again harms nobody.
+            busy(reply, s.className(), settings.limits().retryAdvice() ? UNCOPIED_MS : 0);
             return;
         }
         if (drain != null) {
@@ -1027,6 +1195,11 @@
                 s.timeLeft() * 1_000, s.destination()));
     }
 
+    /** It was taken on before; that is said once it outlasts what it has to. */
+    private static void told(Journal by, ClientServer.Answer reply) {
+        by.whenSafe(reply::ok, null);
+    }
+
     /**
      * Whoever comes during a stop: told when to come again, and kept from overtaking what is still here of an ordered key
      * (docs/hand-over.md).
@@ -1223,10 +1396,10 @@
             Held m = taken.message();
             if (taken.reply().wanted() && journal.accept(m)) {
                 held.put(m.number, m);
-                journal.whenSafe(() -> taken.reply().ok(), () -> {
-                    // It goes on, but nobody can say what a loss of power leaves of it: a failure promises nothing.
-                    taken.reply().error("the message could not be forced to the disk");
-                });
+                // It goes on, but nobody can say what a loss of power leaves of it: a failure promises nothing. While it is not
+                // copied nothing is said: it may be another's soon, who carries it out, or nobody's.
+                journal.whenSafe(() -> taken.reply().ok(), survival != null ? null
+                        : () -> taken.reply().error("the message could not be forced to the disk"));
             } else if (journal.uncertain()) {
                 // It may be found after all, by the next process: its end is not known, and a refusal would promise one.
                 figures.ended(m.className, Figures.End.ERRORS);
@@ -1265,7 +1438,16 @@
 
     /** Its end is written; it is told once that outlasts what it has to. */
     private void tell(Held m) {
-        journal.whenSafe(() -> notices.send(m), null);
+        journal.whenSafe(() -> notices.send(m), survival == null && copying == null ? null : () -> untold(m));
+    }
+
+    /**
+     * Its end could not be copied in time, so it may be another's by now: all that may be said is that it failed, which
+     * promises nothing, as another may carry it out.
+     */
+    private void untold(Held m) {
+        m.end(m.failed());
+        notices.send(m);
     }
 
     private static long millis(long micros) {
@@ -1438,6 +1620,18 @@
                 }, "reload").start();
             }
             case "adopt" -> onAdopt(request, answer);
+            case "estates" -> {
+                JsonObject told = Control.answer(survival != null, survival == null ? "nothing is copied: survival.on is not set" : null);
+                if (survival != null) {
+                    told.add("estates", survival.list());
+                }
+                answer.accept(told);
+            }
+            case "take" -> {
+                String no = survival == null ? "nothing is copied: survival.on is not set" : !request.has("estate")
+                        ? "take needs an estate" : survival.take(request.get("estate").getAsString());
+                answer.accept(Control.answer(no == null, no));
+            }
             default -> answer.accept(Control.answer(false, "no such command"));
         }
     }
--- a/sender/src/main/java/amberroute/sender/StandaloneConfig.java
+++ b/sender/src/main/java/amberroute/sender/StandaloneConfig.java
@@ -90,6 +90,9 @@
             .flag("fleet.gentle", false, "daemons agree on what they give a partner that is cold; needs handover.listen and handover.peers")
             .real("fleet.first", 20.0, 0.1, 1e6, "messages a second that all daemons together give a partner that none of them knows")
             .duration("fleet.lease", "500ms", "50ms", "10s", "how long a part of a cold partner's limit is lent")
+            .flag("survival.on", false, "peers hold copies of what this sender has in hand and go on with it when it is lost; needs handover.listen and handover.peers")
+            .whole("survival.copies", 3L, 3, 7, "how many hold each message, this sender among them; more than half have to be there")
+            .duration("survival.replace", "10s", "1s", "1h", "a holder that is away for so long is replaced")
             .real("costs.handshake", 0.06, 0, 1_000, "what a new connection costs beside a message's worth")
             .tables("class", CLASS, 1, "a class of messages, in the order of their numbers")
             .tables("kind", KIND, 0, "a kind of destination; one with one message a call if there is none");
@@ -100,7 +103,16 @@
      */
     record Standalone(Path endpoints, InetSocketAddress notices, Path control, long stopMillis, long backMillis,
             InetSocketAddress handOver, Map<String, InetSocketAddress> peers, boolean adoption,
-            List<Path> adopt, long lease, double first, Durability durability) { }
+            List<Path> adopt, long lease, double first, Durability durability, Survive survive, String zone) {
+        /** Of an estate that goes on in another's process: its peers, and nothing that clients or operators could reach. */
+        Standalone caretaker(Map<String, InetSocketAddress> others) {
+            return new Standalone(endpoints, notices, null, stopMillis, backMillis, null, others, false, List.of(), 0, first,
+                    durability, null, zone);
+        }
+    }
+
+    /** How work in hand outlasts its machine (docs/survival.md); null for not at all. */
+    record Survive(int copies, long replaceMillis) { }
 
     private StandaloneConfig() {
     }
@@ -158,7 +170,8 @@
                 (environment.containsKey("GW_ADOPT") ? List.of(environment.get("GW_ADOPT").split(":")) : s.list("adopt"))
                         .stream().filter(path -> !path.isBlank()).map(path -> base.resolve(path).normalize()).toList(),
                 gentle ? s.micros("fleet.lease") : 0, s.real("fleet.first"),
-                Durability.valueOf(s.text("journal.durability").toUpperCase(Locale.ROOT)));
+                Durability.valueOf(s.text("journal.durability").toUpperCase(Locale.ROOT)),
+                survive(s, handOver, peers), s.has("zone") ? s.text("zone") : zones.get(0));
         JsonObject known = new JsonObject();
         Config config = new Config(environment.getOrDefault("GW_NAME", s.text("name")), listen, discovery, folder,
                 s.whole("limits.descriptors"), s.bytes("limits.memory"), s.bytes("limits.disk"), known,
@@ -207,6 +220,16 @@
         }
     }
 
+    private static Survive survive(Settings s, InetSocketAddress handOver, Map<String, InetSocketAddress> peers) {
+        if (!s.flag("survival.on")) {
+            return null;
+        }
+        if (handOver == null || peers.isEmpty()) {
+            throw s.bad("survival.on", "needs handover.listen and handover.peers");
+        }
+        return new Survive(s.whole("survival.copies"), s.millis("survival.replace"));
+    }
+
     private static String reason(RuntimeException e) {
         return String.valueOf(e.getMessage()).lines().findFirst().orElse("") .replaceAll("\\p{Cntrl}", "?");
     }
--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/Survival.java
@@ -0,0 +1,647 @@
+package amberroute.sender;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+
+import amberroute.membership.FleetView;
+import amberroute.membership.Swim;
+import amberroute.survival.Claim;
+import amberroute.survival.Group;
+import amberroute.survival.Holding;
+import amberroute.survival.Position;
+import amberroute.survival.Steps;
+import amberroute.survival.Tenure;
+
+/**
+ * Keeps this daemon's work in hand alive beyond its machine, and others' on this one (docs/survival.md): its own estate is
+ * copied to a group of holders, it holds copies for others, and claims an estate whose owner is lost. What may be granted,
+ * counted and had is decided in {@code survival}; here are the words, the order of record and answer, and when to try.
+ * Lives on the event loop.
+ */
+final class Survival {
+    private static final long STEP_MS = 50;
+    /** Who has not heard the owner for so long agrees that another tries: three beats that did not come. */
+    private static final long SILENT_NANOS = 600_000_000;
+    /** An estate of which nothing is heard for so long is tried for, whatever its owner says of itself by datagrams. */
+    private static final long LONG_SILENT_NANOS = 1_200_000_000L;
+    private static final long ASK_NANOS = 200_000_000;
+    /** A claim that has not been won by then is given up; the next one comes after a pause of chance. */
+    private static final long CLAIM_NANOS = 1_000_000_000;
+    private static final int PAUSE_MS = 300;
+    /** By then a new owner's keys are held everywhere: one step of it, and half a second for a connection and its answer. */
+    private static final long NAMED_NANOS = 700_000_000;
+    private static final int CONNECT_MS = 300;
+    private static final int ANSWER_SECONDS = 1;
+    private static final long GROUP_MS = 500;
+    /** How long a new daemon waits for members of other zones before it takes those that it knows as holders. */
+    private static final long CHOOSE_NANOS = 2_000_000_000L;
+
+    /** What the sender does for it. */
+    interface Host {
+        /** This daemon's own estate is another's: nothing of it may have an effect from here. */
+        void fenced(String why);
+
+        /** Goes on with an estate, whose copy is in this folder, under a term that was won; not on the event loop. */
+        Caretaker takeOver(EstateStore.Kept kept, Path folder, long term) throws IOException;
+
+        /** How long a client may ask for a message of a class at most, in milliseconds. */
+        long longestLife();
+    }
+
+    /** An estate that goes on here. */
+    interface Caretaker {
+        Journal journal();
+
+        Copying copying();
+
+        /** Whether nothing of it is owed any more. */
+        boolean idle();
+
+        /** Lets go of it; nothing more has an effect when this returns. On the event loop. */
+        void stop();
+    }
+
+    private final class Attempt {
+        final EstateStore.Kept kept;
+        final long since = System.nanoTime();
+        /** First it is only asked whether it could be won, which changes nothing anywhere. */
+        boolean trying = true;
+        Claim claim;
+        long askedAt;
+        boolean ahead;
+
+        Attempt(EstateStore.Kept kept, Claim claim) {
+            this.kept = kept;
+            this.claim = claim;
+        }
+    }
+
+    private static final class Care {
+        Caretaker taker;
+        long idleSince = -1;
+        int taken;
+        long took;
+    }
+
+    private final EventLoop loop;
+    private final String self;
+    private final Map<String, InetSocketAddress> peers;
+    private final int copies;
+    private final long replaceNanos;
+    private final Host host;
+    private final Journal journal;
+    private final EstateStore store;
+    private final PeerProbes probes;
+    private final SplittableRandom random = new SplittableRandom();
+    private final EstateStore.Kept own;
+    private final Copying copying;
+    private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+    private final Map<String, Long> pauses = new LinkedHashMap<>();
+    private final Map<String, Care> cares = new LinkedHashMap<>();
+    private final Map<String, Long> awaySince = new LinkedHashMap<>();
+    private final long started = System.nanoTime();
+    private Group chosen;
+    private String learner;
+    private boolean over;
+
+    Survival(EventLoop loop, Config config, Journal journal, PeerProbes probes, Host host) throws IOException {
+        StandaloneConfig.Standalone alone = config.standalone();
+        this.loop = loop;
+        self = config.name();
+        peers = new LinkedHashMap<>(alone.peers());
+        peers.remove(self);
+        copies = alone.survive().copies();
+        replaceNanos = alone.survive().replaceMillis() * 1_000_000;
+        this.host = host;
+        this.journal = journal;
+        this.probes = probes;
+        store = new EstateStore(config.state().resolve("copies"), config.diskBytes());
+        String estate = journal.holders() == null ? self + "." + Long.toString(System.currentTimeMillis(), 36)
+                : EstateLine.estate(journal.holders());
+        own = store.of(estate);
+        if (own == null) {
+            throw new IOException("copies of too many estates in " + config.state().resolve("copies"));
+        }
+        own.open = true;
+        chosen = journal.holders() == null ? null : EstateLine.group(journal.holders());
+        own.holding = own.holding.reaching(EstateLine.place(journal.place()));
+        copying = new Copying(loop, self, estate, journal, peers, (term, owner) -> lose(own, term, owner));
+        journal.copyTo(copying);
+    }
+
+    /** Begins to try for what is this daemon's, and to look at others'. */
+    void start() {
+        loop.scheduleWithFixedDelay(this::step, 0, STEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::regroup, GROUP_MS, GROUP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Whether what is taken on now is copied in time. */
+    boolean ready() {
+        return copying.ready();
+    }
+
+    Map<String, InetSocketAddress> peers() {
+        return peers;
+    }
+
+    /** The journal of an estate that goes on here and knows this id; null where none does. */
+    Journal knowing(String id) {
+        return cares.values().stream().filter(c -> c.taker != null && c.taker.journal().knows(id))
+                .map(c -> c.taker.journal()).findFirst().orElse(null);
+    }
+
+    private Copying copying(EstateStore.Kept kept) {
+        Care care = cares.get(kept.estate);
+        return kept == own ? copying : care == null || care.taker == null ? null : care.taker.copying();
+    }
+
+    /** With how far the record has come, which a running journal knows better than its file. */
+    private Holding now(EstateStore.Kept kept) {
+        Copying running = copying(kept);
+        Position at = running == null ? null : running.at();
+        return at == null || kept.done ? kept.holding : kept.holding.reaching(at);
+    }
+
+    private boolean hears(EstateStore.Kept kept) {
+        Copying running = copying(kept);
+        return running != null ? running.ready() : System.nanoTime() - kept.heardAt < SILENT_NANOS;
+    }
+
+    // ---- Words from others. ----
+
+    /** A line that came on the peers' listener; false where it is none of these. */
+    boolean heard(ChannelHandlerContext context, JsonObject line, String from) {
+        String word = line.get("word").getAsString();
+        if (!List.of("CLAIM", "COPY", "WHOLE", "DONE").contains(word)) {
+            return false;
+        }
+        String estate = PeerLine.plain(line.get("estate").getAsString());
+        EstateStore.Kept kept = peers.containsKey(from) && estate.lastIndexOf('.') > 0 ? store.of(estate) : null;
+        if (kept == null) {
+            return true;
+        }
+        long term = line.get("term").getAsLong();
+        if (word.equals("CLAIM")) {
+            claimed(context, line, from, kept, term);
+        } else if (kept.done || now(kept).over(term, from)) {
+            JsonObject answer = EstateLine.of("OVER", self, estate, Math.max(term, kept.holding.term()));
+            answer.addProperty("owner", kept.holding.owner());
+            context.writeAndFlush(PeerLine.bytes(answer));
+        } else {
+            kept.heardAt = System.nanoTime();
+            if (!store.promise(kept, now(kept).heard(term, from))) {
+                return true;
+            }
+            if (kept.open) {
+                lose(kept, term, from);
+                return true;
+            }
+            if (word.equals("DONE")) {
+                store.finish(kept);
+                return true;
+            }
+            JsonObject answer = EstateLine.of(copied(line, from, kept, term) ? "HAVE" : "LACKS", self, estate, term);
+            answer.addProperty("number", kept.holding.copy().number());
+            answer.addProperty("counts", kept.holding.counts());
+            if (!word.equals("WHOLE") || line.get("last").getAsBoolean() || answer.get("word").getAsString().equals("LACKS")) {
+                context.writeAndFlush(PeerLine.bytes(answer));
+            }
+        }
+        return true;
+    }
+
+    private boolean copied(JsonObject line, String from, EstateStore.Kept kept, long term) {
+        if (line.get("word").getAsString().equals("WHOLE")) {
+            if (!store.part(kept, line.get("first").getAsBoolean(), term, EstateLine.batches(line))) {
+                // The holder's disk, mostly: not at once again.
+                return !line.get("first").getAsBoolean() && kept.stagingLog == null;
+            }
+            if (line.get("last").getAsBoolean()) {
+                kept.group = EstateLine.group(line);
+                boolean named = kept.group.holders().contains(self);
+                return store.whole(kept, kept.holding.whole(term, from, line.get("upto").getAsLong(), named).named(named));
+            }
+            return true;
+        }
+        long behind = line.get("behind").getAsLong();
+        long upTo = line.get("upto").getAsLong();
+        if (!kept.holding.copy().equals(new Position(term, behind))) {
+            return false;
+        }
+        kept.group = EstateLine.group(line);
+        Holding next = kept.holding.copied(term, from, behind, upTo).named(kept.group.holders().contains(self));
+        return upTo == behind ? store.promise(kept, next) : store.changes(kept, next, EstateLine.batches(line));
+    }
+
+    private void claimed(ChannelHandlerContext context, JsonObject line, String from, EstateStore.Kept kept, long term) {
+        Position theirs = new Position(line.get("copy_term").getAsLong(), line.get("copy_number").getAsLong());
+        Holding now = now(kept);
+        Holding next = now.asked(term, from, theirs);
+        boolean yes = next.granted(term, from);
+        if (line.get("try").getAsBoolean()) {
+            yes &= from.equals(now.owner()) || !hears(kept);
+            yes &= !from.equals(kept.origin()) || !formerOpen(kept, from);
+        } else if (yes) {
+            yes = store.promise(kept, next);
+            // Whoever was granted it has time to begin.
+            kept.heardAt = yes ? System.nanoTime() : kept.heardAt;
+        }
+        JsonObject answer = EstateLine.of(yes ? "GRANT" : "DENY", self, kept.estate, Math.max(now.term(), kept.holding.term()));
+        answer.addProperty("asked", term);
+        answer.addProperty("ahead", now.copy().compareTo(theirs) > 0);
+        Copying running = copying(kept);
+        boolean lost = yes && !line.get("try").getAsBoolean() && kept.open;
+        if (lost && running != null) {
+            // Before it is said: from here on nothing more of it is agreed on here.
+            running.end();
+        }
+        context.writeAndFlush(PeerLine.bytes(answer)).addListener(sent -> {
+            if (lost) {
+                lose(kept, term, from);
+            }
+        });
+    }
+
+    /**
+     * Whether what a daemon had before it lost its folder has no new owner yet, or has one only since just now: until that
+     * one has told everybody which keys it has, nothing new of them may be taken on by the daemon that clients know them at.
+     */
+    private boolean formerOpen(EstateStore.Kept fresh, String origin) {
+        long now = System.nanoTime();
+        boolean open = false;
+        for (EstateStore.Kept kept : store.all().values()) {
+            if (kept == fresh || kept.done || !kept.origin().equals(origin) || kept.copy.isEmpty() && !kept.open) {
+                continue;
+            }
+            if (kept.holding.owner().equals(origin)) {
+                // It says itself that it has it no more: nobody need wait until that is noticed.
+                kept.heardAt = Math.min(kept.heardAt, now - LONG_SILENT_NANOS);
+                open = true;
+            } else {
+                open |= now - kept.ownedAt < NAMED_NANOS;
+            }
+        }
+        return open;
+    }
+
+    /** Somebody else has a later term, which is kept: what was owned here is not begun again by itself. */
+    private void lose(EstateStore.Kept kept, long term, String owner) {
+        store.promise(kept, now(kept).heard(term, owner));
+        lose(kept, "owned by " + owner + " in term " + term);
+    }
+
+    private void lose(EstateStore.Kept kept, String why) {
+        Copying running = copying(kept);
+        if (running != null) {
+            running.end();
+        }
+        if (kept == own) {
+            if (!over) {
+                over = true;
+                host.fenced(why);
+            }
+            return;
+        }
+        Care care = cares.remove(kept.estate);
+        if (care != null && care.taker != null) {
+            Log.warn("survival: " + kept.estate + " goes on elsewhere: " + why);
+            care.taker.stop();
+            store.takeBack(kept);
+        }
+    }
+
+    // ---- Claims. ----
+
+    private void step() {
+        if (over) {
+            return;
+        }
+        if (chosen == null) {
+            choose();
+        }
+        long now = System.nanoTime();
+        for (EstateStore.Kept kept : List.copyOf(store.all().values())) {
+            if (!attempts.containsKey(kept.estate) && wanted(kept, now)) {
+                claim(kept, true, 0);
+            }
+        }
+        List.copyOf(attempts.values()).forEach(a -> attempt(a, now));
+        List.copyOf(cares.entrySet()).forEach(e -> look(e.getKey(), e.getValue(), now));
+    }
+
+    private boolean wanted(EstateStore.Kept kept, long now) {
+        if (kept.done || now < pauses.getOrDefault(kept.estate, Long.MIN_VALUE)) {
+            return false;
+        }
+        if (kept == own) {
+            return copying.tenure() == null && chosen != null;
+        }
+        if (kept.open || kept.copy.isEmpty() || kept.group == null || !kept.group.holders().contains(self)) {
+            return false;
+        }
+        String owner = kept.holding.owner();
+        long silent = now - kept.heardAt;
+        Steps.Seen seen = new Steps.Seen(owner.equals(self), probes.view().gone(owner), silent);
+        return Steps.shouldTry(seen, SILENT_NANOS, LONG_SILENT_NANOS);
+    }
+
+    /** A first question to the group, or, where that was answered by a majority, the claim itself, on disk before it is said. */
+    private void claim(EstateStore.Kept kept, boolean trying, long least) {
+        Holding now = now(kept);
+        Holding next = now.asked(Math.max(least, now.term() + 1), self, now.copy());
+        Group group = kept == own ? chosen : kept.group;
+        if (!trying && !store.promise(kept, next)) {
+            attempts.remove(kept.estate);
+            return;
+        }
+        Attempt attempt = new Attempt(kept, new Claim(self, group, next));
+        attempt.trying = trying;
+        attempts.put(kept.estate, attempt);
+        ask(attempt);
+    }
+
+    private void attempt(Attempt a, long now) {
+        if (a.claim.won()) {
+            attempts.remove(a.kept.estate);
+            if (a.trying) {
+                claim(a.kept, false, a.claim.term());
+            } else {
+                won(a);
+            }
+        } else if (a.claim.lost() || now - a.since > CLAIM_NANOS) {
+            attempts.remove(a.kept.estate);
+            pauses.put(a.kept.estate, now + random.nextInt(PAUSE_MS) * 1_000_000L);
+            if (a.kept == own && a.ahead) {
+                // Somebody has more of it than this folder: an old folder was put back, or another owned it meanwhile.
+                lose(own, "others have more of it than this folder, which is older or was taken over");
+            }
+        } else if (now - a.askedAt > ASK_NANOS) {
+            ask(a);
+        }
+    }
+
+    private void ask(Attempt a) {
+        a.askedAt = System.nanoTime();
+        JsonObject line = EstateLine.of("CLAIM", self, a.kept.estate, a.claim.term());
+        line.addProperty("try", a.trying);
+        line.addProperty("copy_term", a.claim.copy().term());
+        line.addProperty("copy_number", a.claim.copy().number());
+        for (String holder : a.claim.unanswered()) {
+            if (peers.containsKey(holder)) {
+                new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                        .handler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline().addLast(new ReadTimeoutHandler(ANSWER_SECONDS, TimeUnit.SECONDS),
+                                        new LineBasedFrameDecoder(1 << 12, true, true), new Answer(a, holder));
+                            }
+                        }).connect(peers.get(holder)).addListener((io.netty.channel.ChannelFuture done) -> {
+                            if (done.isSuccess()) {
+                                done.channel().writeAndFlush(PeerLine.bytes(line));
+                            }
+                        });
+            }
+        }
+    }
+
+    private final class Answer extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Attempt attempt;
+        private final String holder;
+
+        Answer(Attempt attempt, String holder) {
+            this.attempt = attempt;
+            this.holder = holder;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
+            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+            attempt.ahead |= line.get("ahead").getAsBoolean();
+            attempt.claim.answered(holder, line.get("asked").getAsLong(), line.get("word").getAsString().equals("GRANT"),
+                    line.get("term").getAsLong());
+            context.close();
+            if (attempts.get(attempt.kept.estate) == attempt) {
+                attempt(attempt, System.nanoTime());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private void won(Attempt a) {
+        EstateStore.Kept kept = a.kept;
+        if (!kept.holding.granted(a.claim.term(), self)) {
+            return;
+        }
+        if (kept == own) {
+            if (copying.begin(a.claim.term(), a.claim.copy(), a.claim.group())) {
+                Log.warn("survival: owns " + kept.estate + " in term " + a.claim.term() + ", held by " + a.claim.group().holders());
+            }
+            return;
+        }
+        Care care = new Care();
+        care.took = System.nanoTime();
+        cares.put(kept.estate, care);
+        String before = kept.holding.owner();
+        Path folder = store.lend(kept);
+        Log.warn("survival: takes over " + kept.estate + " in term " + a.claim.term());
+        new Thread(() -> {
+            Caretaker taker = null;
+            try {
+                taker = host.takeOver(kept, folder, a.claim.term());
+            } catch (IOException | RuntimeException e) {
+                Log.warn("survival: cannot go on with " + kept.estate + " of " + before + ": " + e);
+            }
+            Caretaker there = taker;
+            loop.execute(() -> {
+                if (there == null) {
+                    cares.remove(kept.estate);
+                    store.takeBack(kept);
+                    pauses.put(kept.estate, System.nanoTime() + LONG_SILENT_NANOS);
+                } else {
+                    care.taken = there.journal().live().size();
+                }
+            });
+        }, "takeover").start();
+    }
+
+    /** To be called on the event loop as soon as the journal of an estate is open, before anything of it is resumed. */
+    Copying carry(EstateStore.Kept kept, Caretaker taker, long term) throws IOException {
+        if (!cares.containsKey(kept.estate)) {
+            throw new IOException("the term is over");
+        }
+        Position at = EstateLine.place(taker.journal().place());
+        Copying running = new Copying(loop, self, kept.estate, taker.journal(), peers, (t, owner) -> lose(kept, t, owner));
+        taker.journal().copyTo(running);
+        cares.get(kept.estate).taker = taker;
+        if (!kept.holding.granted(term, self) || !running.begin(term, at, EstateLine.group(taker.journal().holders()))) {
+            running.close();
+            throw new IOException("the term is over");
+        }
+        return running;
+    }
+
+    private void look(String estate, Care care, long now) {
+        if (care.taker == null || care.taker.copying() == null) {
+            return;
+        }
+        if (!care.taker.idle()) {
+            care.idleSince = -1;
+        } else if (care.idleSince < 0) {
+            care.idleSince = now;
+            Log.warn("survival: nothing is owed of " + estate + " any more");
+        } else if (now - care.idleSince > host.longestLife() * 1_000_000) {
+            // Nobody may come again with one of its ids from here on.
+            care.taker.copying().done();
+            cares.remove(estate);
+            care.taker.stop();
+            store.finish(store.of(estate));
+            store.of(estate).open = false;
+        }
+    }
+
+    // ---- The group. ----
+
+    private void choose() {
+        List<FleetView.Member> alive = probes.view().members(System.nanoTime() / 1_000).stream()
+                .filter(FleetView.Member::alive).toList();
+        boolean waited = System.nanoTime() - started > CHOOSE_NANOS;
+        if (alive.size() >= (waited ? copies - 1 : peers.size())) {
+            Swim view = probes.view();
+            chosen = new Group(0, Steps.holders(self, view.zone(self), copies, alive.stream().map(FleetView.Member::name).toList(),
+                    view::zone));
+        }
+    }
+
+    /** A holder that is gone for long is replaced: first somebody else is brought up to date, then the two change places. */
+    private void regroup() {
+        Tenure tenure = copying.tenure();
+        if (over || tenure == null || !copying.ready() || !tenure.settled()) {
+            return;
+        }
+        long now = System.nanoTime();
+        Group group = tenure.group();
+        for (String holder : group.holders()) {
+            if (holder.equals(self) || !probes.view().gone(holder)) {
+                awaySince.remove(holder);
+            } else {
+                awaySince.putIfAbsent(holder, now);
+            }
+        }
+        awaySince.keySet().retainAll(group.holders());
+        String away = awaySince.entrySet().stream().filter(e -> now - e.getValue() > replaceNanos).map(Map.Entry::getKey)
+                .findFirst().orElse(null);
+        String fresh = group.holders().stream().filter(copying::fresh).findFirst().orElse(null);
+        if (fresh != null && group.holders().size() > 2) {
+            // It lost its folder and what it promised: out of the group, and in again with a copy.
+            copying.regroup(group.without(fresh));
+            Log.warn("survival: " + fresh + " has lost its folder and is no holder until it has a copy again");
+        } else if (group.holders().size() > copies && away != null) {
+            copying.regroup(group.without(away));
+            Log.warn("survival: " + away + " holds no copy any more; " + tenure.group().holders() + " do");
+        } else if (learner == null && (away != null || group.holders().size() < copies)) {
+            List<String> alive = probes.view().members(now / 1_000).stream().filter(FleetView.Member::alive)
+                    .map(FleetView.Member::name).filter(n -> !group.holders().contains(n)).toList();
+            List<String> next = Steps.holders(self, probes.view().zone(self), 2, alive, probes.view()::zone);
+            if (next.size() > 1) {
+                learner = next.get(1);
+                copying.teach(learner);
+            }
+        } else if (learner != null && copying.taught(learner)) {
+            if (copying.regroup(group.with(learner))) {
+                Log.warn("survival: " + learner + " holds copies from now on");
+            }
+            learner = null;
+        } else if (learner != null && probes.view().gone(learner)) {
+            learner = null;
+        }
+    }
+
+    // ---- For operators. ----
+
+    /** All estates that are known here, as the control socket tells them. */
+    JsonArray list() {
+        JsonArray out = new JsonArray();
+        for (EstateStore.Kept kept : store.all().values()) {
+            JsonObject one = new JsonObject();
+            Holding now = now(kept);
+            one.addProperty("estate", kept.estate);
+            one.addProperty("owner", now.owner());
+            one.addProperty("term", now.term());
+            one.addProperty("here", kept.done ? "done" : kept == own ? "own" : kept.open ? "taken over" : kept.copy.isEmpty()
+                    ? "promised" : "copy");
+            one.addProperty("number", kept.done ? 0 : now.copy().number());
+            Copying running = copying(kept);
+            Group group = running != null && running.tenure() != null ? running.tenure().group() : kept.group;
+            one.add("holders", PeerLine.names(group == null ? List.of() : group.holders()));
+            if (running != null && running.tenure() != null) {
+                JsonObject behind = new JsonObject();
+                running.tenure().group().holders().forEach(h -> behind.addProperty(h, running.tenure().behind(h)));
+                one.add("behind", behind);
+                one.addProperty("ready", running.ready());
+                one.addProperty("not_in_time", running.late());
+            }
+            Care care = cares.get(kept.estate);
+            if (care != null) {
+                one.addProperty("taken", care.taken);
+                one.addProperty("for_ms", (System.nanoTime() - care.took) / 1_000_000);
+            }
+            out.add(one);
+        }
+        return out;
+    }
+
+    /** An operator wants this daemon to try for an estate now; null, or why it cannot. */
+    String take(String estate) {
+        EstateStore.Kept kept = store.all().get(estate);
+        if (kept == null || kept.done || kept.copy.isEmpty() || kept.open) {
+            return kept == null ? "no such estate here" : kept.open ? "it goes on here" : "there is no copy of it here";
+        }
+        if (hears(kept)) {
+            return "its owner " + kept.holding.owner() + " was heard of just now";
+        }
+        if (!attempts.containsKey(estate)) {
+            claim(kept, true, 0);
+        }
+        return null;
+    }
+
+    void close() {
+        copying.close();
+        List.copyOf(cares.values()).forEach(care -> {
+            if (care.taker != null) {
+                care.taker.stop();
+            }
+        });
+        store.close();
+        probes.close();
+    }
+}
--- a/survival/src/main/java/amberroute/survival/Holding.java
+++ b/survival/src/main/java/amberroute/survival/Holding.java
@@ -5,22 +5,49 @@
  * far its copy reaches. The one thing that must outlast the holder's process: on disk before any answer that follows.
  *
  * <p>A term has one owner: it is granted once, and a holder that has granted a term takes no copy of an older one.
+ *
+ * <p>One that never heard of the estate may have lost its folder, and with it what it promised: it takes copies, but neither
+ * grants nor counts until a group names it that was agreed on without it. {@code fresh} is 0 for one that has kept all its
+ * promises, {@link #NAMED} for one that came when the group named it already, so that it has to be taken out first, and
+ * {@link #LEARNS} for one that has met a group without it: the next one with it makes it count. An owner whose term is over cannot
+ * bring that about, as each change of the group takes a majority that does not count this one.
  */
-public record Holding(long term, String owner, Position copy) {
+public record Holding(long term, String owner, Position copy, int fresh) {
+    public static final int LEARNS = 1;
+    public static final int NAMED = 2;
     /** Of one that never heard of the estate. */
-    public static final Holding NONE = new Holding(0, "", Position.NONE);
+    public static final Holding NONE = new Holding(0, "", Position.NONE, 0);
+
+    /** Of one that has kept its promises. */
+    public Holding(long term, String owner, Position copy) {
+        this(term, owner, copy, 0);
+    }
+
+    /** The same with a copy that reaches as far as this one's file says. */
+    public Holding reaching(Position at) {
+        return new Holding(term, owner, at, fresh);
+    }
+
+    /** Whether what it has and grants counts. */
+    public boolean counts() {
+        return fresh == 0;
+    }
 
     /**
      * Asked for a term by somebody whose copy reaches so far. The result is this very holding where the answer is no, else
-     * what has to be on disk before the yes. The same asker may ask again.
+     * what has to be on disk before the yes. The same asker may ask again. Whoever never heard of the estate grants only its
+     * very beginning, when there is nothing to know.
      */
     public Holding asked(long asked, String candidate, Position theirs) {
+        if (!counts() || term == 0 && !theirs.equals(Position.NONE)) {
+            return this;
+        }
         return asked > term && theirs.compareTo(copy) >= 0 ? new Holding(asked, candidate, copy) : this;
     }
 
     /** Whether it has granted this term to this one. */
     public boolean granted(long asked, String candidate) {
-        return term == asked && owner.equals(candidate);
+        return counts() && term == asked && owner.equals(candidate);
     }
 
     /** Whether a word of this term and owner is over here: somebody else has the same or a later one. */
@@ -28,18 +55,32 @@
         return said < term || said == term && !owner.equals(by);
     }
 
+    /** Another owns a term that is not over here: from now on nothing of an older one is taken. */
+    public Holding heard(long said, String by) {
+        return over(said, by) || term == 0 ? this : new Holding(said, by, copy, fresh);
+    }
+
     /**
      * Changes that follow one another from {@code behind} on, in a term that is not over here. Where its copy does not end
      * right there the result is this very holding: it needs the whole.
      */
     public Holding copied(long said, String by, long behind, long upTo) {
         return over(said, by) || !copy.equals(new Position(said, behind)) || upTo < behind ? this
-                : new Holding(said, by, new Position(said, upTo));
+                : new Holding(said, by, new Position(said, upTo), fresh);
     }
 
-    /** All of the estate as it stands at a number: takes the place of any copy of an earlier term, or a shorter one. */
-    public Holding whole(long said, String by, long at) {
+    /**
+     * All of the estate as it stands at a number: takes the place of any copy of an earlier term, or a shorter one.
+     * {@code named} is whether the group names this holder.
+     */
+    public Holding whole(long said, String by, long at, boolean named) {
         Position next = new Position(said, at);
-        return over(said, by) || next.compareTo(copy) < 0 ? this : new Holding(said, by, next);
+        return over(said, by) || next.compareTo(copy) < 0 ? this : new Holding(said, by, next, term > 0 ? fresh : named ? NAMED : LEARNS);
+    }
+
+    /** The group of the copy that it has now names this holder, or does not. */
+    public Holding named(boolean named) {
+        int next = named ? (fresh == LEARNS ? 0 : fresh) : fresh == NAMED ? LEARNS : fresh;
+        return next == fresh ? this : new Holding(term, owner, copy, next);
     }
 }
--- a/testkit/src/main/java/amberroute/testkit/Stage.java
+++ b/testkit/src/main/java/amberroute/testkit/Stage.java
@@ -29,6 +29,7 @@
     private final Book book = new Book();
     private final List<PartnerServer> partners = new ArrayList<>();
     private final List<FaultProxy> proxies = new ArrayList<>();
+    private final List<FaultNet> nets = new ArrayList<>();
     private final long seed;
     private PlatformServer platform;
     private Clients clients;
@@ -87,6 +88,13 @@
         return proxy;
     }
 
+    /** A net on this stage's loop between processes at these addresses; it needs n times n free ports from this one on. */
+    public FaultNet net(List<InetSocketAddress> targets, int firstPort) throws InterruptedException {
+        FaultNet net = new FaultNet(loop, targets, firstPort, seed);
+        nets.add(net);
+        return net;
+    }
+
     /** Stand-in clients for these senders; they ask for nothing before they are told to. */
     public Clients clients(List<InetSocketAddress> senders, List<Clients.Kind> kinds) {
         int destinations = partners.stream().mapToInt(PartnerServer::destination).max().orElse(1);
@@ -247,6 +255,7 @@
             platform.shut();
             partners.forEach(PartnerServer::close);
             proxies.forEach(FaultProxy::close);
+            nets.forEach(FaultNet::close);
         });
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
