--- a/sender/src/main/java/amberroute/sender/Copying.java
+++ b/sender/src/main/java/amberroute/sender/Copying.java
@@ -72,6 +72,8 @@
     private final Over onOver;
     private final Map<String, Link> links = new LinkedHashMap<>();
     private final Deque<Waiting> waiting = new ArrayDeque<>();
+    /** What each holder has said that it has, in this term: it is told so, should its folder be an older one by then. */
+    private final Map<String, Long> had = new LinkedHashMap<>();
     private ScheduledFuture<?> steps;
     /** Null until the term is won. */
     private Tenure tenure;
@@ -311,6 +313,7 @@
         /** The holder gets the whole, from the beginning. */
         private void again() {
             tenure.lacks(holder);
+            taught = false;
             pending.clear();
             pendingBytes = 0;
             whole = journal.contents().iterator();
@@ -366,6 +369,9 @@
                 JsonObject line = EstateLine.of("WHOLE", self, estate, tenure.term());
                 line.addProperty("first", first);
                 line.addProperty("last", last);
+                if (first) {
+                    line.addProperty("had", had.getOrDefault(holder, 0L));
+                }
                 if (last) {
                     sent = tenure.last();
                     line.addProperty("upto", sent);
@@ -406,6 +412,7 @@
                     taught = whole == null;
                     fresh = !line.get("counts").getAsBoolean();
                     if (!fresh) {
+                        had.merge(holder, line.get("number").getAsLong(), Math::max);
                         tenure.has(holder, line.get("number").getAsLong());
                         release();
                     }
--- a/sender/src/main/java/amberroute/sender/EstateStore.java
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -52,6 +52,9 @@
         Path staging;
         SegmentLog stagingLog;
         long stagingTerm;
+        /** The connection that the copy, and the whole that is under way, came on: others' lines may be older than they. */
+        Object copyFrom;
+        Object stagingFrom;
         /** Monotonic nanoseconds at which its owner last spoke of it, and by which name. */
         long heardAt = System.nanoTime();
         /** Owned by this process: the copy is a running journal. */
@@ -219,7 +222,7 @@
     }
 
     /** Takes part of a whole; false where it cannot be kept, and the whole has to begin anew. */
-    boolean part(Kept kept, boolean first, long term, List<Batch> batches) {
+    boolean part(Kept kept, boolean first, long term, List<Batch> batches, Object from) {
         try {
             if (first) {
                 close(kept.stagingLog);
@@ -227,8 +230,9 @@
                 Files.createDirectories(kept.staging);
                 kept.stagingLog = SegmentLog.open(new FolderDisk(kept.staging), limits(), EstateStore::salt);
                 kept.stagingTerm = term;
+                kept.stagingFrom = from;
             }
-            if (kept.stagingLog == null || kept.stagingTerm != term) {
+            if (kept.stagingLog == null || kept.stagingTerm != term || kept.stagingFrom != from) {
                 return false;
             }
             apply(kept.stagingLog, batches);
@@ -248,6 +252,7 @@
         kept.log = kept.stagingLog;
         kept.copy = kept.staging.getFileName().toString();
         kept.holding = next;
+        kept.copyFrom = kept.stagingFrom;
         kept.stagingLog = null;
         kept.staging = null;
         sweep(kept);
--- a/sender/src/main/java/amberroute/sender/Survival.java
+++ b/sender/src/main/java/amberroute/sender/Survival.java
@@ -224,7 +224,7 @@
                 store.finish(kept);
                 return true;
             }
-            JsonObject answer = EstateLine.of(copied(line, from, kept, term) ? "HAVE" : "LACKS", self, estate, term);
+            JsonObject answer = EstateLine.of(copied(line, from, kept, term, context.channel()) ? "HAVE" : "LACKS", self, estate, term);
             answer.addProperty("number", kept.holding.copy().number());
             answer.addProperty("counts", kept.holding.counts());
             if (!word.equals("WHOLE") || line.get("last").getAsBoolean() || answer.get("word").getAsString().equals("LACKS")) {
@@ -234,9 +234,18 @@
         return true;
     }
 
-    private boolean copied(JsonObject line, String from, EstateStore.Kept kept, long term) {
+    private boolean copied(JsonObject line, String from, EstateStore.Kept kept, long term, Channel on) {
+        if (line.has("had")) {
+            Holding reminded = kept.holding.reminded(term, from, line.get("had").getAsLong());
+            if (reminded != kept.holding) {
+                Log.warn("survival: this folder is older than what it promised of " + kept.estate + ": no holder until it has a copy");
+                if (!store.promise(kept, reminded)) {
+                    return false;
+                }
+            }
+        }
         if (line.get("word").getAsString().equals("WHOLE")) {
-            if (!store.part(kept, line.get("first").getAsBoolean(), term, EstateLine.batches(line))) {
+            if (!store.part(kept, line.get("first").getAsBoolean(), term, EstateLine.batches(line), on)) {
                 // The holder's disk, mostly: not at once again.
                 return !line.get("first").getAsBoolean() && kept.stagingLog == null;
             }
@@ -249,7 +258,7 @@
         }
         long behind = line.get("behind").getAsLong();
         long upTo = line.get("upto").getAsLong();
-        if (!kept.holding.copy().equals(new Position(term, behind))) {
+        if (kept.copyFrom != on || !kept.holding.copy().equals(new Position(term, behind))) {
             return false;
         }
         kept.group = EstateLine.group(line);
--- a/survival/src/main/java/amberroute/survival/Holding.java
+++ b/survival/src/main/java/amberroute/survival/Holding.java
@@ -33,6 +33,15 @@
         return fresh == 0;
     }
 
+    /**
+     * Told by its owner that it had all up to a number in this term. Where it has not, its folder is an old one that was put
+     * back: what it promised since is gone, as with one that comes without any.
+     */
+    public Holding reminded(long said, String by, long had) {
+        return over(said, by) || copy.compareTo(new Position(said, had)) >= 0 || had <= 0 ? this
+                : new Holding(said, by, Position.NONE, NAMED);
+    }
+
     /**
      * Asked for a term by somebody whose copy reaches so far. The result is this very holding where the answer is no, else
      * what has to be on disk before the yes. The same asker may ask again. Whoever never heard of the estate grants only its
