Call nobody behind a start before discovery's first word

Seen: played again with the list's news and calls of each sender in the logs, the late calls (0.38 s) are of senders that were just started again (n6, n22, n30, n38). n6: the old list at 9.329 s has the receiver ready; the watch is up at 9.794, the call is made at 9.826, the list that says that it drains is read at 9.858; senders that were up had that news from 9.40 on. Excluded: moves of discovery (the four move at 10.1 and later), turns that stood still, senders that had read the news (none of them called the receiver behind it). At fault: Sender.recover lets the first turn run with Directory's cached list while its watch is coming up. Change: the first turn waits for the watch's first word, 200 ms from asking at most and a second in all, as an agent answers at once or has nothing to say.

--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -47,6 +47,8 @@
     /** An empty line comes every 2 s: after a few missed ones the watch is taken to be dead. */
     private static final long SILENCE_MS = 5_000;
     private static final long CONNECT_MS = 1_000;
+    /** Below the time that the drain rule leaves between the news that a receiver drains and the last call to it. */
+    private static final long WORD_NANOS = 200_000_000;
     /** What discovery has to tell counts as told 6 s later at the latest: two tries fit in. */
     private static final long PAUSE_MOST_MS = 2_000;
     private static final int LONGEST_LINE = 1 << 20;
@@ -98,6 +100,11 @@
     private Future<?> pause;
     private final Pauses pauses;
     private boolean stopped;
+    /** Monotonic nanoseconds of the start, and of the first request for the list, 0 before. */
+    private final long startedAt = System.nanoTime();
+    private long askedAt;
+    /** Whether the first request has brought anything, if only its end. */
+    private boolean heard;
 
     Directory(EventLoop loop, Config config, Listener listener) {
         this.loop = loop;
@@ -129,6 +136,16 @@
         }
     }
 
+    /**
+     * Whether calls may go by the list as it is. Behind a start it is an old one, and what discovery has to say counts as told
+     * from when it could be asked: so calls wait for its first word. It answers at once or has nothing to say, as while it is
+     * away; what it has not said within {@link #WORD_NANOS} is not waited for, nor a connection that does not come up.
+     */
+    boolean settled(long now) {
+        return address == null || heard || askedAt != 0 && now - askedAt > WORD_NANOS
+                || now - startedAt > CONNECT_MS * 1_000_000;
+    }
+
     /** Whether the list has come from discovery itself. */
     boolean current() {
         return current;
@@ -387,6 +404,7 @@
         if (watch != ended) {
             return;
         }
+        heard = true;
         watch = null;
         if (stopped) {
             return;
@@ -427,6 +445,7 @@
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/api/targets?follow=1&since=" + version);
             request.headers().set(HttpHeaderNames.HOST, to.getAddress().getHostAddress());
+            askedAt = askedAt == 0 ? System.nanoTime() : askedAt;
             context.writeAndFlush(request);
         }
 
@@ -454,6 +473,7 @@
             while (length >= 0) {
                 String line = pending.readCharSequence(length, StandardCharsets.UTF_8).toString().strip();
                 pending.skipBytes(1);
+                heard = true;
                 if (line.isEmpty()) {
                     // Nothing has changed: all that a watch of a list that stays has to say.
                     pauses.good();
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -677,6 +677,8 @@
     private static final long NOTICE_MS = 5_000;
     /** After SIGTERM the process may go on for so long, with a margin to the kill. */
     private static final long LAST_MS = 3_450;
+    /** How soon behind a start it is looked again whether the first turn may be made. */
+    private static final long FIRST_WORD_MS = 2;
 
     /**
      * Waits for the folder: asks whoever has it to give it, again and again, as that one may be starting or ending
@@ -1329,6 +1331,10 @@
             looks.behind(loop, this::turn);
             return;
         }
+        if (!given && !directory.settled(System.nanoTime())) {
+            loop.schedule(this::turn, FIRST_WORD_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
         turnNow();
     }
 
--- a/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
@@ -96,6 +96,45 @@
         assertTrue(System.nanoTime() - from < 6_000_000_000L, "ten watches took " + (System.nanoTime() - from) / 1_000_000 + " ms");
     }
 
+    /** What discovery can say at a start counts as told then: nothing goes by an older list while its answer is on its way. */
+    @Test
+    void aStartCallsNobodyBeforeDiscoverysFirstWord() throws IOException {
+        Function<World.Request, String> good = world.discovery.answers;
+        world.discovery.answers = r -> {
+            if (r.head().startsWith("POST")) {
+                return good.apply(r);
+            }
+            pause(120);
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + World.chunk(world.list(2, true, "Terminating"));
+        };
+        sender = world.start();
+        World.Client client = world.client(sender);
+        client.submit("safe", ID + "0", NO_KEY);
+        await(() -> !sender.ready("s-1"));
+        pause(300);
+        assertEquals(0, world.receiver.requests.size());
+    }
+
+    /** It is asked and says nothing: what is known is served from soon. */
+    @Test
+    void aSilentDiscoveryHoldsUpNobody() throws IOException {
+        Function<World.Request, String> good = world.discovery.answers;
+        world.discovery.answers = r -> r.head().startsWith("POST") ? good.apply(r) : null;
+        sender = world.start();
+        long from = System.nanoTime();
+        assertEquals("+OK", world.client(sender).submit("safe", ID + "0", NO_KEY));
+        await(() -> world.receiver.requests.size() == 1);
+        assertTrue(System.nanoTime() - from < 900_000_000L, "served after " + (System.nanoTime() - from) / 1_000_000 + " ms");
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private long asked() {
         return world.discovery.requests.stream().filter(r -> r.head().contains("/api/targets")).count();
     }
