--- a/sender/src/main/java/amberroute/sender/EstateStore.java
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -182,6 +182,9 @@
     /** What is known of an estate; null where there is no room for one more. */
     Kept of(String estate) {
         Kept kept = all.get(estate);
+        if (kept == null && all.size() >= MOST) {
+            forgetOldest();
+        }
         if (kept == null && all.size() < MOST) {
             kept = new Kept(estate, folder.resolve(estate));
             kept.heardAt -= LONG_AGO_NANOS;
@@ -190,6 +193,19 @@
         return kept;
     }
 
+    /** Of those that are done the one known longest: what it owed is long past its time. */
+    private void forgetOldest() {
+        Kept oldest = all.values().stream().filter(k -> k.done).findFirst().orElse(null);
+        if (oldest != null) {
+            try {
+                delete(oldest.folder);
+                all.remove(oldest.estate);
+            } catch (IOException e) {
+                Log.warn("survival: cannot remove " + oldest.folder + ": " + e.getMessage());
+            }
+        }
+    }
+
     /** Has the term on disk; false where it cannot be written, and nothing has changed. */
     boolean promise(Kept kept, Holding next) {
         boolean same = next.term() == kept.holding.term() && next.owner().equals(kept.holding.owner())
--- /dev/null
+++ b/sender/src/test/java/amberroute/sender/EstateStoreTest.java
@@ -0,0 +1,185 @@
+package amberroute.sender;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import amberroute.storage.Batch;
+import amberroute.survival.Group;
+import amberroute.survival.Holding;
+import amberroute.survival.Position;
+
+/** What a holder has on its disk, over restarts and spoilt files; a copy is a journal's folder. */
+class EstateStoreTest {
+    private static final long BUDGET = 1 << 20;
+    private static final String ESTATE = "s1.abc";
+    @TempDir
+    Path folder;
+
+    /** An owner's journal, whose changes are caught as a copy gets them. */
+    private final class Owner implements Journal.Copies, AutoCloseable {
+        final Journal journal;
+        final java.util.ArrayList<Batch> changes = new java.util.ArrayList<>();
+        long number;
+
+        Owner() throws IOException {
+            journal = Journal.open(folder.resolve("owner"), BUDGET);
+            journal.copyTo(this);
+            journal.holders(EstateLine.group(ESTATE, new Group(1, List.of("s1", "s2", "s3"))));
+        }
+
+        @Override
+        public byte[] place() {
+            return EstateLine.place(new Position(1, number + 1));
+        }
+
+        @Override
+        public void wrote(Batch batch) {
+            number++;
+            changes.add(Batch.read(batch.bytes()));
+        }
+
+        @Override
+        public void whenAgreed(Runnable effect, Runnable failed) {
+            effect.run();
+        }
+
+        Held accept(String id) {
+            Held m = new Held(journal.nextNumber(), id, "k" + id, "keyed", 7, 1, System.currentTimeMillis() + 60_000,
+                    ("body of " + id).getBytes(StandardCharsets.UTF_8));
+            assertTrue(journal.accept(m));
+            return m;
+        }
+
+        @Override
+        public void close() throws IOException {
+            journal.close();
+        }
+    }
+
+    private EstateStore store() throws IOException {
+        return new EstateStore(folder.resolve("copies"), BUDGET);
+    }
+
+    private static EstateStore.Kept whole(EstateStore store, Owner owner, Object on) {
+        EstateStore.Kept kept = store.of(ESTATE);
+        List<Batch> all = owner.journal.contents().stream().map(part -> part.get()).filter(b -> !b.isEmpty()).toList();
+        assertTrue(store.part(kept, true, 1, all, on));
+        assertTrue(store.part(kept, false, 1, List.of(owner.journal.placed()), on));
+        assertTrue(store.whole(kept, kept.holding.whole(1, "s1", owner.number, true)));
+        return kept;
+    }
+
+    @Test
+    void aCopyIsAJournalThatGoesOnWhereItsOwnerStood() throws IOException {
+        try (Owner owner = new Owner()) {
+            Held first = owner.accept("first");
+            Held over = owner.accept("over");
+            owner.journal.conclude(over);
+            EstateStore store = store();
+            EstateStore.Kept kept = whole(store, owner, this);
+            long had = owner.number;
+            owner.changes.clear();
+            assertTrue(owner.journal.attempt(first, "p1", 5));
+            owner.accept("second");
+            assertTrue(store.changes(kept, kept.holding.copied(1, "s1", had, owner.number), owner.changes));
+            store.close();
+
+            EstateStore again = store();
+            EstateStore.Kept read = again.all().get(ESTATE);
+            assertEquals(new Position(1, owner.number), read.holding.copy());
+            assertEquals(List.of("s1", "s2", "s3"), read.group.holders());
+            try (Journal copy = Journal.open(again.lend(read), BUDGET)) {
+                assertEquals(List.of("first", "second"), copy.live().stream().map(m -> m.id).toList());
+                assertTrue(copy.live().iterator().next().out);
+                assertTrue(copy.knows("over"));
+                assertEquals(new Position(1, owner.number), EstateLine.place(copy.place()));
+            }
+        }
+    }
+
+    @Test
+    void linesOfAnEarlierConnectionDoNotMixIntoAWhole() throws IOException {
+        try (Owner owner = new Owner()) {
+            owner.accept("first");
+            EstateStore store = store();
+            EstateStore.Kept kept = store.of(ESTATE);
+            List<Batch> all = owner.journal.contents().stream().map(part -> part.get()).filter(b -> !b.isEmpty()).toList();
+            assertTrue(store.part(kept, true, 1, all, "new"));
+            assertFalse(store.part(kept, false, 1, all, "old"));
+            assertTrue(store.part(kept, false, 1, List.of(owner.journal.placed()), "new"));
+            store.close();
+        }
+    }
+
+    @Test
+    void whatWasPromisedOutlastsTheProcessAndADamagedCopyCountsForNothing() throws IOException {
+        try (Owner owner = new Owner()) {
+            owner.accept("first");
+            EstateStore store = store();
+            EstateStore.Kept kept = whole(store, owner, this);
+            // It came to a group that named it already: out and in again before it counts.
+            assertEquals(Holding.NAMED, kept.holding.fresh());
+            assertTrue(store.promise(kept, kept.holding.named(false).named(true)));
+            assertTrue(store.promise(kept, kept.holding.asked(4, "s3", new Position(2, 1))));
+            store.close();
+            EstateStore again = store();
+            assertTrue(again.all().get(ESTATE).holding.granted(4, "s3"));
+            Path copy = again.all().get(ESTATE).copyFolder();
+            again.close();
+            try (Stream<Path> files = Files.list(copy)) {
+                Path segment = files.filter(f -> f.getFileName().toString().endsWith(".seg")).sorted().findFirst().orElseThrow();
+                byte[] bytes = Files.readAllBytes(segment);
+                // A flipped bit in the first record, with whole ones behind it.
+                bytes[70] ^= 4;
+                Files.write(segment, bytes);
+            }
+            EstateStore damaged = store();
+            EstateStore.Kept read = damaged.all().get(ESTATE);
+            assertEquals(Position.NONE, read.holding.copy());
+            assertFalse(read.holding.counts());
+            assertEquals(4, read.holding.term());
+            damaged.close();
+        }
+    }
+
+    @Test
+    void anEstateThatIsDoneIsNeverBegunAgain() throws IOException {
+        try (Owner owner = new Owner()) {
+            EstateStore store = store();
+            EstateStore.Kept kept = whole(store, owner, this);
+            assertTrue(store.promise(kept, kept.holding.named(false).named(true)));
+            assertTrue(kept.holding.asked(9, "s1", new Position(8, 1_000)).granted(9, "s1"));
+            store.finish(kept);
+            store.close();
+            EstateStore again = store();
+            Holding holding = again.all().get(ESTATE).holding;
+            assertTrue(holding.counts());
+            assertFalse(holding.asked(9, "s1", new Position(8, 1_000)).granted(9, "s1"));
+            again.close();
+        }
+    }
+
+    @Test
+    void whatIsDoneLongestGivesWayToWhatIsNew() throws IOException {
+        EstateStore store = store();
+        for (int i = 0; i < 300; i++) {
+            EstateStore.Kept kept = store.of("s1.e" + i);
+            assertTrue(store.promise(kept, new Holding(1, "s1", Position.NONE)));
+            store.finish(kept);
+        }
+        assertTrue(store.all().size() <= 256 && store.all().containsKey("s1.e299") && !store.all().containsKey("s1.e0"));
+        store.close();
+        assertEquals(store.all().size(), store().all().size());
+    }
+}
