--- a/cli/src/main/java/amberroute/cli/SurvivorsRig.java
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -50,6 +50,8 @@
     private List<Kind> kinds;
     @Option(names = "--script", description = "the faults of every round, in place of drawn ones: KIND:TARGET:AT_MS:LASTS_MS,...")
     private String script;
+    @Option(names = "--quiet", defaultValue = "3", description = "seconds under load before the first round (${DEFAULT-VALUE})")
+    private int quiet;
     @Option(names = "--off", description = "without copies: what the same costs there")
     private boolean off;
     @Option(names = "--logs", description = "print the daemons' logs at the end")
@@ -65,6 +67,7 @@
     private long estatesOver;
     private long restarts;
     private long cpuMillis;
+    private long startCpuMillis;
 
     /** One daemon over all its processes. */
     private final class Slot {
@@ -139,9 +142,12 @@
                 slot.start();
             }
             awaitReady();
+            for (Slot slot : slots) {
+                startCpuMillis += slot.process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+            }
             Clients clients = stage.clients(senders, Stage.kinds());
             stage.run(() -> clients.run(new Clients.Load(perSecond, 0.2, 8, 40, 8)));
-            Thread.sleep(3_000);
+            Thread.sleep(quiet * 1_000L);
             for (int round = 0; round < rounds; round++) {
                 FaultScript faults = script != null ? FaultScript.read(script) : FaultScript.draw(random, daemons, kinds);
                 int away = 1 + random.nextInt(DESTINATIONS);
@@ -277,7 +283,8 @@
         }
         stage.run(() -> stage.book().down(f.target(), now, now + Math.max(TAKEOVER_MICROS, f.lasts() * 1_000)));
         if (f.kind() == Kind.SPLIT) {
-            half(f.target()).forEach(i -> stage.run(() -> stage.book().down(i, now, now + f.lasts() * 1_000 + TAKEOVER_MICROS)));
+            // A group may have its majority on the other side of whichever half its owner is in.
+            slots.forEach(s -> stage.run(() -> stage.book().down(s.index, now, now + f.lasts() * 1_000 + TAKEOVER_MICROS)));
         }
         return null;
     }
@@ -390,7 +397,10 @@
             out.addProperty("takeover_ms_median", takeovers.get(takeovers.size() / 2));
             out.addProperty("takeover_ms_p99", takeovers.get((int) Math.min(takeovers.size() - 1, takeovers.size() * 99L / 100)));
         }
-        out.addProperty("cpu_us_a_message", t.taken() == 0 ? 0 : cpuMillis * 1_000 / t.taken());
+        out.addProperty("taken_ms_p50", stage.on(() -> stage.book().takenWithin(0.5)) / 1e3);
+        out.addProperty("taken_ms_p99", stage.on(() -> stage.book().takenWithin(0.99)) / 1e3);
+        out.addProperty("start_cpu_ms", startCpuMillis);
+        out.addProperty("cpu_us_a_message", t.taken() == 0 ? 0 : (cpuMillis - startCpuMillis) * 1_000 / t.taken());
         boolean ok = t.ok() && t.lateNotices() == 0 && t.taken() > 0;
         out.addProperty("ok", ok);
         if (!ok) {
--- a/testkit/src/main/java/amberroute/testkit/Book.java
+++ b/testkit/src/main/java/amberroute/testkit/Book.java
@@ -38,6 +38,8 @@
         public final int sender;
         public final long deadline;
         public final long aim;
+        private final long handedAt = Stage.micros();
+        private long answeredAt;
         Answer answer = Answer.NONE;
         End end = End.NONE;
         long endedAt;
@@ -110,6 +112,7 @@
     /** The sender's answer, or that none came. */
     public void answered(Entry entry, Answer answer) {
         entry.answer = answer;
+        entry.answeredAt = Stage.micros();
         if (answer != Answer.TAKEN) {
             // Nobody vouches for its place in the order any more: it was refused, or its client gave it up.
             over(entry);
@@ -203,6 +206,13 @@
         return due;
     }
 
+    /** The time to be told that a message is taken on, in microseconds, that this share of them had at most; 0 for none. */
+    public long takenWithin(double share) {
+        long[] times = entries.values().stream().filter(e -> e.answer == Answer.TAKEN)
+                .mapToLong(e -> e.answeredAt - e.handedAt).sorted().toArray();
+        return times.length == 0 ? 0 : times[(int) Math.min(times.length - 1, times.length * share)];
+    }
+
     /** Messages taken on whose end is still owed. */
     public long open() {
         return entries.values().stream().filter(e -> e.answer == Answer.TAKEN && e.end == End.NONE).count();
