Encode a change once for all its holders, and play three more hard cases in the tests

Need: each link encoded each change anew, and the short plays had no restart of all, no successor that dies and no flapping way. Change: a change travels in the form it was encoded in once; SurvivorsRigTest has the three.

--- a/cli/src/test/java/amberroute/cli/SurvivorsRigTest.java
+++ b/cli/src/test/java/amberroute/cli/SurvivorsRigTest.java
@@ -21,6 +21,21 @@
         play("PAUSE:2:200:3000");
     }
 
+    @Test
+    void allRestartedAtOnceWithTheirFolders() {
+        play("KILL:0:200:600,KILL:1:200:600,KILL:2:200:600,KILL:3:200:600");
+    }
+
+    @Test
+    void aSuccessorKilledBehindItsTakeover() {
+        play("LOSE:1:200:3500,KILL:2:1800:500");
+    }
+
+    @Test
+    void aWayThatFlaps() {
+        play("FLAP:1:200:3000");
+    }
+
     @Test
     void anOwnerCutOffFromItsPeersAlone() {
         play("CUT:0:200:3000");
--- a/sender/src/main/java/amberroute/sender/Copying.java
+++ b/sender/src/main/java/amberroute/sender/Copying.java
@@ -43,8 +43,8 @@
  * the whole again; effects that wait are bounded by what is held. Lives on the event loop.
  */
 final class Copying implements Journal.Copies {
-    /** Raw bytes in one line, so that with their encoding it stays within what a peer reads. */
-    private static final int LINE_BYTES = 96 << 10;
+    /** Encoded bytes in one line, so that with a last batch, of a lot at most, it stays within what a peer reads. */
+    private static final int LINE_BYTES = 64 << 10;
     private static final long MOST_PENDING = 8 << 20;
     private static final long STEP_MS = 10;
     private static final long CONNECT_AGAIN_MS = 200;
@@ -207,8 +207,8 @@
     public void wrote(Batch batch) {
         tenure.wrote();
         if (!links.isEmpty()) {
-            byte[] bytes = batch.bytes();
-            links.values().forEach(link -> link.add(bytes));
+            String change = EstateLine.encoded(batch);
+            links.values().forEach(link -> link.add(change));
             if (!flushDue) {
                 flushDue = true;
                 loop.execute(this::flush);
@@ -265,7 +265,7 @@
     /** The connection to one holder. */
     private final class Link extends SimpleChannelInboundHandler<ByteBuf> {
         private final String holder;
-        private final Deque<byte[]> pending = new ArrayDeque<>();
+        private final Deque<String> pending = new ArrayDeque<>();
         private long pendingBytes;
         /** What is left of the whole, null once the holder has been sent all of it. */
         private Iterator<Supplier<Batch>> whole;
@@ -321,13 +321,13 @@
             pump();
         }
 
-        void add(byte[] change) {
+        void add(String change) {
             if (channel == null) {
                 // The whole will have it.
                 return;
             }
             pending.add(change);
-            pendingBytes += change.length;
+            pendingBytes += change.length();
             if (pendingBytes > MOST_PENDING) {
                 Log.warn("survival: " + holder + " takes copies too slowly and is begun anew");
                 channel.close();
@@ -340,20 +340,20 @@
             }
             while (channel.isWritable() && (whole != null || !pending.isEmpty())) {
                 // What was written before a content of the whole is read goes ahead of it.
-                List<byte[]> some = new ArrayList<>();
+                List<String> some = new ArrayList<>();
                 long bytes = 0;
-                while (!pending.isEmpty() && (some.isEmpty() || bytes + pending.peek().length <= LINE_BYTES)) {
-                    byte[] next = pending.poll();
-                    bytes += next.length;
-                    pendingBytes -= next.length;
+                while (!pending.isEmpty() && (some.isEmpty() || bytes + pending.peek().length() <= LINE_BYTES)) {
+                    String next = pending.poll();
+                    bytes += next.length();
+                    pendingBytes -= next.length();
                     some.add(next);
                 }
                 long changes = some.size();
                 while (whole != null && pending.isEmpty() && whole.hasNext() && bytes < LINE_BYTES / 2) {
                     Batch part = whole.next().get();
                     if (!part.isEmpty()) {
-                        byte[] next = part.bytes();
-                        bytes += next.length;
+                        String next = EstateLine.encoded(part);
+                        bytes += next.length();
                         some.add(next);
                     }
                 }
@@ -375,7 +375,7 @@
                 if (last) {
                     sent = tenure.last();
                     line.addProperty("upto", sent);
-                    some.add(journal.placed().bytes());
+                    some.add(EstateLine.encoded(journal.placed()));
                     whole = null;
                 }
                 first = false;
@@ -383,7 +383,7 @@
             }
         }
 
-        private void write(JsonObject line, List<byte[]> some) {
+        private void write(JsonObject line, List<String> some) {
             EstateLine.add(line, some);
             EstateLine.add(line, tenure.group());
             spokeAt = System.nanoTime();
--- a/sender/src/main/java/amberroute/sender/EstateLine.java
+++ b/sender/src/main/java/amberroute/sender/EstateLine.java
@@ -32,9 +32,14 @@
         return line;
     }
 
-    static void add(JsonObject line, List<byte[]> batches) {
+    /** As it travels, to each holder the same. */
+    static String encoded(Batch batch) {
+        return Base64.getEncoder().encodeToString(batch.bytes());
+    }
+
+    static void add(JsonObject line, List<String> batches) {
         JsonArray list = new JsonArray();
-        batches.forEach(b -> list.add(Base64.getEncoder().encodeToString(b)));
+        batches.forEach(list::add);
         line.add("batches", list);
     }
 
