--- a/sender/src/main/java/amberroute/sender/Copying.java
+++ b/sender/src/main/java/amberroute/sender/Copying.java
@@ -49,6 +49,9 @@
     private static final long STEP_MS = 10;
     private static final long CONNECT_AGAIN_MS = 200;
     private static final int CONNECT_MS = 500;
+    /** A holder that asks for the whole gets it after so long, doubled each time in a row, up to some six seconds. */
+    private static final long LACKS_MS = 50;
+    private static final int MOST_DOUBLINGS = 7;
     /** How often a holder hears of the estate at least. */
     private static final long BEAT_NANOS = 100_000_000;
     /** A holder that has not answered for so long is not counted on for what is taken on now: three beats and some delay. */
@@ -274,6 +277,8 @@
         private long spokeAt;
         private long heardAt;
         private boolean taught;
+        private boolean lacking;
+        private int refused;
         private boolean fresh;
         private Channel channel;
 
@@ -310,6 +315,28 @@
             }
         }
 
+        /**
+         * Its copy does not end where the next change begins, or its disk does not take it: it gets the whole, soon the
+         * first time and seldom where it goes on refusing.
+         */
+        private void lacks() {
+            if (lacking) {
+                return;
+            }
+            lacking = true;
+            tenure.lacks(holder);
+            taught = false;
+            pending.clear();
+            pendingBytes = 0;
+            whole = null;
+            loop.schedule(() -> {
+                lacking = false;
+                if (!closed && links.get(holder) == this && channel.isActive()) {
+                    again();
+                }
+            }, LACKS_MS << Math.min(refused++, MOST_DOUBLINGS), TimeUnit.MILLISECONDS);
+        }
+
         /** The holder gets the whole, from the beginning. */
         private void again() {
             tenure.lacks(holder);
@@ -322,7 +349,7 @@
         }
 
         void add(String change) {
-            if (channel == null) {
+            if (channel == null || lacking) {
                 // The whole will have it.
                 return;
             }
@@ -335,7 +362,7 @@
         }
 
         void pump() {
-            if (channel == null || !channel.isActive() || tenure.over()) {
+            if (channel == null || !channel.isActive() || lacking || tenure.over()) {
                 return;
             }
             while (channel.isWritable() && (whole != null || !pending.isEmpty())) {
@@ -392,7 +419,7 @@
 
         /** That the estate has its owner is said again from time to time, as is what the holder has. */
         void beat(long now) {
-            if (channel != null && channel.isActive() && whole == null && pending.isEmpty() && now - spokeAt > BEAT_NANOS) {
+            if (channel != null && channel.isActive() && !lacking && whole == null && pending.isEmpty() && now - spokeAt > BEAT_NANOS) {
                 JsonObject line = EstateLine.of("COPY", self, estate, tenure.term());
                 line.addProperty("behind", sent);
                 line.addProperty("upto", sent);
@@ -410,6 +437,7 @@
             switch (line.get("word").getAsString()) {
                 case "HAVE" -> {
                     taught = whole == null;
+                    refused = 0;
                     fresh = !line.get("counts").getAsBoolean();
                     if (!fresh) {
                         had.merge(holder, line.get("number").getAsLong(), Math::max);
@@ -417,11 +445,7 @@
                         release();
                     }
                 }
-                case "LACKS" -> {
-                    if (whole == null) {
-                        again();
-                    }
-                }
+                case "LACKS" -> lacks();
                 case "OVER" -> {
                     tenure.end();
                     onOver.over(line.get("term").getAsLong(), line.get("owner").getAsString());
--- a/sender/src/main/java/amberroute/sender/EstateStore.java
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -242,6 +242,9 @@
         try {
             if (first) {
                 close(kept.stagingLog);
+                kept.staging = null;
+                // What an earlier try left has no more room here.
+                sweep(kept);
                 kept.staging = kept.folder.resolve("copy-" + term + "-" + System.currentTimeMillis() + "-" + ++staged);
                 Files.createDirectories(kept.staging);
                 kept.stagingLog = SegmentLog.open(new FolderDisk(kept.staging), limits(), EstateStore::salt);
--- a/sender/src/main/java/amberroute/sender/Survival.java
+++ b/sender/src/main/java/amberroute/sender/Survival.java
@@ -246,8 +246,7 @@
         }
         if (line.get("word").getAsString().equals("WHOLE")) {
             if (!store.part(kept, line.get("first").getAsBoolean(), term, EstateLine.batches(line), on)) {
-                // The holder's disk, mostly: not at once again.
-                return !line.get("first").getAsBoolean() && kept.stagingLog == null;
+                return false;
             }
             if (line.get("last").getAsBoolean()) {
                 kept.group = EstateLine.group(line);
--- a/sender/src/test/java/amberroute/sender/EstateStoreTest.java
+++ b/sender/src/test/java/amberroute/sender/EstateStoreTest.java
@@ -170,6 +170,24 @@
         }
     }
 
+    /** A whole that does not fit is refused and begun anew; what was held before still counts. */
+    @Test
+    void aFullFolderKeepsWhatItHad() throws IOException {
+        try (Owner owner = new Owner()) {
+            owner.accept("first");
+            EstateStore store = new EstateStore(folder.resolve("copies"), 96 << 10);
+            EstateStore.Kept kept = whole(store, owner, this);
+            Position had = kept.holding.copy();
+            Held large = new Held(owner.journal.nextNumber(), "large", "", "keyed", 7, 1, System.currentTimeMillis() + 60_000,
+                    new byte[60 << 10]);
+            assertTrue(owner.journal.accept(large));
+            List<Batch> all = owner.journal.contents().stream().map(part -> part.get()).filter(b -> !b.isEmpty()).toList();
+            assertFalse(store.part(kept, true, 1, all, this) && store.part(kept, false, 1, all, this));
+            assertEquals(had, kept.holding.copy());
+            store.close();
+        }
+    }
+
     @Test
     void whatIsDoneLongestGivesWayToWhatIsNew() throws IOException {
         EstateStore store = store();
--- /dev/null
+++ b/survival/src/test/java/amberroute/survival/StepsTest.java
@@ -0,0 +1,96 @@
+package amberroute.survival;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+/** When to try, who is to hold, and how holders are counted. */
+class StepsTest {
+    @Test
+    void holdersStandInDifferentZonesAndEachHoldsForAboutAsMany() {
+        List<String> names = new ArrayList<>();
+        for (int i = 10; i < 40; i++) {
+            names.add("s" + i);
+        }
+        Map<String, Integer> holds = new HashMap<>();
+        for (String name : names) {
+            List<String> group = Steps.holders(name, zone(name), 3, names, StepsTest::zone);
+            assertEquals(name, group.get(0));
+            assertEquals(3, group.stream().map(StepsTest::zone).distinct().count(), group.toString());
+            group.forEach(h -> holds.merge(h, 1, Integer::sum));
+        }
+        assertTrue(holds.values().stream().allMatch(n -> n >= 2 && n <= 4), holds.toString());
+    }
+
+    private static String zone(String name) {
+        return "z" + Integer.parseInt(name.substring(1)) % 3;
+    }
+
+    @Test
+    void withFewZonesOrFewPeersAsManyAsThereAre() {
+        assertEquals(List.of("b", "c", "a"), Steps.holders("b", "", 3, List.of("a", "b", "c"), n -> ""));
+        assertEquals(List.of("b", "c"), Steps.holders("b", "", 3, List.of("c"), n -> ""));
+    }
+
+    @Test
+    void anOwnerThatIsHeardIsLeftAlone() {
+        assertFalse(Steps.shouldTry(new Steps.Seen(false, true, 5), 6, 12));
+        assertTrue(Steps.shouldTry(new Steps.Seen(false, true, 6), 6, 12));
+        assertFalse(Steps.shouldTry(new Steps.Seen(false, false, 11), 6, 12));
+        assertTrue(Steps.shouldTry(new Steps.Seen(false, false, 12), 6, 12));
+        assertTrue(Steps.shouldTry(new Steps.Seen(true, false, 0), 6, 12));
+    }
+
+    @Test
+    void whatAMajorityHasIsAgreedOnAndAChangeOfTheGroupWaitsForTheLast() {
+        Tenure tenure = new Tenure("a", 3, 10, new Group(0, List.of("a", "b", "c")));
+        assertEquals(-1, tenure.agreed());
+        assertEquals(11, tenure.wrote());
+        tenure.has("b", 10);
+        assertEquals(10, tenure.agreed());
+        tenure.has("c", 11);
+        assertEquals(11, tenure.agreed());
+        tenure.lacks("c");
+        assertEquals(-1, tenure.behind("c"));
+        assertEquals(1, tenure.behind("b"));
+        // A number that was never written is nobody's.
+        tenure.has("b", 99);
+        assertEquals(10, tenure.agreed());
+        tenure.has("b", 11);
+        tenure.wrote();
+        tenure.regrouped(tenure.group().with("d"));
+        assertFalse(tenure.settled());
+        assertThrows(IllegalStateException.class, () -> tenure.regrouped(tenure.group().without("c")));
+        tenure.has("b", 12);
+        assertFalse(tenure.settled());
+        tenure.has("d", 12);
+        assertTrue(tenure.settled());
+        tenure.end();
+        assertEquals(-1, tenure.agreed());
+    }
+
+    @Test
+    void aClaimIsWonByAMajorityAndLostWhereNoneIsLeft() {
+        Holding own = new Holding(2, "b", new Position(1, 7)).asked(3, "a", new Position(1, 7));
+        Claim claim = new Claim("a", new Group(0, List.of("a", "b", "c")), own);
+        assertEquals(Set.of("b", "c"), claim.unanswered());
+        claim.answered("x", 3, true, 3);
+        claim.answered("b", 2, true, 3);
+        assertFalse(claim.won());
+        claim.answered("b", 3, false, 8);
+        assertFalse(claim.lost());
+        claim.answered("c", 3, false, 3);
+        assertTrue(claim.lost());
+        assertEquals(9, claim.next());
+        assertThrows(IllegalArgumentException.class, () -> new Claim("c", claim.group(), own));
+    }
+}
