--- a/cli/src/main/java/amberroute/cli/SurvivorsRig.java
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -151,7 +151,7 @@
             for (int round = 0; round < rounds; round++) {
                 FaultScript faults = script != null ? FaultScript.read(script) : FaultScript.draw(random, daemons, kinds);
                 int away = 1 + random.nextInt(DESTINATIONS);
-                System.out.println("round " + round + " destination " + away + " faults " + faults);
+                System.out.println("round " + round + " at " + Stage.micros() / 1_000 + " destination " + away + " faults " + faults);
                 // A partner that is away fills what is in hand.
                 stage.become(away, random.nextBoolean() ? Partner.Mode.DEAD : Partner.Mode.HANG);
                 Thread.sleep(400);
@@ -406,6 +406,7 @@
         if (!ok) {
             stage.on(stage.book()::complaints).forEach(c -> System.out.println("! " + c));
             stage.on(() -> stage.book().lost(Stage.micros())).forEach(c -> System.out.println("! lost " + c));
+            stage.on(() -> stage.book().late()).forEach(c -> System.out.println("! late " + c));
         }
         System.out.println(out);
         return ok ? 0 : Main.BAD;
--- a/testkit/src/main/java/amberroute/testkit/Book.java
+++ b/testkit/src/main/java/amberroute/testkit/Book.java
@@ -272,6 +272,14 @@
                 .limit(MOST_COMPLAINTS).map(e -> e.id + " (" + e.className + " at sender " + e.sender + ")").toList();
     }
 
+    /** Messages whose notice came too late, at most 50, and by how many milliseconds. */
+    public List<String> late() {
+        return entries.values().stream().filter(e -> e.answer == Answer.TAKEN
+                && (e.end == End.RETURNED || e.end == End.FAILED) && e.endedAt > dueBy(e)).limit(MOST_COMPLAINTS)
+                .map(e -> e.id + " (" + e.className + " at sender " + e.sender + ", due " + dueBy(e) / 1_000 + ", "
+                        + (e.endedAt - dueBy(e)) / 1_000 + " ms late)").toList();
+    }
+
     /** What was wrong, the first 50 in words. */
     public List<String> complaints() {
         return List.copyOf(complaints);
