Wait for a sender that restarts as planned, and let a holder that is replaced leave

Need: a planned restart that took longer than 1.2 s would have been taken over; who was replaced as a holder kept its copy for good. Change: AWAY tells the holders when the next process is back, LEAVE that a copy is not wanted any more; a client's id that another message of a taken estate has is refused; the rig plays RESTART.

--- a/cli/src/main/java/amberroute/cli/SurvivorsRig.java
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -276,6 +276,7 @@
                 }
             }
             case PAUSE -> slot.signal("STOP");
+            case RESTART -> slot.signal("TERM");
             case CUT, FLAP -> split(List.of(f.target()), true);
             case ONE_WAY -> oneWay(f.target(), true);
             case SPLIT -> split(half(f.target()), true);
@@ -301,6 +302,8 @@
                 slot.held = false;
             }
             case PAUSE -> slot.signal("CONT");
+            case RESTART -> {
+            }
             case CUT, FLAP -> split(List.of(f.target()), false);
             case ONE_WAY -> oneWay(f.target(), false);
             case SPLIT -> split(half(f.target()), false);
--- a/cli/src/test/java/amberroute/cli/SurvivorsRigTest.java
+++ b/cli/src/test/java/amberroute/cli/SurvivorsRigTest.java
@@ -31,6 +31,11 @@
         play("LOSE:1:200:3500,KILL:2:1800:500");
     }
 
+    @Test
+    void aRestartWhileAMachineIsLost() {
+        play("RESTART:3:100:2500,LOSE:1:300:2500");
+    }
+
     @Test
     void aWayThatFlaps() {
         play("FLAP:1:200:3000");
--- a/sender/src/main/java/amberroute/sender/Copying.java
+++ b/sender/src/main/java/amberroute/sender/Copying.java
@@ -114,7 +114,11 @@
         tenure.regrouped(next);
         next.holders().forEach(this::link);
         List.copyOf(links.keySet()).stream().filter(name -> !next.holders().contains(name)).forEach(name -> {
-            links.remove(name).close();
+            Link link = links.remove(name);
+            had.remove(name);
+            // It need not keep what will never be whole again.
+            link.say(EstateLine.of("LEAVE", self, estate, tenure.term()));
+            link.close();
         });
         release();
         return true;
@@ -177,11 +181,18 @@
 
     /** Tells the holders that nothing is owed any more. */
     void done() {
-        links.values().forEach(link -> {
-            if (link.channel != null && link.channel.isActive()) {
-                link.channel.writeAndFlush(PeerLine.bytes(EstateLine.of("DONE", self, estate, tenure.term())));
-            }
-        });
+        if (tenure != null) {
+            links.values().forEach(link -> link.say(EstateLine.of("DONE", self, estate, tenure.term())));
+        }
+    }
+
+    /** Tells the holders that this process ends, and that the next one is back on its folder within so long. */
+    void away(long millis) {
+        if (tenure != null) {
+            JsonObject line = EstateLine.of("AWAY", self, estate, tenure.term());
+            line.addProperty("back_ms", millis);
+            links.values().forEach(link -> link.say(line));
+        }
     }
 
     /** Nothing more is agreed on. */
@@ -467,6 +478,12 @@
             }
         }
 
+        void say(JsonObject line) {
+            if (channel != null && channel.isActive()) {
+                channel.writeAndFlush(PeerLine.bytes(line));
+            }
+        }
+
         void close() {
             if (channel != null) {
                 channel.close();
--- a/sender/src/main/java/amberroute/sender/EstateStore.java
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -321,6 +321,14 @@
         }
     }
 
+    /** This daemon is no holder of it any more; the term that it promised stays, and counts for nothing. */
+    void drop(Kept kept) {
+        dropCopy(kept);
+        kept.group = null;
+        write(kept, kept.holding, "");
+        sweep(kept);
+    }
+
     /** Nothing is owed of it any more. */
     void finish(Kept kept) {
         close(kept.log);
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -1154,7 +1154,11 @@
         }
         Journal elsewhere = survival == null ? null : survival.knowing(s.id());
         if (elsewhere != null) {
-            told(elsewhere, reply);
+            if (elsewhere.differs(s.id(), Held.content(s.className(), s.key(), s.destination(), s.idempotencyKey(), s.body()))) {
+                busy(reply, s.className(), 0);
+            } else {
+                told(elsewhere, reply);
+            }
             return;
         }
         if (survival != null && !survival.ready() && drain == null) {
@@ -1750,6 +1754,9 @@
                 boolean left = load.held() > 0 || load.noticesOut() > 0;
                 Log.warn("stopped: " + DrainPlan.summary(drain.mode(), held.values(), notices.pending())
                         + (handOver == null ? "" : "; " + handOver.summary()));
+                if (survival != null && drain.mode() != DrainPlan.Mode.FINAL) {
+                    survival.away(config.standalone().backMillis());
+                }
                 stopped.complete(left && drain.mode() == DrainPlan.Mode.FINAL ? LEFT_OVER : 0);
             }
         }
--- a/sender/src/main/java/amberroute/sender/Survival.java
+++ b/sender/src/main/java/amberroute/sender/Survival.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -44,6 +45,9 @@
  */
 final class Survival {
     private static final long STEP_MS = 50;
+    private static final Set<String> WORDS = Set.of("CLAIM", "COPY", "WHOLE", "DONE", "AWAY", "LEAVE");
+    /** A planned restart is waited for no longer than this. */
+    private static final long MOST_AWAY_MS = 60_000;
     /** Who has not heard the owner for so long agrees that another tries: three beats that did not come. */
     private static final long SILENT_NANOS = 600_000_000;
     /** An estate of which nothing is heard for so long is tried for, whatever its owner says of itself by datagrams. */
@@ -164,8 +168,9 @@
         return copying.ready();
     }
 
-    Map<String, InetSocketAddress> peers() {
-        return peers;
+    /** This process ends for a restart, and the next one is back within so long. */
+    void away(long millis) {
+        copying.away(millis);
     }
 
     /** The journal of an estate that goes on here and knows this id; null where none does. */
@@ -196,7 +201,7 @@
     /** A line that came on the peers' listener; false where it is none of these. */
     boolean heard(ChannelHandlerContext context, JsonObject line, String from) {
         String word = line.get("word").getAsString();
-        if (!List.of("CLAIM", "COPY", "WHOLE", "DONE").contains(word)) {
+        if (!WORDS.contains(word)) {
             return false;
         }
         String estate = PeerLine.plain(line.get("estate").getAsString());
@@ -220,9 +225,22 @@
                 lose(kept, term, from);
                 return true;
             }
-            if (word.equals("DONE")) {
-                store.finish(kept);
-                return true;
+            switch (word) {
+                case "DONE" -> {
+                    store.finish(kept);
+                    return true;
+                }
+                case "LEAVE" -> {
+                    store.drop(kept);
+                    return true;
+                }
+                case "AWAY" -> {
+                    // As though it were heard of until then; only whether to try depends on it.
+                    kept.heardAt += Math.max(0, Math.min(line.get("back_ms").getAsLong(), MOST_AWAY_MS)) * 1_000_000;
+                    return true;
+                }
+                default -> {
+                }
             }
             JsonObject answer = EstateLine.of(copied(line, from, kept, term, context.channel()) ? "HAVE" : "LACKS", self, estate, term);
             answer.addProperty("number", kept.holding.copy().number());
--- a/testkit/src/main/java/amberroute/testkit/FaultScript.java
+++ b/testkit/src/main/java/amberroute/testkit/FaultScript.java
@@ -14,9 +14,9 @@
      * KILL: SIGKILL, started again on its folder. LOSE: SIGKILL and the folder gone, started again without. PAUSE: SIGSTOP and SIGCONT.
      * CUT: off from all peers, not from clients and partners. ONE_WAY: what it says does not arrive at its peers. SPLIT: the fleet in two halves.
      * FLAP: cut and healed five times a second. STORM: datagrams lost, doubled and late everywhere.
-     * OLD_FOLDER: killed, and started again on its folder as it was before.
+     * RESTART: SIGTERM, and started again as soon as it has ended. OLD_FOLDER: killed, and started again on its folder as it was before.
      */
-    public enum Kind { KILL, LOSE, PAUSE, CUT, ONE_WAY, SPLIT, FLAP, STORM, OLD_FOLDER }
+    public enum Kind { KILL, LOSE, PAUSE, CUT, ONE_WAY, SPLIT, FLAP, STORM, OLD_FOLDER, RESTART }
 
     /** One fault: at which moment of the round it begins and how long it lasts, in milliseconds, and whom it befalls. */
     public record Fault(Kind kind, int target, long at, long lasts) {
