--- a/cli/src/main/java/amberroute/cli/AdoptionRig.java
+++ b/cli/src/main/java/amberroute/cli/AdoptionRig.java
@@ -217,16 +217,7 @@
         out.addProperty("rounds", rounds);
         out.addProperty("daemons", daemons);
         out.addProperty("seed", seed);
-        out.addProperty("taken", t.taken());
-        out.addProperty("delivered", t.delivered());
-        out.addProperty("returned", t.returned());
-        out.addProperty("failed", t.failed());
-        out.addProperty("open", t.open());
-        out.addProperty("lost", t.lost());
-        out.addProperty("doubled", t.doubled());
-        out.addProperty("out_of_order", t.outOfOrder());
-        out.addProperty("late_notices", t.lateNotices());
-        out.addProperty("strange", t.strange());
+        Sums.add(out, t);
         out.addProperty("zombies", zombies);
         out.addProperty("zombies_ended", zombiesEnded);
         out.addProperty("takers_killed", takersKilled);
--- a/cli/src/main/java/amberroute/cli/Play.java
+++ b/cli/src/main/java/amberroute/cli/Play.java
@@ -296,16 +296,7 @@
     private JsonObject result(long quietFrom, long quietTo, long rollFrom, long rollTo) {
         Book.Totals t = stage.totals();
         JsonObject out = new JsonObject();
-        out.addProperty("taken", t.taken());
-        out.addProperty("delivered", t.delivered());
-        out.addProperty("returned", t.returned());
-        out.addProperty("failed", t.failed());
-        out.addProperty("open", t.open());
-        out.addProperty("lost", t.lost());
-        out.addProperty("doubled", t.doubled());
-        out.addProperty("out_of_order", t.outOfOrder());
-        out.addProperty("late_notices", t.lateNotices());
-        out.addProperty("strange", t.strange());
+        Sums.add(out, t);
         out.addProperty("asked", stage.on(clients::asked));
         out.addProperty("refused", t.refused());
         out.addProperty("silent", t.silent());
--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/Sums.java
@@ -0,0 +1,24 @@
+package amberroute.cli;
+
+import com.google.gson.JsonObject;
+
+import amberroute.testkit.Book;
+
+/** A book's sums as a rig's last line has them. */
+final class Sums {
+    private Sums() {
+    }
+
+    static void add(JsonObject out, Book.Totals t) {
+        out.addProperty("taken", t.taken());
+        out.addProperty("delivered", t.delivered());
+        out.addProperty("returned", t.returned());
+        out.addProperty("failed", t.failed());
+        out.addProperty("open", t.open());
+        out.addProperty("lost", t.lost());
+        out.addProperty("doubled", t.doubled());
+        out.addProperty("out_of_order", t.outOfOrder());
+        out.addProperty("late_notices", t.lateNotices());
+        out.addProperty("strange", t.strange());
+    }
+}
