Keep a daemon's keys in order when it begins anew behind its lost estate

Change: a new estate waits for the word of its holders, and the heir says no until that daemon holds its keys; HELD from an estate that may be over waits; a grant or a word of the owner ends one's own try; an heir names keys that were handed on too.

--- a/sender/src/main/java/amberroute/sender/EstateStore.java
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -61,8 +61,6 @@
         boolean open;
         /** Monotonic nanoseconds before which it is not tried for again. */
         long pausedUntil = System.nanoTime();
-        /** Monotonic nanoseconds since which its owner is that one. */
-        long ownedAt = System.nanoTime();
 
         Kept(String estate, Path folder) {
             this.estate = estate;
@@ -213,7 +211,6 @@
         boolean same = next.term() == kept.holding.term() && next.owner().equals(kept.holding.owner())
                 && next.fresh() == kept.holding.fresh();
         if (same || write(kept, next, kept.copy)) {
-            kept.ownedAt = next.owner().equals(kept.holding.owner()) ? kept.ownedAt : System.nanoTime();
             kept.holding = next;
             return true;
         }
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -69,6 +69,9 @@
     interface Estates {
         /** False where the line is none of its own. */
         boolean heard(ChannelHandlerContext context, JsonObject line, String from);
+
+        /** Whether this daemon's estate has begun: before, nothing was taken on that a copy could lack. */
+        boolean begun();
     }
 
     /** What the sender does for it. */
@@ -317,6 +320,11 @@
         peers.keySet().forEach(this::nameTo);
     }
 
+    /** Whether this peer holds back what comes of all keys that were named. */
+    boolean heldBy(String peer) {
+        return naming != null && naming.unanswered(peer).isEmpty();
+    }
+
     /** Those of the peers that nobody runs; told with a stop by whoever would start them. */
     void absent(Collection<String> names) {
         absent.clear();
@@ -645,7 +653,13 @@
                     long until = Math.min(line.get("until").getAsLong(), System.currentTimeMillis() + Sender.LONGEST_LIFE_MS);
                     int batch = line.get("batch").getAsInt();
                     if (host.hold(from, PeerLine.keys(line.getAsJsonArray("keys")), until)) {
-                        journal.whenSafe(() -> context.writeAndFlush(PeerLine.bytes(PeerLine.held(batch))), IGNORED);
+                        Runnable held = () -> context.writeAndFlush(PeerLine.bytes(PeerLine.held(batch)));
+                        if (estates != null && !estates.begun()) {
+                            // The whole that the holders get first has it.
+                            held.run();
+                        } else {
+                            journal.whenSafe(held, IGNORED);
+                        }
                     }
                 }
                 case "RELEASE" -> released(line);
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -338,7 +338,7 @@
             }
             loop.submit(this::recover).sync();
             if (survival != null) {
-                handOver.estates(survival::heard);
+                handOver.estates(survival);
             }
             if (handOver != null && config.standalone().handOver() != null) {
                 handOverBound = handOver.listen(config.standalone().handOver());
@@ -917,7 +917,7 @@
                 loop.execute(() -> {
                     if (sender.handOver != null && !sender.given) {
                         // Peers hold back what comes of its keys until that is over, and are offered what can move.
-                        sender.handOver.name(sender.orderedKeys());
+                        sender.handOver.name(sender.keysOwed());
                     }
                 });
             } catch (Exception e) {
@@ -942,6 +942,11 @@
                     && (sender.handOver == null || sender.handOver.waiting() == 0);
         }
 
+        @Override
+        public boolean heldBy(String daemon) {
+            return sender.handOver != null && sender.handOver.heldBy(daemon);
+        }
+
         @Override
         public void stop() {
             if (sender.given) {
@@ -1717,6 +1722,14 @@
         return ends;
     }
 
+    /** As {@link #orderedKeys}, with those of which others have something from here. */
+    private Map<Long, Long> keysOwed() {
+        Map<Long, Long> ends = orderedKeys();
+        journal.holds().all().stream().filter(hold -> hold.origin().equals(config.name()))
+                .forEach(hold -> ends.merge(hold.key(), hold.until(), Math::max));
+        return ends;
+    }
+
     CompletableFuture<Integer> stopped() {
         return stopped;
     }
--- a/sender/src/main/java/amberroute/sender/Survival.java
+++ b/sender/src/main/java/amberroute/sender/Survival.java
@@ -44,7 +44,7 @@
  * counted and had is decided in {@code survival}; here are the words, the order of record and answer, and when to try.
  * Lives on the event loop.
  */
-final class Survival {
+final class Survival implements HandOver.Estates {
     private static final long STEP_MS = 50;
     private static final Set<String> WORDS = Set.of("CLAIM", "COPY", "WHOLE", "DONE", "AWAY", "LEAVE");
     /** A planned restart is waited for no longer than this. */
@@ -57,8 +57,8 @@
     /** A claim that has not been won by then is given up; the next one comes after a pause of chance. */
     private static final long CLAIM_NANOS = 1_000_000_000;
     private static final int PAUSE_MS = 300;
-    /** By then a new owner's keys are held everywhere: one step of it, and half a second for a connection and its answer. */
-    private static final long NAMED_NANOS = 700_000_000;
+    /** So long a new estate waits for the word of each of its holders that is there. */
+    private static final long WORD_NANOS = 500_000_000;
     private static final int CONNECT_MS = 300;
     private static final int ANSWER_SECONDS = 1;
     private static final long GROUP_MS = 500;
@@ -86,6 +86,9 @@
         /** Whether nothing of it is owed any more. */
         boolean idle();
 
+        /** Whether a daemon holds back what comes of the keys that are owed here. */
+        boolean heldBy(String daemon);
+
         /** Lets go of it; nothing more has an effect when this returns. On the event loop. */
         void stop();
     }
@@ -97,7 +100,11 @@
         boolean trying = true;
         Claim claim;
         long askedAt;
+        /** An operator wants it. */
+        boolean byHand;
         boolean ahead;
+        /** Somebody knows of an earlier estate of this daemon whose keys it does not hold back yet. */
+        boolean former;
 
         Attempt(EstateStore.Kept kept, Claim claim) {
             this.kept = kept;
@@ -132,6 +139,7 @@
     private final Map<String, Attempt> attempts = new LinkedHashMap<>();
     private final Map<String, Care> cares = new LinkedHashMap<>();
     private final long started = System.nanoTime();
+    private final boolean newborn;
     private Group chosen;
     private boolean over;
 
@@ -154,7 +162,8 @@
             throw new IOException("copies of too many estates in " + config.state().resolve("copies"));
         }
         own.open = true;
-        chosen = journal.holders() == null ? null : EstateLine.group(journal.holders());
+        newborn = journal.holders() == null;
+        chosen = newborn ? null : EstateLine.group(journal.holders());
         own.holding = own.holding.reaching(EstateLine.place(journal.place()));
         copying = new Copying(loop, self, estate, journal, peers, (term, owner) -> lose(own, term, owner));
         journal.copyTo(copying);
@@ -196,14 +205,26 @@
     }
 
     private boolean hears(EstateStore.Kept kept) {
+        Care care = cares.get(kept.estate);
+        if (care != null && System.nanoTime() - care.took < CLAIM_NANOS) {
+            // It was won here just now, and its holders are being told.
+            return true;
+        }
         Copying running = copying(kept);
         return running != null ? running.ready() : System.nanoTime() - kept.heardAt < SILENT_NANOS;
     }
 
     // ---- Words from others. ----
 
+    @Override
+    public boolean begun() {
+        // An earlier process may have begun it, and then it may be another's by now, with all that is said here.
+        return !newborn || copying.tenure() != null;
+    }
+
     /** A line that came on the peers' listener; false where it is none of these. */
-    boolean heard(ChannelHandlerContext context, JsonObject line, String from) {
+    @Override
+    public boolean heard(ChannelHandlerContext context, JsonObject line, String from) {
         String word = line.get("word").getAsString();
         if (!WORDS.contains(word)) {
             return false;
@@ -222,6 +243,7 @@
             context.writeAndFlush(PeerLine.bytes(answer));
         } else {
             kept.heardAt = System.nanoTime();
+            attempts.remove(kept.estate);
             if (!store.promise(kept, now(kept).heard(term, from))) {
                 return true;
             }
@@ -292,16 +314,21 @@
         Holding now = now(kept);
         Holding next = now.asked(term, from, theirs);
         boolean yes = next.granted(term, from);
+        boolean former = false;
         if (line.get("try").getAsBoolean()) {
-            yes &= from.equals(now.owner()) || !hears(kept);
-            yes &= !from.equals(kept.origin()) || !formerOpen(kept, from);
+            former = from.equals(kept.origin()) && theirs.equals(Position.NONE) && formerOpen(kept, from);
+            yes &= !former && (from.equals(now.owner()) || !hears(kept));
         } else if (yes) {
             yes = store.promise(kept, next);
+            if (yes) {
+                attempts.remove(kept.estate);
+            }
             // Whoever was granted it has time to begin.
             kept.heardAt = yes ? System.nanoTime() : kept.heardAt;
         }
         JsonObject answer = EstateLine.of(yes ? "GRANT" : "DENY", self, kept.estate, Math.max(now.term(), kept.holding.term()));
         answer.addProperty("asked", term);
+        answer.addProperty("former", former);
         answer.addProperty("ahead", now.copy().compareTo(theirs) > 0);
         Copying running = copying(kept);
         boolean lost = yes && !line.get("try").getAsBoolean() && kept.open;
@@ -317,22 +344,28 @@
     }
 
     /**
-     * Whether what a daemon had before it lost its folder has no new owner yet, or has one only since just now: until that
-     * one has told everybody which keys it has, nothing new of them may be taken on by the daemon that clients know them at.
+     * Whether what a daemon had before it lost its folder, or its estate, has no new owner yet, or one here whose keys that
+     * daemon does not hold back: until it does, nothing new of them may be taken on where clients know them to be. What
+     * nobody has spoken of for longer than a message lives has no key that matters.
      */
     private boolean formerOpen(EstateStore.Kept fresh, String origin) {
         long now = System.nanoTime();
         boolean open = false;
         for (EstateStore.Kept kept : store.all().values()) {
-            if (kept == fresh || kept.done || !kept.origin().equals(origin) || kept.copy.isEmpty() && !kept.open) {
+            if (kept == fresh || kept.done || !kept.origin().equals(origin) || kept.copy.isEmpty() && !kept.open
+                    || !kept.open && now - kept.heardAt > host.longestLife() * 1_000_000 + LONG_SILENT_NANOS) {
                 continue;
             }
-            if (kept.holding.owner().equals(origin)) {
+            if (kept.open) {
+                Care care = cares.get(kept.estate);
+                open |= care == null || care.taker == null || !care.taker.heldBy(origin);
+            } else if (kept.holding.owner().equals(origin)) {
                 // It says itself that it has it no more: nobody need wait until that is noticed.
                 kept.heardAt = Math.min(kept.heardAt, now - LONG_SILENT_NANOS);
                 open = true;
             } else {
-                open |= now - kept.ownedAt < NAMED_NANOS;
+                // Its new owner tells by itself, as long as it is there.
+                open |= probes.view().gone(kept.holding.owner());
             }
         }
         return open;
@@ -423,14 +456,24 @@
     }
 
     private void attempt(Attempt a, long now) {
-        if (a.claim.won()) {
+        boolean birth = a.trying && a.claim.copy().equals(Position.NONE);
+        if (birth && !a.former && now - a.since < WORD_NANOS
+                && a.claim.unanswered().stream().anyMatch(h -> !probes.view().gone(h))) {
+            if (now - a.askedAt > ASK_NANOS) {
+                ask(a);
+            }
+        } else if (a.claim.won() && !a.former) {
             attempts.remove(a.kept.estate);
+            if (a.trying && !a.byHand && !wanted(a.kept, now)) {
+                // Its owner was heard of meanwhile.
+                return;
+            }
             if (a.trying) {
                 claim(a.kept, false, a.claim.term());
             } else {
                 won(a);
             }
-        } else if (a.claim.lost() || now - a.since > CLAIM_NANOS) {
+        } else if (a.former || a.claim.lost() || now - a.since > CLAIM_NANOS) {
             attempts.remove(a.kept.estate);
             a.kept.pausedUntil = now + random.nextInt(PAUSE_MS) * 1_000_000L;
             if (a.kept == own && a.ahead) {
@@ -480,6 +523,7 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
             JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
             attempt.ahead |= line.get("ahead").getAsBoolean();
+            attempt.former |= line.get("former").getAsBoolean();
             attempt.claim.answered(holder, line.get("asked").getAsLong(), line.get("word").getAsString().equals("GRANT"),
                     line.get("term").getAsLong());
             context.close();
@@ -665,6 +709,7 @@
         }
         if (!attempts.containsKey(estate)) {
             claim(kept, true, 0);
+            attempts.get(estate).byHand = true;
         }
         return null;
     }
--- a/sender/src/test/java/amberroute/sender/SurvivalTest.java
+++ b/sender/src/test/java/amberroute/sender/SurvivalTest.java
@@ -243,6 +243,23 @@
         assertEquals("GRANT", word("three", claim("three", 2, false, new Position(1, 11))));
     }
 
+    /** Its keys would be served anew where clients know them, ahead of what it had of them. */
+    @Test
+    void aDaemonThatLostItsFolderBeginsAnewOnlyBehindWhatItHad() throws Exception {
+        hold(5);
+        JsonObject fresh = claim("two", 1, true, Position.NONE);
+        fresh.addProperty("estate", "two.new");
+        assertEquals("DENY", word("two", fresh));
+        // It is over for good once nothing of it can be in time any more.
+        long from = System.nanoTime();
+        await(() -> System.nanoTime() - from > 2_300_000_000L);
+        assertEquals("GRANT", word("two", fresh));
+        // Another daemon's is no matter.
+        JsonObject other = claim("three", 1, true, Position.NONE);
+        other.addProperty("estate", "three.new");
+        assertEquals("GRANT", word("three", other));
+    }
+
     /** Who leaves the group keeps its term, and nothing that could be gone on with. */
     @Test
     void whoLeavesTheGroupNeitherGrantsNorTries() throws Exception {
