--- a/cli/src/main/java/amberroute/cli/SurvivorsRig.java
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -35,6 +35,8 @@
     private static final long READY_MS = 30_000;
     /** A loss is told in docs/survival.md as costing so much: what falls due meanwhile is told late. */
     private static final long TAKEOVER_MICROS = 4_000_000;
+    /** The longest that a message of the stage's classes lives. */
+    private static final long LIFE_MICROS = 6_000_000;
     private static final int OVER = 7;
 
     @Option(names = "--daemons", defaultValue = "7", description = "how many (${DEFAULT-VALUE})")
@@ -59,6 +61,8 @@
 
     private final List<Slot> slots = new ArrayList<>();
     private final List<Long> takeovers = new ArrayList<>();
+    /** When each daemon was last befallen: what it had may be at any other since. */
+    private final Map<Integer, Long> faulted = new TreeMap<>();
     private final Map<Kind, Integer> played = new TreeMap<>();
     private Path folder;
     private Path file;
@@ -282,7 +286,15 @@
             case SPLIT -> split(half(f.target()), true);
             default -> stage.run(() -> net.weather(new FaultNet.Weather(0.2, 0.05, 60_000)));
         }
-        stage.run(() -> stage.book().down(f.target(), now, now + Math.max(TAKEOVER_MICROS, f.lasts() * 1_000)));
+        long until = now + Math.max(TAKEOVER_MICROS, f.lasts() * 1_000);
+        stage.run(() -> stage.book().down(f.target(), now, until));
+        // What this one had taken over, or been handed, is delayed with its own.
+        faulted.forEach((other, at) -> {
+            if (other != f.target() && now - at < LIFE_MICROS + TAKEOVER_MICROS) {
+                stage.run(() -> stage.book().down(other, now, until));
+            }
+        });
+        faulted.put(f.target(), now);
         if (f.kind() == Kind.SPLIT) {
             // A group may have its majority on the other side of whichever half its owner is in.
             slots.forEach(s -> stage.run(() -> stage.book().down(s.index, now, now + f.lasts() * 1_000 + TAKEOVER_MICROS)));
