--- a/cli/src/main/java/amberroute/cli/SurvivorsRig.java
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -79,6 +79,7 @@
     /** How long it took behind each round until all estates had all their copies again. */
     private final List<Long> wholeMs = new ArrayList<>();
     private long notWhole;
+    private String lacking = "";
     private long restarts;
     private long cpuMillis;
     private long startCpuMillis;
@@ -229,14 +230,21 @@
      * What one folder's loss leaves is made whole before the next folder is taken, as two of a group's at once are not survived:
      * each estate that goes on has all its holders' copies, and they count.
      */
-    private void awaitWhole() throws InterruptedException {
+    private void awaitWhole() throws Exception {
         long from = System.nanoTime();
         while (!off && !whole() && System.nanoTime() - from < WHOLE_MS * 1_000_000) {
+            for (Slot slot : slots) {
+                // A process may find only now that its estate goes on elsewhere.
+                slot.look();
+            }
             Thread.sleep(50);
         }
         long took = (System.nanoTime() - from) / 1_000_000;
         wholeMs.add(took);
-        notWhole += took >= WHOLE_MS ? 1 : 0;
+        if (took >= WHOLE_MS) {
+            notWhole++;
+            System.out.println("not whole: " + lacking);
+        }
     }
 
     private boolean whole() {
@@ -249,12 +257,14 @@
                     boolean open = here.equals("own") || here.equals("taken over");
                     if (open && (!one.has("behind") || one.getAsJsonObject("behind").size() < Math.min(COPIES, daemons)
                             || one.getAsJsonObject("behind").asMap().values().stream().anyMatch(n -> n.getAsLong() < 0))) {
+                        lacking = "at s" + slot.index + " " + one;
                         return false;
                     }
                 }
             }
             return true;
         } catch (IOException | RuntimeException e) {
+            lacking = e.toString();
             return false;
         }
     }
--- a/overload/src/main/java/amberroute/overload/Capacity.java
+++ b/overload/src/main/java/amberroute/overload/Capacity.java
@@ -13,8 +13,14 @@
     private static final double BEHIND = 1.0;
     /** So many more may wait before that counts: a message or two at each of a few senders are no queue. */
     private static final double SOME = 10;
-    /** It is taken to do so much more a second, as a share: what that costs is some refusals each second or so. */
+    /**
+     * It is taken to do so much more a second, as a share, twice as much with each second in which it shows no limit: what that
+     * costs is some refusals now and then, and an estimate that was far too low is mended within seconds.
+     */
     private static final double GROWTH = 0.06;
+    private static final double MOST_GROWTH = 1;
+    /** Averages over a second tell of too little before this has passed since it was first called. */
+    private static final long SETTLE = 3_000_000;
     /**
      * How fast it is taken to do less, in seconds, where this share of calls is refused; with fewer slower. Figures are a second
      * old and more, and behind a spike they still tell of refusals when less is sent than it could do.
@@ -36,9 +42,20 @@
     private static final double MOST_LIFT = 4;
 
     private double perSecond = Double.POSITIVE_INFINITY;
+    private final boolean held;
+    /** It is known by what it refused; where calls are held to that, what waits shows that and not what it can do. */
+    private boolean limit;
+    private long calledSince = -1;
+    /** When it last showed a limit. */
+    private long shownAt;
     private double lift = 1;
     private long at;
 
+    /** {@code held}: calls are held to what is known of it. */
+    Capacity(boolean held) {
+        this.held = held;
+    }
+
     /** Takes what all have to do with it just now; returns what may be taken on a second, infinite for anything. */
     double next(long now, Load all) {
         double seconds = Math.max(0, Math.min(1, (now - at) / 1e6));
@@ -48,15 +65,22 @@
             // Out, or not called at all.
             return known ? perSecond : Double.POSITIVE_INFINITY;
         }
+        calledSince = calledSince < 0 ? now : calledSince;
+        if (now - calledSince < SETTLE) {
+            return Double.POSITIVE_INFINITY;
+        }
         double refused = all.full() / (all.full() + all.served());
         boolean refuses = refused > REFUSED;
-        boolean behind = all.waiting() > BEHIND * all.served() + SOME;
+        limit = refuses || limit && known;
+        boolean behind = !(held && limit) && all.waiting() > BEHIND * all.served() + SOME;
         if (refuses || behind) {
+            shownAt = now;
             double to = all.served();
             double share = Math.min(1, seconds / FALL) * (behind ? 1 : Math.min(1, refused / MANY));
             perSecond = !known || to > perSecond ? to : perSecond + (to - perSecond) * share;
         } else if (known) {
-            perSecond = Math.max(all.served(), perSecond * (1 + GROWTH * seconds));
+            double growth = Math.min(MOST_GROWTH, GROWTH * Math.pow(2, (now - shownAt) / 1e6));
+            perSecond = Math.max(all.served(), perSecond * (1 + growth * seconds));
             if (all.asked() < EASY * perSecond) {
                 perSecond = Double.POSITIVE_INFINITY;
             }
@@ -69,4 +93,9 @@
     double perSecond() {
         return perSecond;
     }
+
+    /** What calls are to be held to: infinite where it refuses none. */
+    double limit() {
+        return held && limit ? perSecond : Double.POSITIVE_INFINITY;
+    }
 }
--- a/overload/src/main/java/amberroute/overload/Digest.java
+++ b/overload/src/main/java/amberroute/overload/Digest.java
@@ -3,7 +3,9 @@
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
@@ -13,12 +15,16 @@
  *
  * <pre>
  * "AL", version 1, length and bytes of the name, incarnation (8), number (8),
- * count and loads: destination (4), served, refused as full, waiting (floats), count and steps: step (1), asked (float)
+ * count and loads: destination (4), served, refused as full, waiting (floats), count and steps: step (1), asked (float),
+ * count and loans: kind (1), destination (4), number (8), part (float)
  * </pre>
  *
  * What is not so, or has values out of range, is none.
  */
-public record Digest(String from, long incarnation, long number, Map<Integer, Load> loads) {
+public record Digest(String from, long incarnation, long number, Map<Integer, Load> loads, List<Loan> loans) {
+    /** A request for a part of what a destination can take, or its answer under the same number. */
+    public record Loan(boolean grant, int destination, long number, float part) { }
+
     /** Below what any link carries whole. */
     public static final int MOST_BYTES = 1_400;
     private static final byte VERSION = 1;
@@ -27,12 +33,14 @@
     /** A load takes so much, and so much more for each step. */
     private static final int LOAD_BYTES = 17;
     private static final int STEP_BYTES = 5;
+    /** Beside no load at all. */
+    static final int MOST_LOANS = 32;
     private static final float MOST_RATE = 1e9f;
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]+");
 
     /** Bytes without any load. */
     static int head(String from) {
-        return 21 + from.length();
+        return 22 + from.length();
     }
 
     static int bytes(Load load) {
@@ -63,6 +71,8 @@
                 }
             }
         });
+        out.put((byte) loans.size());
+        loans.forEach(l -> out.put((byte) (l.grant ? 1 : 0)).putInt(l.destination).putLong(l.number).putFloat(l.part));
         return out.flip();
     }
 
@@ -89,8 +99,12 @@
                 }
                 loads.put(destination, new Load(demand, served, full, waiting));
             }
+            List<Loan> loans = new ArrayList<>();
+            for (int i = within(in.get(), 0, MOST_LOANS); i > 0; i--) {
+                loans.add(new Loan(within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), part(in.getFloat())));
+            }
             return in.hasRemaining() || !NAME.matcher(from).matches() || number < 0 || incarnation < 0 ? null
-                    : new Digest(from, incarnation, number, loads);
+                    : new Digest(from, incarnation, number, loads, loans);
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             return null;
         }
@@ -103,6 +117,13 @@
         return value;
     }
 
+    private static float part(float value) {
+        if (!(value >= 0) || value > 1) {
+            throw new IllegalArgumentException("no part");
+        }
+        return value;
+    }
+
     private static float rate(float value) {
         if (!(value >= 0) || value > MOST_RATE) {
             throw new IllegalArgumentException("no rate");
--- a/overload/src/main/java/amberroute/overload/Overload.java
+++ b/overload/src/main/java/amberroute/overload/Overload.java
@@ -8,6 +8,9 @@
 import java.util.function.IntToDoubleFunction;
 import java.util.random.RandomGenerator;
 
+import amberroute.shares.Lending;
+import amberroute.shares.Share;
+
 /**
  * One sender's view of what its fleet is asked for and can do: counts what happens here, tells some peers of it, hears theirs, and
  * says what a call to each destination costs. All compute alone and from about the same, so they come to about the same
@@ -27,8 +30,12 @@
     /** A datagram for a peer. */
     public record Out(String to, Digest digest) { }
 
+    /** The calls a second that this daemon may make from now on; infinite for any. */
+    public record Ceiling(int destination, double perSecond) { }
+
     /** For operators: what all have to do with a destination, what it is taken to be able to do, and the price. */
-    public record Row(int destination, double asked, double served, double full, double waiting, double capacity, Price price) { }
+    public record Row(int destination, double asked, double served, double full, double waiting, double capacity, Price price,
+            double part) { }
 
     private final String self;
     private final List<String> peers;
@@ -39,11 +46,23 @@
     private final Map<Integer, Capacity> capacities = new LinkedHashMap<>();
     private final Map<Integer, Price> prices = new LinkedHashMap<>();
     private final List<Row> rows = new ArrayList<>();
+    private final Map<Integer, Parts> parts = new LinkedHashMap<>();
+    private final int daemons;
+    private final boolean held;
+    private final long quietUntil;
     private long number;
     private int turn;
 
-    /** {@code incarnation} is higher than that of any earlier process of this sender; wall time will do. */
-    public Overload(String self, List<String> peers, long incarnation, RandomGenerator random) {
+    /**
+     * {@code incarnation} is higher than that of any earlier process of this sender; wall time will do. {@code daemons} is among how
+     * many a limit is divided where calls are {@code held} to parts of it: at least as many as can run. An earlier process may
+     * have lent all that it had, so at first nothing is used of what is limited.
+     */
+    public Overload(long now, String self, List<String> peers, int daemons, boolean held, long incarnation,
+            RandomGenerator random) {
+        this.held = held;
+        this.daemons = Math.max(daemons, peers.size());
+        quietUntil = now + Share.quiet(Parts.LEASE);
         this.self = self;
         this.peers = new ArrayList<>(peers);
         this.peers.remove(self);
@@ -85,9 +104,66 @@
         }
     }
 
-    /** A peer's word. */
-    public void heard(long now, Digest digest) {
-        picture.heard(now, digest);
+    private Parts parts(long now, int destination) {
+        return parts.computeIfAbsent(destination, d -> new Parts(now, incarnation, daemons, now < quietUntil));
+    }
+
+    /** A peer's word; returns what is to be said to it, null for nothing. */
+    public Out heard(long now, Digest digest) {
+        if (!picture.heard(now, digest)) {
+            return null;
+        }
+        List<Digest.Loan> answers = new ArrayList<>();
+        for (Digest.Loan loan : digest.loans()) {
+            if (!parts.containsKey(loan.destination()) && parts.size() >= MOST) {
+                continue;
+            }
+            Parts ours = parts(now, loan.destination());
+            if (loan.grant()) {
+                ours.granted(now, digest.from(), loan);
+            } else {
+                answers.add(ours.asked(now, digest.from(), loan));
+            }
+        }
+        return answers.isEmpty() ? null : new Out(digest.from(), new Digest(self, incarnation, ++number, Map.of(), answers));
+    }
+
+    /** To be called behind {@link #round}: the ceilings that have changed. */
+    public List<Ceiling> ceilings(long now) {
+        List<Ceiling> out = new ArrayList<>();
+        capacities.forEach((destination, capacity) -> {
+            double rate = parts(now, destination).changed(now, capacity.limit());
+            if (rate >= 0) {
+                out.add(new Ceiling(destination, rate));
+            }
+        });
+        return out;
+    }
+
+    /** The part of a destination that this daemon may use now, whether or not anything limits it. */
+    double part(long now, int destination) {
+        return parts(now, destination).ceiling(now);
+    }
+
+    /** Requests for parts of what is limited, by peer. */
+    public List<Out> asks(long now) {
+        Map<String, List<Digest.Loan>> to = new LinkedHashMap<>();
+        capacities.forEach((destination, capacity) -> {
+            if (Double.isFinite(capacity.limit())) {
+                Parts ours = parts(now, destination);
+                for (Lending.Request r : ours.asks(now, picture.below(now, destination, ours.owned() * capacity.perSecond()))) {
+                    to.computeIfAbsent(r.peer(), p -> new ArrayList<>()).add(new Digest.Loan(false, destination, r.number(), r.part()));
+                }
+            }
+        });
+        List<Out> out = new ArrayList<>();
+        to.forEach((peer, loans) -> {
+            for (int from = 0; from < loans.size(); from += Digest.MOST_LOANS) {
+                out.add(new Out(peer, new Digest(self, incarnation, ++number, Map.of(),
+                        List.copyOf(loans.subList(from, Math.min(loans.size(), from + Digest.MOST_LOANS))))));
+            }
+        });
+        return out;
     }
 
     /** To be called once a round; {@code waiting} tells what is held here for a destination. Returns prices that have changed. */
@@ -96,16 +172,20 @@
         rows.clear();
         tallies.forEach((destination, tally) -> {
             tally.waiting(waiting.applyAsDouble(destination));
-            Load all = picture.all(now, destination, tally.load(now));
-            Capacity capacity = capacities.computeIfAbsent(destination, d -> new Capacity());
+            Load own = tally.load(now);
+            Load all = picture.all(now, destination, own);
+            Capacity capacity = capacities.computeIfAbsent(destination, d -> new Capacity(held));
             double room = capacity.next(now, all);
             Price price = Double.isInfinite(room) ? Price.none(destination) : Price.of(destination, all.demand(), room);
+            Parts ours = parts(now, destination);
+            ours.need(own, price, capacity.perSecond());
             Price before = prices.getOrDefault(destination, Price.none(destination));
             if (!price.like(before)) {
                 prices.put(destination, price);
                 changed.add(price);
             }
-            rows.add(new Row(destination, all.asked(), all.served(), all.full(), all.waiting(), capacity.perSecond(), price));
+            rows.add(new Row(destination, all.asked(), all.served(), all.full(), all.waiting(), capacity.perSecond(), price,
+                    ours.ceiling(now)));
         });
         return changed;
     }
@@ -136,7 +216,7 @@
             bytes += Digest.bytes(load);
             loads.put(destination, load);
         }
-        return new Digest(self, incarnation, ++number, loads);
+        return new Digest(self, incarnation, ++number, loads, List.of());
     }
 
     /** As of the last round. */
--- /dev/null
+++ b/overload/src/main/java/amberroute/overload/Parts.java
@@ -0,0 +1,75 @@
+package amberroute.overload;
+
+import java.util.List;
+
+import amberroute.shares.Lending;
+import amberroute.shares.Share;
+
+/**
+ * This daemon's part of the calls that a destination can take a second: an equal one that is its own, and what peers that need less
+ * lend it. Parts in use add up to 1 at most, whatever is lost, late or believed ({@link Share}); how many calls a part is each
+ * reckons by its own figures of the destination.
+ */
+final class Parts {
+    /** Long beside a lost request and the next one, short enough that who dies holds up what it was lent for a moment only. */
+    static final long LEASE = 2_000_000;
+    /** A peer is asked in every round until it has lent what is missing. */
+    private static final long PAUSE = Overload.ROUND / 2;
+    /** What waits is to be called within so many seconds. */
+    private static final double HORIZON = 1;
+    /** Asked for is a little more than is needed: figures are averages. */
+    private static final double MARGIN = 1.15;
+    /** A rate that changes by less is not worth telling. */
+    private static final double STEP = 0.05;
+
+    private final Lending lending;
+    private double need;
+    private double told = Double.POSITIVE_INFINITY;
+
+    Parts(long now, long numbers, int daemons, boolean restarted) {
+        lending = new Lending(new Share(now, numbers, daemons, LEASE, restarted), PAUSE);
+    }
+
+    /** What this daemon has to call: its load as far as it is worth the price, of what the destination can do. */
+    void need(Load own, Price price, double capacity) {
+        double calls = own.waiting() / HORIZON;
+        for (int step = 0; step < Worths.STEPS; step++) {
+            double floor = Worths.floor(step);
+            calls += own.demand()[step] * (floor < price.worth() ? 0 : floor < price.upTo() ? price.share() : 1);
+        }
+        need = Double.isInfinite(capacity) ? 1 : Math.min(1, MARGIN * calls / Math.max(1e-3, capacity));
+    }
+
+    /** The calls a second that it may make, infinite where nothing limits them; -1 where that is about as before. */
+    double changed(long now, double capacity) {
+        double rate = Double.isInfinite(capacity) ? capacity : lending.ceiling(now) * capacity;
+        if (rate == told || !Double.isInfinite(told) && Math.abs(rate - told) < STEP * told) {
+            return -1;
+        }
+        told = rate;
+        return rate;
+    }
+
+    /** Requests for what is missing, to peers that need less than they own. */
+    List<Lending.Request> asks(long now, List<String> able) {
+        double missing = need - lending.ceiling(now);
+        return missing <= 0 ? List.of() : lending.asks(now, missing, able);
+    }
+
+    double owned() {
+        return lending.owned();
+    }
+
+    double ceiling(long now) {
+        return lending.ceiling(now);
+    }
+
+    /** Answers a request. */
+    Digest.Loan asked(long now, String peer, Digest.Loan loan) {
+        return new Digest.Loan(true, loan.destination(), loan.number(), lending.asked(now, peer, loan.number(), loan.part(), need));
+    }
+
+    void granted(long now, String peer, Digest.Loan loan) {
+        lending.granted(now, peer, loan.number(), loan.part());
+    }
+}
--- a/overload/src/main/java/amberroute/overload/Picture.java
+++ b/overload/src/main/java/amberroute/overload/Picture.java
@@ -23,6 +23,7 @@
     private static final class Peer {
         long incarnation = -1;
         long number = -1;
+        long heardAt = Long.MIN_VALUE;
         final Map<Integer, Heard> loads = new HashMap<>();
     }
 
@@ -48,6 +49,7 @@
         }
         peer.incarnation = digest.incarnation();
         peer.number = digest.number();
+        peer.heardAt = now;
         digest.loads().forEach((destination, load) -> {
             if (peer.loads.containsKey(destination) || peer.loads.size() < Overload.MOST) {
                 peer.loads.put(destination, new Heard(now, load));
@@ -81,8 +83,21 @@
         return sum;
     }
 
-    /** Peers of which something counts now. */
+    /** Peers that were heard of lately and do less at a destination than this. */
+    List<String> below(long now, int destination, double perSecond) {
+        List<String> out = new ArrayList<>();
+        peers.forEach((name, peer) -> {
+            Heard h = peer.loads.get(destination);
+            boolean there = peer.heardAt != Long.MIN_VALUE && now - peer.heardAt < FRESH;
+            if (there && (h == null || now - h.at() >= FRESH || h.load().served() + h.load().waiting() < perSecond)) {
+                out.add(name);
+            }
+        });
+        return out;
+    }
+
+    /** Peers that were heard of lately. */
     int heardOf(long now) {
-        return (int) peers.values().stream().filter(p -> p.loads.values().stream().anyMatch(h -> now - h.at() < FRESH)).count();
+        return (int) peers.values().stream().filter(p -> p.heardAt != Long.MIN_VALUE && now - p.heardAt < FRESH).count();
     }
 }
--- a/overload/src/test/java/amberroute/overload/FleetPlay.java
+++ b/overload/src/test/java/amberroute/overload/FleetPlay.java
@@ -34,11 +34,15 @@
         final List<Deque<Message>> held = List.of(new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>());
         long pausedUntil;
         double weight;
+        double rate = Double.POSITIVE_INFINITY;
+        double saved;
     }
 
     final List<Sender> senders = new ArrayList<>();
     final Random random;
     private final boolean priced;
+    /** Calls are held to parts of the limit. */
+    private final boolean parts;
     private final PriorityQueue<Flying> ways = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
             : Long.compare(a.order(), b.order()));
     private final PriorityQueue<Again> again = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
@@ -63,10 +67,13 @@
     long dropped;
     long bytes;
     private double weights;
+    /** The most that the parts in use added up to at any round. */
+    double mostParts;
 
     /** {@code skewed}: half of the senders are asked for a tenth of what the rest is; of twelve, one for as much as all others. */
-    FleetPlay(int size, long seed, boolean priced, boolean skewed) {
+    FleetPlay(int size, long seed, boolean priced, boolean skewed, boolean parts) {
         random = new Random(seed);
+        this.parts = parts;
         this.priced = priced;
         List<String> names = new ArrayList<>();
         for (int i = 0; i < size; i++) {
@@ -74,7 +81,7 @@
         }
         for (int i = 0; i < size; i++) {
             Sender s = new Sender();
-            s.overload = new Overload("s" + i, names, 1, new SplittableRandom(seed + i));
+            s.overload = new Overload(0, "s" + i, names, size, parts, 1, new SplittableRandom(seed + i));
             s.weight = !skewed ? 1 : i == 0 && size == 12 ? size : i < size / 2 ? 0.18 : 1.8;
             weights += s.weight;
             senders.add(s);
@@ -95,7 +102,10 @@
             }
             while (!ways.isEmpty() && ways.peek().at() <= now) {
                 Flying f = ways.poll();
-                senders.get(f.to()).overload.heard(now, f.digest());
+                Overload.Out answer = senders.get(f.to()).overload.heard(now, f.digest());
+                if (answer != null) {
+                    send(answer);
+                }
             }
             int first = random.nextInt(senders.size());
             for (int i = 0; i < senders.size(); i++) {
@@ -109,12 +119,19 @@
         for (Price p : s.overload.round(now, d -> s.held.stream().mapToInt(Deque::size).sum())) {
             s.price = p;
         }
-        for (Overload.Out out : s.overload.tell(now)) {
-            bytes += out.digest().write().remaining();
-            if (random.nextDouble() >= loss) {
-                ways.add(new Flying(now + 1_000 + (long) (random.nextDouble() * delay), order++,
-                        Integer.parseInt(out.to().substring(1)), Digest.read(out.digest().write())));
-            }
+        if (parts) {
+            s.overload.ceilings(now).forEach(c -> s.rate = c.perSecond());
+            s.overload.asks(now).forEach(this::send);
+        }
+        s.overload.tell(now).forEach(this::send);
+        mostParts = Math.max(mostParts, senders.stream().mapToDouble(each -> each.overload.part(now, 1)).sum());
+    }
+
+    private void send(Overload.Out out) {
+        bytes += out.digest().write().remaining();
+        if (random.nextDouble() >= loss) {
+            ways.add(new Flying(now + 1_000 + (long) (random.nextDouble() * delay), order++,
+                    Integer.parseInt(out.to().substring(1)), Digest.read(out.digest().write())));
         }
     }
 
@@ -156,9 +173,12 @@
     }
 
     private void call(Sender s) {
+        double due = s.rate * STEP / 1e6;
+        s.saved = Double.isInfinite(due) ? due : Math.min(1 + due, Double.isInfinite(s.saved) ? 0 : s.saved + due);
         for (Deque<Message> kind : s.held) {
-            while (!kind.isEmpty() && now >= s.pausedUntil) {
+            while (!kind.isEmpty() && now >= s.pausedUntil && s.saved >= 1) {
                 Message m = kind.poll();
+                s.saved -= m.due() < now ? 0 : 1;
                 if (m.due() < now) {
                     dropped++;
                 } else if (tokens >= 1) {
--- a/overload/src/test/java/amberroute/overload/OverloadTest.java
+++ b/overload/src/test/java/amberroute/overload/OverloadTest.java
@@ -23,8 +23,8 @@
         return new Load(demand, served, full, waiting);
     }
 
-    private static double[] played(int size, boolean priced, boolean skewed, double loss, long delay) {
-        FleetPlay play = new FleetPlay(size, 3, priced, skewed);
+    private static double[] played(int size, boolean priced, boolean skewed, boolean parts, double loss, long delay) {
+        FleetPlay play = new FleetPlay(size, 3, priced, skewed, parts);
         play.loss = loss;
         play.delay = delay;
         play.run(8_000_000);
@@ -36,31 +36,41 @@
             least = Math.min(least, play.served - before);
         }
         System.out.printf("%d senders, %s%s, loss %.1f, news up to %d ms late: %.3f of the worth, %.3f refused a message, least second"
-                + " %.2f of the capacity, %.0f bytes a sender a second%n", size, priced ? "prices" : "none", skewed ? ", skewed" : "",
+                + " %.2f of the capacity, %.0f bytes a sender a second%n", size, priced ? parts ? "prices and parts" : "prices" : "none", skewed ? ", skewed" : "",
                 loss, delay / 1_000, play.worth / play.idealWorth, (double) play.refused / play.served, least / play.capacity,
                 play.bytes / 20.0 / size);
+        assertTrue(play.mostParts <= 1 + 1e-6, "parts in use add up to " + play.mostParts);
         return new double[] {play.worth / play.idealWorth, (double) play.refused / play.served, least / play.capacity,
             play.bytes / 20.0 / size};
     }
 
     @Test
     void overloadedTheFleetServesWhatIsWorthMostWhateverNewsDo() {
-        double[] none = played(12, false, false, 0, 20_000);
-        double[] with = played(12, true, false, 0, 20_000);
+        double[] none = played(12, false, false, false, 0, 20_000);
+        double[] with = played(12, true, false, false, 0, 20_000);
         assertTrue(with[0] > 0.95 && with[0] > none[0], with[0] + " after " + none[0]);
         assertTrue(with[1] < none[1], "refused a message: " + with[1] + " after " + none[1]);
         // No swing between all and none.
         assertTrue(with[2] > 0.85, "least second " + with[2]);
-        for (double[] hard : List.of(played(12, true, true, 0.2, 200_000), played(12, true, true, 0.2, 2_000_000))) {
+        for (double[] hard : List.of(played(12, true, true, false, 0.2, 200_000), played(12, true, true, false, 0.2, 2_000_000))) {
             // Half of all is at one sender, which is refused as often as those that have little.
             assertTrue(hard[0] > 0.8 && hard[2] > 0.85, hard[0] + " and " + hard[2]);
         }
     }
 
+    /** Where traffic is even, calls that are held to parts are hardly refused; the parts in use never add up to more than all. */
+    @Test
+    void partsOfALimitSpareRefusals() {
+        double[] free = played(12, true, false, false, 0, 20_000);
+        double[] held = played(12, true, false, true, 0, 20_000);
+        assertTrue(held[0] > 0.95 && held[1] < 0.5 * free[1], held[0] + ", refused " + held[1] + " after " + free[1]);
+        played(12, true, true, true, 0.2, 200_000);
+    }
+
     @Test
     void whatASenderTellsDoesNotGrowWithTheFleet() {
-        double[] few = played(100, true, true, 0, 50_000);
-        double[] many = played(1_000, true, true, 0, 50_000);
+        double[] few = played(100, true, true, false, 0, 50_000);
+        double[] many = played(1_000, true, true, false, 0, 50_000);
         assertTrue(few[0] > 0.93 && many[0] > 0.87, few[0] + ", " + many[0]);
         assertTrue(many[3] < 1.1 * few[3], few[3] + " to " + many[3] + " bytes");
     }
@@ -68,7 +78,7 @@
     /** Three times the load for ten seconds, then what it can do, with clients that come again all along. */
     @Test
     void behindASpikeItIsBackWithinSeconds() {
-        FleetPlay play = new FleetPlay(12, 9, true, false);
+        FleetPlay play = new FleetPlay(12, 9, true, false, false);
         play.load = 0.9;
         play.run(8_000_000);
         play.load = 3;
@@ -88,24 +98,24 @@
         for (int i = 0; i < 5; i++) {
             names.add("s" + i);
         }
-        Overload overload = new Overload("s0", names, 1, new SplittableRandom(1));
+        Overload overload = new Overload(0, "s0", names, 6, false, 1, new SplittableRandom(1));
         long now = 1_000_000;
         for (int i = 0; i < 60; i++) {
             overload.asked(now, 1, 1);
             overload.served(now, 1);
         }
         for (int i = 1; i < 5; i++) {
-            overload.heard(now, new Digest("s" + i, 1, 1, Map.of(1, load(0, 60, 50, 10, 0))));
+            overload.heard(now, new Digest("s" + i, 1, 1, Map.of(1, load(0, 60, 50, 10, 0)), List.of()));
         }
-        overload.heard(now, new Digest("liar", 1, 1, Map.of(1, load(1e9, 0, 0, 1e9, 1e9))));
+        overload.heard(now, new Digest("liar", 1, 1, Map.of(1, load(1e9, 0, 0, 1e9, 1e9)), List.of()));
         overload.round(now, d -> 0);
         Overload.Row row = overload.rows().get(0);
         // Its word at most doubles what is asked: of the cheap messages that all others have about half still go.
         assertTrue(row.asked() < 2.2 * 300, row.toString());
         assertTrue(row.price().worth() <= 4 && row.full() < 200, row.toString());
         // Older words, and those of a stranger, change nothing.
-        overload.heard(now, new Digest("s1", 1, 1, Map.of(1, load(9_000, 0, 0, 0, 0))));
-        overload.heard(now, new Digest("who", 1, 9, Map.of(1, load(9_000, 0, 0, 0, 0))));
+        overload.heard(now, new Digest("s1", 1, 1, Map.of(1, load(9_000, 0, 0, 0, 0)), List.of()));
+        overload.heard(now, new Digest("who", 1, 9, Map.of(1, load(9_000, 0, 0, 0, 0)), List.of()));
         overload.round(now, d -> 0);
         assertEquals(row.asked(), overload.rows().get(0).asked(), 1e-6);
         // And after a while nobody's.
@@ -115,17 +125,19 @@
 
     @Test
     void whatIsOutTellsNothingOfWhatItCanDo() {
-        Capacity capacity = new Capacity();
-        assertEquals(Double.POSITIVE_INFINITY, capacity.next(0, load(0, 500, 0, 0, 3_000)));
-        assertEquals(Double.POSITIVE_INFINITY, capacity.next(200_000, load(0, 500, 100, 0, 0)));
-        double limited = capacity.next(400_000, load(0, 500, 100, 50, 0));
+        Capacity capacity = new Capacity(false);
+        assertEquals(Double.POSITIVE_INFINITY, capacity.next(1, load(0, 500, 0, 0, 3_000)));
+        assertEquals(Double.POSITIVE_INFINITY, capacity.next(3_200_000, load(0, 500, 100, 0, 0)));
+        // Averages have not settled; then what it refuses shows.
+        assertEquals(Double.POSITIVE_INFINITY, capacity.next(3_400_000, load(0, 500, 100, 50, 0)));
+        double limited = capacity.next(6_400_000, load(0, 500, 100, 50, 0));
         assertEquals(100, limited, 1);
         // Out: as it was known before, however much waits.
-        assertEquals(limited, capacity.next(600_000, load(0, 500, 5, 0, 5_000)), 1e-6);
+        assertEquals(limited, capacity.next(6_600_000, load(0, 500, 5, 0, 5_000)), 1e-6);
         // What waits is worked off: less is taken on.
-        assertTrue(capacity.next(800_000, load(0, 500, 100, 50, 300)) < 60);
+        assertTrue(capacity.next(6_800_000, load(0, 500, 100, 50, 300)) < 60);
         // Asked for little, it has no limit.
-        assertEquals(Double.POSITIVE_INFINITY, capacity.next(1_000_000, load(0, 20, 20, 0, 0)));
+        assertEquals(Double.POSITIVE_INFINITY, capacity.next(7_000_000, load(0, 20, 20, 0, 0)));
     }
 
     @Test
@@ -147,7 +159,7 @@
 
     @Test
     void whatIsNoDigestIsDropped() {
-        Digest digest = new Digest("s1", 7, 8, Map.of(3, load(1, 2, 3, 4, 5)));
+        Digest digest = new Digest("s1", 7, 8, Map.of(3, load(1, 2, 3, 4, 5)), List.of());
         ByteBuffer bytes = digest.write();
         Digest read = Digest.read(bytes.duplicate());
         assertEquals(3.0, read.loads().get(3).served());
@@ -167,7 +179,7 @@
         assertTrue(none > 10_000, "only " + none);
         assertNull(Digest.read(ByteBuffer.allocate(0)));
         // Of more destinations than fit in one the others are told next.
-        Overload overload = new Overload("a", List.of("a", "b"), 1, new SplittableRandom(1));
+        Overload overload = new Overload(0, "a", List.of("a", "b"), 2, false, 1, new SplittableRandom(1));
         for (int d = 0; d < 200; d++) {
             overload.asked(1, d, 1);
         }
--- a/sender/src/main/java/amberroute/sender/FleetLoad.java
+++ b/sender/src/main/java/amberroute/sender/FleetLoad.java
@@ -33,18 +33,23 @@
     private final LongSupplier clock;
     private final IntToDoubleFunction waiting;
     private final Consumer<Relay.Event> events;
+    private final SplittableRandom random = new SplittableRandom();
     private final Overload overload;
+    /** Whether calls are held to this daemon's part. */
+    private final boolean parts;
     private Channel channel;
 
     /** {@code clock} is monotonic, in microseconds; {@code waiting} tells what is held for a destination. */
-    FleetLoad(EventLoop loop, String name, Map<String, InetSocketAddress> peers, LongSupplier clock, IntToDoubleFunction waiting,
-            Consumer<Relay.Event> events) {
+    FleetLoad(EventLoop loop, String name, Map<String, InetSocketAddress> peers, int daemons, boolean parts, LongSupplier clock,
+            IntToDoubleFunction waiting, Consumer<Relay.Event> events) {
+        this.parts = parts;
         this.loop = loop;
         this.peers = Map.copyOf(peers);
         this.clock = clock;
         this.waiting = waiting;
         this.events = events;
-        overload = new Overload(name, List.copyOf(peers.keySet()), System.currentTimeMillis(), new SplittableRandom());
+        overload = new Overload(clock.getAsLong(), name, List.copyOf(peers.keySet()), Math.max(daemons, peers.size() + 1),
+                parts, System.currentTimeMillis() * 1_000, random);
     }
 
     /** Begins to tell, and to compute prices. */
@@ -58,10 +63,19 @@
         for (Price p : overload.round(now, waiting)) {
             events.accept(new Relay.Event.Price(p.destination(), p.worth(), p.upTo(), p.share(), p.again()));
         }
-        for (Overload.Out out : overload.tell(now)) {
-            if (channel.isActive()) {
-                channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(out.digest().write()), peers.get(out.to())));
+        if (parts) {
+            for (Overload.Ceiling c : overload.ceilings(now)) {
+                // Daemons that are given a rate at one moment begin at different ones.
+                events.accept(new Relay.Event.Ceiling(c.destination(), c.perSecond(), random.nextDouble(), false));
             }
+            overload.asks(now).forEach(this::send);
+        }
+        overload.tell(now).forEach(this::send);
+    }
+
+    private void send(Overload.Out out) {
+        if (channel.isActive()) {
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(out.digest().write()), peers.get(out.to())));
         }
     }
 
@@ -69,7 +83,10 @@
     void heard(DatagramPacket packet) {
         Digest digest = Digest.read(packet.content().nioBuffer());
         if (digest != null && packet.sender().equals(peers.get(digest.from()))) {
-            overload.heard(clock.getAsLong(), digest);
+            Overload.Out answer = overload.heard(clock.getAsLong(), digest);
+            if (answer != null) {
+                send(answer);
+            }
         }
     }
 
@@ -102,6 +119,7 @@
             one.addProperty("waiting", row.waiting());
             if (Double.isFinite(row.capacity())) {
                 one.addProperty("capacity", row.capacity());
+                one.addProperty("part", row.part());
                 one.addProperty("price", row.price().worth());
                 one.addProperty("price_up_to", row.price().upTo());
                 one.addProperty("share", row.price().share());
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -620,7 +620,8 @@
         if (alone != null && alone.overload()) {
             Map<String, InetSocketAddress> others = new LinkedHashMap<>(alone.peers());
             others.remove(config.name());
-            load = new FleetLoad(loop, config.name(), others, Sender::now, this::heldFor, this::note);
+            load = new FleetLoad(loop, config.name(), others, settings.senders(), alone.parts(), Sender::now, this::heldFor,
+                    this::note);
         }
         if (alone == null || alone.lease() == 0) {
             return;
--- a/sender/src/main/java/amberroute/sender/StandaloneConfig.java
+++ b/sender/src/main/java/amberroute/sender/StandaloneConfig.java
@@ -91,6 +91,7 @@
             .real("fleet.first", 20.0, 0.1, 1e6, "messages a second that all daemons together give a partner that none of them knows")
             .duration("fleet.lease", "500ms", "50ms", "10s", "how long a part of a cold partner's limit is lent")
             .flag("fleet.overload", false, "daemons tell one another what they are asked for, and turn away what is worth least to all; needs handover.listen and handover.peers")
+            .flag("fleet.parts", false, "with fleet.overload: calls to a partner at its limit are held to parts of it that daemons lend one another; not with fleet.gentle")
             .flag("survival.on", false, "peers hold copies of what this sender has in hand and go on with it when it is lost; needs handover.listen and handover.peers")
             .whole("survival.copies", 3L, 3, 7, "how many hold each message, this sender among them; more than half have to be there")
             .duration("survival.replace", "10s", "1s", "1h", "a holder that is away for so long is replaced")
@@ -104,11 +105,11 @@
      */
     record Standalone(Path endpoints, InetSocketAddress notices, Path control, long stopMillis, long backMillis,
             InetSocketAddress handOver, Map<String, InetSocketAddress> peers, boolean adoption,
-            List<Path> adopt, long lease, double first, Durability durability, Survive survive, String zone, boolean overload) {
+            List<Path> adopt, long lease, double first, Durability durability, Survive survive, String zone, boolean overload, boolean parts) {
         /** Of an estate that goes on in another's process: its peers, and nothing that clients or operators could reach. */
         Standalone caretaker(Map<String, InetSocketAddress> others) {
             return new Standalone(endpoints, notices, null, stopMillis, backMillis, null, others, false, List.of(), 0, first,
-                    durability, null, zone, false);
+                    durability, null, zone, false, false);
         }
     }
 
@@ -173,7 +174,10 @@
                 gentle ? s.micros("fleet.lease") : 0, s.real("fleet.first"),
                 Durability.valueOf(s.text("journal.durability").toUpperCase(Locale.ROOT)),
                 survive(s, handOver, peers), s.has("zone") ? s.text("zone") : zones.get(0),
-                s.flag("fleet.overload"));
+                s.flag("fleet.overload"), s.flag("fleet.parts"));
+        if (standalone.parts() && (!standalone.overload() || gentle)) {
+            throw s.bad("fleet.parts", gentle ? "does not go with fleet.gentle, which sets ceilings of its own" : "needs fleet.overload");
+        }
         if (standalone.overload() && (handOver == null || peers.isEmpty())) {
             throw s.bad("fleet.overload", "needs handover.listen and handover.peers");
         }
--- a/shares/src/main/java/amberroute/shares/ColdLimit.java
+++ b/shares/src/main/java/amberroute/shares/ColdLimit.java
@@ -45,7 +45,6 @@
     /** Answers are remembered by spans of this length, for so many of them. */
     private static final long SLOT = 250_000;
     private static final int SLOTS = 256;
-    private static final int ASKED_AT_ONCE = 4;
     static final int MOST_PEERS = 1_000;
 
     /**
@@ -65,12 +64,10 @@
 
     private final int destination;
     private final Rules rules;
-    private final Share share;
-    private final long lease;
+    private final Lending lending;
     private final Rate served = new Rate(1e6);
     private final Rate pace = new Rate(8e6);
     private final Map<String, Told> told = new HashMap<>();
-    private final Map<String, Long> askedAt = new HashMap<>();
     private final boolean[] answered = new boolean[SLOTS];
     private long slot = Long.MIN_VALUE;
     private Health mine = Health.NEW;
@@ -86,8 +83,7 @@
     ColdLimit(int destination, Rules rules, Share share, long lease) {
         this.destination = destination;
         this.rules = rules;
-        this.share = share;
-        this.lease = lease;
+        lending = new Lending(share, lease / 2);
     }
 
     // ---- What is seen here. ----
@@ -223,7 +219,7 @@
     /** This daemon's part of it. */
     double perSecond(long now) {
         double whole = whole(now);
-        return Double.isInfinite(whole) ? whole : share.ceiling(now) * whole;
+        return Double.isInfinite(whole) ? whole : lending.ceiling(now) * whole;
     }
 
     /** Answered a second now, here and at all peers that tell of it. */
@@ -259,47 +255,27 @@
 
     /** Requests to peers that are there and seem to have parts to spare. */
     List<Ask> asks(long now, List<String> alive) {
-        double missing = limited(now) ? need(now) - share.ceiling(now) : 0;
+        double missing = limited(now) ? need(now) - lending.ceiling(now) : 0;
         if (missing <= 0) {
             return List.of();
         }
         double whole = whole(now);
-        List<String> able = new ArrayList<>();
-        for (String peer : alive) {
+        List<String> able = alive.stream().filter(peer -> {
             Told t = told.get(peer);
             double use = t == null ? 0 : (t.news().waiting() * 1e6 / HORIZON + t.news().served()) / whole;
-            if (use < share.owned() && now - askedAt.getOrDefault(peer, Long.MIN_VALUE / 2) > lease / 2) {
-                able.add(peer);
-            }
-        }
-        List<Ask> out = new ArrayList<>();
-        // Another begins with another peer, so that not all ask the same one.
-        int from = able.isEmpty() ? 0 : Math.floorMod(now / 1_000, able.size());
-        for (int i = 0; i < Math.min(ASKED_AT_ONCE, able.size()) && missing > 0; i++) {
-            String peer = able.get((from + i) % able.size());
-            float part = down(Math.min(missing, share.owned()));
-            Share.Ask ask = share.ask(now, peer, part);
-            askedAt.put(peer, now);
-            out.add(new Ask(peer, new Beat.Loan(false, destination, ask.number(), part)));
-            missing -= part;
-        }
-        return out;
+            return use < lending.owned();
+        }).toList();
+        return lending.asks(now, missing, able).stream().map(r -> new Ask(r.peer(), new Beat.Loan(false, destination, r.number(), r.part())))
+                .toList();
     }
 
     /** A peer asks: its answer. Who has no limit uses its part itself. */
     Beat.Loan asked(long now, String peer, Beat.Loan loan) {
-        Share.Grant grant = share.asked(now, peer, new Share.Ask(loan.number(), loan.part()), need(now));
-        return new Beat.Loan(true, destination, grant.number(), down(grant.part()));
-    }
-
-    /** Never more than that: what the lender counts as gone has to cover what the borrower uses. */
-    private static float down(double part) {
-        float rounded = (float) part;
-        return rounded > part ? Math.nextDown(rounded) : rounded;
+        return new Beat.Loan(true, destination, loan.number(), lending.asked(now, peer, loan.number(), loan.part(), need(now)));
     }
 
     void granted(long now, String peer, Beat.Loan loan) {
-        share.granted(now, peer, new Share.Grant(loan.number(), loan.part()));
+        lending.granted(now, peer, loan.number(), loan.part());
     }
 
     // ---- What is told. ----
