Let no holder claim an estate of which one that counts has more

Followed through the logs: s1 was killed and an old folder put back; s0 had restarted and was behind; s1 took over s4 in term 2 with s0's grant while s4 was there with more, as s4's connection had not yet told s1 what it had promised. Ruled out: two folders gone (all estates were whole before the round), the order of record and effect. At fault: Survival.attempt went on with a majority of yes, whatever others said they have. Change: an owner that is not taken for gone is waited for before a claim, and a claimant lets be what somebody who counts has more of. SurvivalTest: failed without it, three claims of which one was real.

--- a/sender/src/main/java/amberroute/sender/Survival.java
+++ b/sender/src/main/java/amberroute/sender/Survival.java
@@ -333,7 +333,7 @@
         JsonObject answer = EstateLine.of(yes ? "GRANT" : "DENY", self, kept.estate, Math.max(now.term(), kept.holding.term()));
         answer.addProperty("asked", term);
         answer.addProperty("former", former);
-        answer.addProperty("ahead", now.copy().compareTo(theirs) > 0);
+        answer.addProperty("ahead", now.counts() && now.copy().compareTo(theirs) > 0);
         Copying running = copying(kept);
         boolean lost = yes && !line.get("try").getAsBoolean() && kept.open;
         if (lost && running != null) {
@@ -461,11 +461,17 @@
 
     private void attempt(Attempt a, long now) {
         boolean birth = a.trying && a.claim.copy().equals(Position.NONE);
-        if (birth && !a.former && now - a.since < WORD_NANOS
-                && a.claim.unanswered().stream().anyMatch(h -> !probes.view().gone(h))) {
+        String owner = a.kept.holding.owner();
+        // An owner that is there is waited for as well: it may have more than all who have answered, should a folder be an old one.
+        boolean waits = a.claim.unanswered().stream().anyMatch(h -> (birth || h.equals(owner)) && !probes.view().gone(h));
+        if (a.trying && (birth || a.kept != own) && waits && !a.former && now - a.since < WORD_NANOS) {
             if (now - a.askedAt > ASK_NANOS) {
                 ask(a);
             }
+        } else if (a.kept != own && a.trying && a.ahead) {
+            // Whoever has more, and counts, is the one to go on with it: this copy is behind, or its folder an old one put back.
+            attempts.remove(a.kept.estate);
+            a.kept.pausedUntil = now + (long) (ASK_NANOS * (1 + random.nextDouble()));
         } else if (a.claim.won() && !a.former) {
             attempts.remove(a.kept.estate);
             if (a.trying && !a.byHand && !wanted(a.kept, now)) {
--- a/sender/src/test/java/amberroute/sender/SurvivalTest.java
+++ b/sender/src/test/java/amberroute/sender/SurvivalTest.java
@@ -330,6 +330,62 @@
         return line;
     }
 
+    /**
+     * Its owner is there and has more, though another holder would grant it: an old folder was put back here, and to go on from it
+     * would lose what was agreed on since. Seen in the rig as a message lost and one run twice.
+     */
+    @Test
+    void whoIsBehindAnOwnerThatIsThereDoesNotClaim() throws Exception {
+        hold(5);
+        loop.submit(survival::close).sync();
+        journal.close();
+        List<JsonObject> claims = new CopyOnWriteArrayList<>();
+        try (ServerSocket three = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            config = config(", \"three=127.0.0.1:" + three.getLocalPort() + "\"");
+            answer(three, "three", true, false, claims);
+            answer(peer, "two", false, true, claims);
+            survival().start();
+            await(() -> claims.stream().filter(c -> c.get("by").getAsString().equals("two") && estate(c)).count() >= 3);
+            assertTrue(claims.stream().filter(SurvivalTest::estate).allMatch(c -> c.get("try").getAsBoolean()), claims.toString());
+            // The owner is gone for good: now it is the one to go on with it.
+            peer.close();
+            await(() -> claims.stream().anyMatch(c -> estate(c) && !c.get("try").getAsBoolean()));
+        }
+    }
+
+    private static boolean estate(JsonObject claim) {
+        return claim.get("estate").getAsString().equals(ESTATE);
+    }
+
+    /** Answers each claim in the same way. */
+    private static void answer(ServerSocket at, String name, boolean yes, boolean ahead, List<JsonObject> claims) {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    try (Socket socket = at.accept(); BufferedReader in = new BufferedReader(new InputStreamReader(
+                            socket.getInputStream(), StandardCharsets.UTF_8))) {
+                        JsonObject line = JsonParser.parseString(String.valueOf(in.readLine())).getAsJsonObject();
+                        if (line.get("word").getAsString().equals("CLAIM")) {
+                            line.addProperty("by", name);
+                            claims.add(line);
+                            JsonObject answer = EstateLine.of(yes ? "GRANT" : "DENY", name, line.get("estate").getAsString(), 1);
+                            answer.addProperty("asked", line.get("term").getAsLong());
+                            answer.addProperty("former", false);
+                            answer.addProperty("ahead", ahead);
+                            socket.getOutputStream().write(PeerLine.utf8(answer));
+                        }
+                    } catch (RuntimeException e) {
+                        // A connection that ended without a word.
+                    }
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     private void listen(List<String> lines) {
         try {
             while (true) {
