--- a/cli/src/main/java/amberroute/cli/AllSeeing.java
+++ b/cli/src/main/java/amberroute/cli/AllSeeing.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 
 import amberroute.testkit.Book;
-import amberroute.testkit.Clients;
 
 /**
  * What a fleet served of the worth that it was asked for, and what one modelled sender would have that has all messages before it from
@@ -77,9 +76,4 @@
         }
         return sum;
     }
-
-    /** The stage's classes are what is reckoned with here. */
-    static boolean knows(List<Clients.Kind> kinds) {
-        return kinds.stream().allMatch(k -> WORTH.containsKey(k.name()));
-    }
 }
