Lift nothing where no limit is known: the first moments of one took on 1.6 times

Seen on reading the change: Capacity counted a destination without a limit as idle (anything is below infinity), so the lift stood at four when a limit first showed, and for 0.8 s more was taken on than fits. Change: idle only below a limit. OverloadTest.anEasyTimeLiftsNothing failed with 160 where 100 fit.

--- a/overload/src/main/java/amberroute/overload/Capacity.java
+++ b/overload/src/main/java/amberroute/overload/Capacity.java
@@ -85,7 +85,8 @@
                 perSecond = Double.POSITIVE_INFINITY;
             }
         }
-        boolean idle = all.waiting() < FEW * perSecond && all.served() < IDLE * perSecond;
+        // Without a limit there is nothing to lift: the first moments of one would have it.
+        boolean idle = Double.isFinite(perSecond) && all.waiting() < FEW * perSecond && all.served() < IDLE * perSecond;
         lift = idle ? Math.min(MOST_LIFT, lift * (1 + LIFT * seconds)) : Math.max(1, lift * (1 - 2 * LIFT * seconds));
         return lift * Math.max(0, perSecond - Math.max(0, all.waiting() - BEHIND / 2 * perSecond - SOME) / CLEAR);
     }
--- a/overload/src/test/java/amberroute/overload/OverloadTest.java
+++ b/overload/src/test/java/amberroute/overload/OverloadTest.java
@@ -140,6 +140,16 @@
         assertEquals(Double.POSITIVE_INFINITY, capacity.next(7_000_000, load(0, 20, 20, 0, 0)));
     }
 
+    /** What was idle without a limit for long takes on no more than others once there is one. */
+    @Test
+    void anEasyTimeLiftsNothing() {
+        Capacity capacity = new Capacity(false);
+        for (long at = 1; at < 20_000_000; at += 200_000) {
+            assertEquals(Double.POSITIVE_INFINITY, capacity.next(at, load(0, 20, 20, 0, 0)));
+        }
+        assertEquals(100, capacity.next(20_200_000, load(0, 500, 100, 50, 50)), 1);
+    }
+
     @Test
     void thePriceIsTheWorthAboveWhichDemandFits() {
         Price price = Price.of(1, load(50, 200, 0, 0, 0).demand(), 150);
