--- a/cli/src/main/java/amberroute/cli/RigCommand.java
+++ b/cli/src/main/java/amberroute/cli/RigCommand.java
@@ -9,7 +9,7 @@
 
 @Command(name = "rig", mixinStandardHelpOptions = true, subcommands = {RigCommand.RollingRestart.class, RigCommand.ScaleIn.class,
     StartRig.class, AdoptionRig.class, ColdFleetRig.class, HandOverRig.class, HeldLoadRig.class, JournalCrashRig.class, SurvivorsRig.class,
-    OverloadRig.class},
+    OverloadRig.class, WideRig.class},
         description = "Long runs outside the tests; the last line is one JSON object with ok, the seed and the counts.")
 final class RigCommand {
     @Command(name = "rolling-restart", mixinStandardHelpOptions = true, description = {
--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/WideRig.java
@@ -0,0 +1,165 @@
+package amberroute.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+import amberroute.fleet.Definition;
+import amberroute.fleet.Supervision;
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+
+/** What one daemon needs among many others and with many endpoints, beside what it needs among few. */
+@Command(name = "wide", mixinStandardHelpOptions = true, description = {
+    "Runs a small fleet, then a wide one with many endpoints, each under load and a restart of all daemons one after another, and",
+    "measures the memory, threads and descriptors of the daemon that had most of each. Fails unless all books close, no daemon has more",
+    "threads in the wide fleet, and its memory grows by less than --growth."})
+final class WideRig implements Callable<Integer> {
+    private static final long READY_MS = 180_000;
+    private static final long RESTART_MS = 600_000;
+
+    @Option(names = "--daemons", defaultValue = "120", description = "of the wide fleet (${DEFAULT-VALUE})")
+    private int daemons;
+    @Option(names = "--destinations", defaultValue = "200", description = "of the wide fleet (${DEFAULT-VALUE})")
+    private int destinations;
+    @Option(names = "--endpoints", defaultValue = "3", description = "for each destination (${DEFAULT-VALUE})")
+    private int endpoints;
+    @Option(names = "--small", defaultValue = "3", description = "daemons of the small fleet, and half its destinations (${DEFAULT-VALUE})")
+    private int small;
+    @Option(names = "--rate", defaultValue = "4", description = "messages a second for each daemon (${DEFAULT-VALUE})")
+    private double rate;
+    @Option(names = "--seconds", defaultValue = "15", description = "of load before the restarts (${DEFAULT-VALUE})")
+    private int seconds;
+    @Option(names = "--growth", defaultValue = "1.25", description = "of memory, at most (${DEFAULT-VALUE})")
+    private double growth;
+    @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
+    private long seed;
+
+    /** The most that any daemon had, and what became of the messages. */
+    private record Seen(int daemons, int endpoints, double megabytes, long threads, long descriptors, long taken, long delivered,
+            boolean books) { }
+
+    @Override
+    public Integer call() throws Exception {
+        Seen few = play(small, Math.max(1, 2 * small), 2);
+        Seen many = play(daemons, destinations, endpoints);
+        boolean ok = few.books() && many.books() && many.threads() <= few.threads() && many.megabytes() < growth * few.megabytes();
+        JsonObject out = new JsonObject();
+        out.addProperty("ok", ok);
+        out.addProperty("seed", seed);
+        out.add("few", json(few));
+        out.add("many", json(many));
+        System.out.println(out);
+        return ok ? 0 : Main.BAD;
+    }
+
+    private static JsonObject json(Seen seen) {
+        JsonObject out = new JsonObject();
+        out.addProperty("daemons", seen.daemons());
+        out.addProperty("endpoints", seen.endpoints());
+        out.addProperty("megabytes", Math.round(seen.megabytes() * 10) / 10.0);
+        out.addProperty("threads", seen.threads());
+        out.addProperty("descriptors", seen.descriptors());
+        out.addProperty("taken", seen.taken());
+        out.addProperty("delivered", seen.delivered());
+        out.addProperty("books_close", seen.books());
+        return out;
+    }
+
+    private Seen play(int count, int partners, int each) throws Exception {
+        Path folder = Files.createTempDirectory("amberroute-wide-");
+        Stage stage = new Stage(seed);
+        for (int i = 1; i <= partners; i++) {
+            stage.destination(i, each, Partner.Figures.roomy(), "single");
+        }
+        int port = Stage.freePorts(count, seed);
+        stage.senderFile(folder, count);
+        Path file = stage.fleetFile(folder, count, port, Home.daemonJar(), "start.at_once = 8\nrolling.at_once = "
+                + Math.max(1, count / 10) + "\n");
+        List<InetSocketAddress> senders = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            senders.add(new InetSocketAddress("127.0.0.1", port + i));
+        }
+        Clients clients = stage.clients(senders, Stage.kinds());
+        LocalFleet fleet = new LocalFleet(Definition.read(file, Home.daemonJar()));
+        try (stage; fleet) {
+            fleet.start();
+            await(fleet, READY_MS, status -> status.get("ready").getAsBoolean());
+            stage.run(() -> clients.run(new Clients.Load(rate * count, 0.1, 4, 20 * count, 4)));
+            Thread.sleep(seconds * 1_000L);
+            JsonObject roll = new JsonObject();
+            roll.addProperty("do", "restart");
+            fleet.ask(roll);
+            await(fleet, RESTART_MS, status -> status.get("ready").getAsBoolean() && restarted(status));
+            double megabytes = 0;
+            long threads = 0;
+            long descriptors = 0;
+            for (JsonElement one : fleet.ask("status").getAsJsonArray("daemons")) {
+                long pid = one.getAsJsonObject().get("pid").getAsLong();
+                megabytes = Math.max(megabytes, number(pid, "VmHWM:") / 1_024.0);
+                threads = Math.max(threads, number(pid, "Threads:"));
+                try (Stream<Path> open = Files.list(Path.of("/proc/" + pid + "/fd"))) {
+                    descriptors = Math.max(descriptors, open.count());
+                }
+            }
+            stage.run(clients::pause);
+            long end = System.nanoTime() + 20_000_000_000L;
+            while (System.nanoTime() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
+                Thread.sleep(100);
+            }
+            fleet.stop(Supervision.Mode.FINAL);
+            Book.Totals t = stage.totals();
+            Seen seen = new Seen(count, partners * each, megabytes, threads, descriptors, t.taken(), t.delivered(), t.ok() && t.taken() > 0);
+            System.out.println(seen + " " + t);
+            return seen;
+        } finally {
+            LocalFleet.delete(folder);
+        }
+    }
+
+    private static boolean restarted(JsonObject status) {
+        for (JsonElement one : status.getAsJsonArray("daemons")) {
+            if (one.getAsJsonObject().get("starts").getAsInt() < 2) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A figure of a process as the kernel tells it. */
+    private static long number(long pid, String name) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + pid + "/status"))) {
+            if (line.startsWith(name)) {
+                return Long.parseLong(line.substring(name.length()).replaceAll("[^0-9]", ""));
+            }
+        }
+        throw new IOException("no " + name + " of process " + pid);
+    }
+
+    private interface Condition {
+        boolean holds(JsonObject status);
+    }
+
+    private static void await(LocalFleet fleet, long most, Condition condition) throws Exception {
+        long end = System.nanoTime() + most * 1_000_000;
+        while (!condition.holds(fleet.ask("status"))) {
+            if (System.nanoTime() > end) {
+                throw new IOException("the fleet does not get there: " + fleet.log());
+            }
+            Thread.sleep(50);
+        }
+    }
+}
--- a/fleet/src/main/java/amberroute/fleet/FleetClient.java
+++ b/fleet/src/main/java/amberroute/fleet/FleetClient.java
@@ -12,7 +12,9 @@
 
 /** Asks a supervisor, or a daemon, one thing over its control socket. */
 public final class FleetClient {
-    private static final int LARGEST = 1 << 20;
+    /** Some 4,096 daemons with all their figures; room grows with what comes. */
+    private static final int LARGEST = 16 << 20;
+    private static final int FIRST = 1 << 16;
 
     private FleetClient() {
     }
@@ -21,9 +23,12 @@
     public static JsonObject ask(Path socket, JsonObject request) throws IOException {
         try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(socket))) {
             channel.write(ByteBuffer.wrap((request + "\n").getBytes(StandardCharsets.UTF_8)));
-            ByteBuffer in = ByteBuffer.allocate(LARGEST);
+            ByteBuffer in = ByteBuffer.allocate(FIRST);
             while (in.position() == 0 || in.get(in.position() - 1) != '\n') {
-                if (channel.read(in) < 0 || !in.hasRemaining()) {
+                if (!in.hasRemaining() && in.capacity() < LARGEST) {
+                    in = ByteBuffer.allocate(2 * in.capacity()).put(in.flip());
+                }
+                if (!in.hasRemaining() || channel.read(in) < 0) {
                     throw new IOException("the answer ended too soon");
                 }
             }
--- a/fleet/src/main/java/amberroute/fleet/Supervisor.java
+++ b/fleet/src/main/java/amberroute/fleet/Supervisor.java
@@ -68,7 +68,8 @@
     private static final String LEFT = "left";
     /** In the fleet's folder: where each daemon runs, a JSON object a line. */
     private static final String PLACES = "places";
-    private static final int MOST_ADOPTED = 8;
+    /** Folders that one daemon takes over: one for each that a fleet may have. */
+    private static final int MOST_ADOPTED = 4_096;
 
     private static final class Place {
         final Definition.Instance instance;
--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -106,6 +106,7 @@
     /** The socket is another process's too, or will be. */
     private boolean passedDown;
     private boolean retiring;
+    private boolean parted;
 
     ClientServer(EventLoop loop, Acceptor acceptor, int mostConnections, long roomBytes) {
         this.loop = loop;
@@ -207,6 +208,10 @@
             // What has come of a next request cannot be answered any more; its client sends it once more.
             Stream.concat(unproven.stream(), usual.stream()).filter(s -> s.waiting.isEmpty()).toList()
                     .forEach(s -> s.channel.close());
+            if (connections() == 0 && !parted) {
+                parted = true;
+                Log.warn("parted from all clients");
+            }
         } else {
             retireSome(parting.surplus(now, connections()), PARTING_IDLE_MS);
         }
--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -52,6 +52,7 @@
     /** What discovery has to tell counts as told 6 s later at the latest: two tries fit in. */
     private static final long PAUSE_MOST_MS = 2_000;
     private static final int LONGEST_LINE = 1 << 20;
+    /** Of those that have left so many are known at least, else as many as are listed. */
     private static final int MOST_GONE = 1_024;
     private static final int LONGEST_UID = 128;
 
@@ -357,7 +358,7 @@
     /** What has left the list may still have calls out; the oldest are forgotten. */
     private void bury(Target target) {
         gone.put(target.number(), target);
-        if (gone.size() > MOST_GONE) {
+        if (gone.size() > Math.max(MOST_GONE, targets.size())) {
             Target oldest = gone.remove(gone.keySet().iterator().next());
             numbers.remove(oldest.uid());
         }
@@ -463,6 +464,9 @@
                 pending.discardReadBytes().writeBytes(content.content());
                 readLines();
             }
+            if (pending.readableBytes() > LONGEST_LINE) {
+                Log.warn("discovery: a line of over " + LONGEST_LINE + " bytes; the list stays as it is");
+            }
             if (part instanceof LastHttpContent || !good || pending.readableBytes() > LONGEST_LINE) {
                 context.close();
             }
--- a/sender/src/main/java/amberroute/sender/EstateStore.java
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -30,7 +30,7 @@
  * <p>At most {@value #MOST} estates, each copy within the budget of a journal. Not thread-safe: lives on the event loop.
  */
 final class EstateStore {
-    private static final int MOST = 256;
+    private static final int MOST = 1_024;
     private static final String FILE = "holding";
     private static final long SLICE = 64 << 10;
     /** Of what was never heard of. */
@@ -79,10 +79,17 @@
 
     private final Path folder;
     private final long budget;
+    private final int most;
     private final Map<String, Kept> all = new LinkedHashMap<>();
     private long staged;
 
     EstateStore(Path folder, long budget) throws IOException {
+        this(folder, budget, MOST);
+    }
+
+    /** For so many estates at most. */
+    EstateStore(Path folder, long budget, int most) throws IOException {
+        this.most = most;
         this.folder = folder;
         this.budget = budget;
         Files.createDirectories(folder);
@@ -182,10 +189,10 @@
     /** What is known of an estate; null where there is no room for one more. */
     Kept of(String estate) {
         Kept kept = all.get(estate);
-        if (kept == null && all.size() >= MOST) {
+        if (kept == null && all.size() >= most) {
             forgetOldest();
         }
-        if (kept == null && all.size() < MOST) {
+        if (kept == null && all.size() < most) {
             kept = new Kept(estate, folder.resolve(estate));
             kept.heardAt -= LONG_AGO_NANOS;
             all.put(estate, kept);
--- a/sender/src/main/java/amberroute/sender/Figures.java
+++ b/sender/src/main/java/amberroute/sender/Figures.java
@@ -13,7 +13,7 @@
 final class Figures {
     static final long EVERY_MS = 100;
     /** Names of classes that are told apart; what comes under more is counted as {@value #OTHER}. */
-    static final int MOST_NAMES = 256;
+    static final int MOST_NAMES = 1_024;
     static final String OTHER = "other";
 
     /** How a message ended. */
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -44,12 +44,14 @@
  * Carries the words of the hand-over protocol between daemons and its records to the journal; what they mean is decided
  * by {@link Ownership}, who is offered what by {@link Placement}, and which clients may go elsewhere by {@link Naming}.
  * One JSON object a line ({@link PeerLine}), over TCP; answers come back on the connection of what they answer. At most
- * {@value #MOST_CONNECTIONS} peers are served, lines of at most {@value #LONGEST_LINE} bytes, and {@value #MOST_OUT} lots
+ * {@value #LEAST_PEERS} connections and {@value #EACH_PEER} for each configured peer are served, lines of at most {@value #LONGEST_LINE} bytes, and {@value #MOST_OUT} lots
  * are offered at a time. Lives on the event loop.
  */
 final class HandOver {
     static final int LONGEST_LINE = 1 << 18;
-    private static final int MOST_CONNECTIONS = 128;
+    /** Peers that are served at a time, and names of which something is kept: so many, and for each configured peer some more. */
+    private static final int LEAST_PEERS = 128;
+    private static final int EACH_PEER = 4;
     private static final int MOST_OUT = 16;
     private static final int MOST_GROUPS = 4_096;
     private static final long ASK_MS = 250;
@@ -160,6 +162,7 @@
     private Estates estates;
     private Naming naming;
     private Channel server;
+    private final int mostPeers;
     private int connections;
     private long counter;
     private long moved;
@@ -173,6 +176,7 @@
         this.peers.remove(name);
         this.host = host;
         this.journal = journal;
+        mostPeers = LEAST_PEERS + EACH_PEER * this.peers.size();
         placement = new Placement(this.peers.keySet());
         counter = System.currentTimeMillis() * 1_000;
     }
@@ -185,7 +189,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.closeFuture().addListener(closed -> connections--);
-                        if (++connections > MOST_CONNECTIONS) {
+                        if (++connections > mostPeers) {
                             channel.close();
                             return;
                         }
@@ -380,7 +384,7 @@
             return true;
         });
         ended.forEach((origin, keys) -> {
-            if (over.size() < MOST_CONNECTIONS || over.containsKey(origin)) {
+            if (over.size() < mostPeers || over.containsKey(origin)) {
                 Map<Long, Long> known = over.computeIfAbsent(origin, o -> new LinkedHashMap<>());
                 keys.forEach(key -> known.put(key, heldUntil.getOrDefault(key, 0L)));
                 while (known.size() > Naming.BATCH) {
@@ -645,7 +649,7 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
             JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
             String from = PeerLine.plain(line.get("from").getAsString());
-            if (spoke.size() < MOST_CONNECTIONS || spoke.containsKey(from)) {
+            if (spoke.size() < mostPeers || spoke.containsKey(from)) {
                 spoke.put(from, context.channel());
             }
             switch (line.get("word").getAsString()) {
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -74,8 +74,12 @@
     /** The share of the budget that ids of ended messages may take, and the most of them in bytes. */
     private static final int REMEMBERED_SHARE = 32;
     private static final long MOST_REMEMBERED = 4 << 20;
-    /** What is remembered of destinations, the longest unchanged forgotten first. */
-    private static final int MEMORIES = 128;
+    /**
+     * What is remembered of destinations that are out or cold may take so much of the budget, the longest unchanged forgotten
+     * first: 1,950 of them with 3 MB. One that is forgotten is taken for well by the next process, which its trials mend.
+     */
+    private static final int MEMORIES_SHARE = 16;
+    private static final int LEAST_MEMORIES = 128;
     private static final int MEMORY_BYTES = 96;
     /** Lots of which something is known; with more, none is offered or taken. */
     private static final int MOST_LOTS = 4_096;
@@ -150,6 +154,7 @@
     private final Map<Long, Held> live = new LinkedHashMap<>();
     private final Map<String, Integer> liveIds = new HashMap<>();
     private final RememberedIds remembered;
+    private final int mostMemories;
     private final Map<String, Memory> memories = new LinkedHashMap<>();
     private final Map<String, Lot> lots = new LinkedHashMap<>();
     /** Versions of classes that were taken on in, by number: at most {@link ClassBook#MOST}. */
@@ -182,6 +187,7 @@
         room = budget - log.overhead();
         long most = Math.min(MOST_REMEMBERED, budget / REMEMBERED_SHARE);
         remembered = new RememberedIds(most);
+        mostMemories = (int) Math.min(1 << 16, Math.max(LEAST_MEMORIES, budget / MEMORIES_SHARE / MEMORY_BYTES));
         reserved = most;
     }
 
@@ -793,7 +799,7 @@
         memories.put(memory.place(), memory);
         reserved += MEMORY_BYTES + memory.uid().length();
         batch.put(number, MEMORY, remembered(memory));
-        if (memories.size() > MEMORIES) {
+        if (memories.size() > mostMemories) {
             forget(memories.keySet().iterator().next(), batch);
         }
         return number;
--- a/sender/src/main/java/amberroute/sender/PeerLine.java
+++ b/sender/src/main/java/amberroute/sender/PeerLine.java
@@ -24,7 +24,8 @@
  * same ways; anything else ends in an exception, which closes the connection.
  */
 final class PeerLine {
-    private static final int MOST_NAMES = 16;
+    /** Origins that hold one key: as many as there may be daemons. */
+    private static final int MOST_NAMES = 4_096;
     private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9._-]{1,128}");
 
     private PeerLine() {
--- a/sender/src/main/java/amberroute/sender/StandaloneConfig.java
+++ b/sender/src/main/java/amberroute/sender/StandaloneConfig.java
@@ -58,7 +58,7 @@
             .text("endpoints", null, "a file with the list of endpoints, in place of discovery; followed when it is replaced")
             .address("notices", false, "who is told of messages that end undelivered; discovery's address if there is one")
             .text("control", null, "the control socket, in the state folder if not told")
-            .whole("senders", 1L, 1, 1_000, "how many instances share the destinations' limits")
+            .whole("senders", 1L, 1, 4_096, "how many instances share the destinations' limits")
             .list("zones", "names of the zones, as the list of endpoints has them")
             .text("zone", null, "the zone of this instance, the first if not told")
             .list("reports", "names of the values in X-Server-Load; x0 is what is left of a limit, x1 the limit")
--- a/sender/src/test/java/amberroute/sender/JournalTest.java
+++ b/sender/src/test/java/amberroute/sender/JournalTest.java
@@ -178,6 +178,24 @@
         assertTrue(again.accept(held(again, "new")));
     }
 
+    /** With 3 MB of disk the outages of more than a thousand places are known to the next process. */
+    @Test
+    void remembersAThousandOutages() throws IOException {
+        try (Journal journal = Journal.open(folder, 3_000_000)) {
+            for (int i = 0; i < 1_500; i++) {
+                journal.remember(new Journal.Memory(i, "", amberroute.Relay.Health.OUT, i, 1, 2));
+            }
+        }
+        try (Journal journal = Journal.open(folder, 3_000_000)) {
+            assertEquals(1_500, journal.memories().size());
+            for (int i = 0; i < 1_500; i++) {
+                journal.remember(new Journal.Memory(5_000 + i, "", amberroute.Relay.Health.OUT, i, 1, 2));
+            }
+            assertEquals(1_950, journal.memories().size(), "they take their share of the disk, and no more");
+            assertTrue(journal.memories().stream().anyMatch(m -> m.destination() == 6_499), "the newest is forgotten");
+        }
+    }
+
     /** A burst of what may be repeated pushes out nothing that may not, and memory and disk stay bounded. */
     @Test
     void aBurstOfSafeMessagesForgetsNoUnsafeId() throws IOException {
--- a/shares/src/main/java/amberroute/shares/ColdLimit.java
+++ b/shares/src/main/java/amberroute/shares/ColdLimit.java
@@ -45,7 +45,7 @@
     /** Answers are remembered by spans of this length, for so many of them. */
     private static final long SLOT = 250_000;
     private static final int SLOTS = 256;
-    static final int MOST_PEERS = 1_000;
+    static final int MOST_PEERS = 4_096;
 
     /**
      * The figures of the rule, as the settings tell them; spans in microseconds. {@code first} is how many messages a second
--- a/shares/src/main/java/amberroute/shares/Share.java
+++ b/shares/src/main/java/amberroute/shares/Share.java
@@ -18,7 +18,7 @@
 public final class Share {
     /** A clock may be so much fast or slow. */
     public static final double DRIFT = 0.02;
-    private static final int MOST_PEERS = 1_000;
+    private static final int MOST_PEERS = 4_096;
 
     /** What a peer is asked for. The number is the asker's and grows with each request. */
     public record Ask(long number, double part) { }
