Make way behind a refusal for turns of the told limit, not of 12.5 calls a second

Policy.pause took 80 ms for each sender, whatever the limit: with 94 senders one refused call kept its sender away from a destination for 3.8 to 7.5 s, the next for twice as long, where messages have 12 s and the limit is 74 a second. At fault: pause(), right for the limits of 40 a second at which it was found, which a fleet of a hundred exceeds. Change: a turn is at most 3.2 turns of the limit that the partner tells, which is 80 ms at 40 a second: nothing changes up to that limit.

--- a/decisions/src/main/java/amberroute/Policy.java
+++ b/decisions/src/main/java/amberroute/Policy.java
@@ -63,8 +63,9 @@
     private static final int STREAK = 2;
     /** Shortest outage: answers closer together had none between them, and a longer told wait is one. */
     private static final long OUTAGE_LEAST = 2_500_000;
-    /** First pause at a door shared by all: a turn for each sender, and a base where no wait was told. */
+    /** First pause at a door shared by all: a turn for each sender, or some of a told limit, and a base. */
     private static final long TURN = 80_000;
+    private static final double TURNS = 3.2;
     private static final long BACKOFF = 240_000;
     /** Share of recent calls that ran and failed above which a destination is in doubt: two in a row. */
     private static final double DOUBT = 0.25;
@@ -457,7 +458,7 @@
         m.failedAt = call.endpoint;
         Scope scope = call.endpoint.scope;
         if (m.attempts >= Math.max(2, m.destination.endpoints.size())) {
-            m.notBefore = now + pause(0, m.type.deadline(), m.attempts - 1);
+            m.notBefore = now + pause(scope, 0, m.type.deadline(), m.attempts - 1);
         }
         if (e.toldWait() > 0) {
             scope.waitUntil = Math.max(scope.waitUntil, now + e.toldWait() + 1);
@@ -1107,9 +1108,7 @@
     private void learn(long now, Message m, Call call, Event.Outcome e) {
         Scope scope = call.endpoint.scope;
         boolean wasTrial = scope.trial == call;
-        if (wasTrial) {
-            scope.trial = null;
-        }
+        scope.trial = wasTrial ? null : scope.trial;
         boolean told = e.idle() >= 0;
         idleTold |= told;
         if (told) {
@@ -1217,7 +1216,7 @@
         scope.refusals += fresh ? 1 : 0;
         scope.lastRefusal = now;
         if (fresh || wait > 0) {
-            long pause = pause(wait > 0 ? 0 : BACKOFF, m.type.deadline(), scope.refusals);
+            long pause = pause(scope, wait > 0 ? 0 : BACKOFF, m.type.deadline(), scope.refusals);
             scope.backoffUntil = Math.max(scope.backoffUntil, now + wait + pause);
         }
         if (wasTrial || wait > OUTAGE_LEAST && scope.breaker != Breaker.OPEN) {
@@ -1228,9 +1227,9 @@
     }
 
     /** A turn among all senders, or half of the class's time up to all of it; doubled with each try. */
-    private long pause(long base, long span, int tries) {
-        long turn = Math.min(jitter(base + TURN * settings.senders()), jitter(span));
-        return turn << Math.min(tries - 1, MOST_DOUBLINGS);
+    private long pause(Scope scope, long base, long span, int tries) {
+        double turns = Math.min(TURN, TURNS * SECOND / scope.weight) * settings.senders();
+        return Math.min(jitter(base + (long) turns), jitter(span)) << Math.min(tries - 1, MOST_DOUBLINGS);
     }
 
     private void cutPace(long now, Scope scope) {
@@ -1254,7 +1253,7 @@
             scope.trials = 0;
         }
         scope.breaker = Breaker.OPEN;
-        long pause = pause(BACKOFF, longestTime, 1 + ++scope.trials);
+        long pause = pause(scope, BACKOFF, longestTime, 1 + ++scope.trials);
         // All senders' trials together come no faster than a slow start begins: what returns can take them.
         pause = Math.min(pause, jitter((long) (1.5 * SECOND / rampPace(0, scope))));
         scope.trialAt = now + Math.min(TRIAL_LONGEST * settings.senders(), pause);
--- a/decisions/src/test/java/amberroute/FleetTest.java
+++ b/decisions/src/test/java/amberroute/FleetTest.java
@@ -77,6 +77,23 @@
         assertTrue(most <= 4 * Math.max(least, 10), seen);
     }
 
+    /**
+     * A limit that has grown with the senders: who is refused makes way for a turn of each at that limit. Turns of 80 ms for each of a
+     * hundred kept every sender away for 4 to 8 s, and up to eight times as long at further refusals.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoIsRefusedAtALargeLimitIsSoonBack(boolean windows) {
+        FleetPlay play = overloaded(100, windows);
+        play.limit = 280;
+        play.run(30_000_000);
+        String seen = "large limit, windows " + windows + ": answered " + play.rate(10_000_000, 30_000_000) + " a second of 280, refused "
+                + play.refused + " of " + play.calls + ", seed " + SEED;
+        System.out.println(seen);
+        assertTrue(play.rate(10_000_000, 30_000_000) > 0.8 * play.limit, seen);
+        assertTrue(play.refused < 0.25 * play.calls, seen);
+    }
+
     /** The limit falls to half for 9 s and comes back. */
     @ParameterizedTest
     @CsvSource({"2,false", "14,false", "50,false", "2,true", "14,true", "50,true"})
--- a/sender/src/main/java/amberroute/sender/ModuleTrace.java
+++ b/sender/src/main/java/amberroute/sender/ModuleTrace.java
@@ -31,9 +31,9 @@
     @Override
     public void step(long now, Event event, Actions actions) {
         if (event instanceof Event.Arrival e) {
-            line("A", e.id(), e.destination(), e.messageClass(), e.timeLeft());
+            line("A", e.id(), e.destination(), e.messageClass(), e.timeLeft(), e.key());
         } else if (event instanceof Event.Resumed e) {
-            line("R", e.id(), e.destination(), e.messageClass(), e.timeLeft());
+            line("R", e.id(), e.destination(), e.messageClass(), e.timeLeft(), e.key());
         } else if (event instanceof Event.Outcome e) {
             line("O", e.id(), e.endpoint(), e.ending(), e.took(), e.toldWait(), e.idle(), e.report());
         } else if (event instanceof Event.Listing e) {
