Read a list from discovery that comes indented, over several lines

Seen by reading them against the code: Directory took each line for an object of its own, so every line of an indented list was skipped, with a log line each, and its news never arrived. Ruled out: the list in the configuration, which is read whole. Change: ListText puts an object together from its lines; what is cut short costs itself alone, as a blank line or one that opens an object at its first character ends it; bounded like a line before.

--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -427,6 +427,7 @@
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress to = address;
         private final ByteBuf pending = Unpooled.buffer(1_024);
+        private final ListText list = new ListText(LONGEST_LINE);
         private Channel channel;
         private long lastLine = System.nanoTime();
         private boolean good;
@@ -475,14 +476,18 @@
         private void readLines() {
             int length = pending.bytesBefore((byte) '\n');
             while (length >= 0) {
-                String line = pending.readCharSequence(length, StandardCharsets.UTF_8).toString().strip();
+                String line = pending.readCharSequence(length, StandardCharsets.UTF_8).toString();
                 pending.skipBytes(1);
                 heard = true;
-                if (line.isEmpty()) {
+                String whole = list.add(line);
+                if (list.dropped() > 0) {
+                    Log.warn("discovery: skipped a list that is not whole");
+                }
+                if (line.isBlank()) {
                     // Nothing has changed: all that a watch of a list that stays has to say.
                     pauses.good();
-                } else {
-                    readLine(line);
+                } else if (whole != null) {
+                    readLine(whole);
                 }
                 length = pending.bytesBefore((byte) '\n');
             }
--- a/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
@@ -59,6 +59,22 @@
         };
     }
 
+    /** Over several lines, in pieces that end anywhere, behind one that was cut short. */
+    @Test
+    void anIndentedListIsRead() throws IOException {
+        sender = world.start();
+        await(() -> sender.ready("s-1"));
+        String list = new com.google.gson.GsonBuilder().setPrettyPrinting().create()
+                .toJson(com.google.gson.JsonParser.parseString(world.list(9, false, "Ready", "s-2"))) + "\n";
+        world.announce(list.substring(0, 60) + "\n\n");
+        world.announce(list.substring(0, 100));
+        world.announce(list.substring(100));
+        await(() -> sender.ready("s-2"));
+        world.announce(world.list(10, false, "Terminating", "s-2"));
+        await(() -> !sender.ready("s-2"));
+        assertTrue(sender.ready("s-1"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"refuses", "closes", "says nothing and closes", "empty", "unreadable entries",
             "torn"})
