Let pauses behind a refusal alone follow a told limit: trials keep the old turns

Need: seen on reading again, whose shorter turn also spaced trials of an outage: at a limit of 74 a second 94 senders would try some 31 times a second at first, where what returns cold can do 10 and falls above 38 in 1.5 s. Change: pause() is given its turn; open() keeps 80 ms for each sender.

--- a/decisions/src/main/java/amberroute/Policy.java
+++ b/decisions/src/main/java/amberroute/Policy.java
@@ -458,7 +458,7 @@
         m.failedAt = call.endpoint;
         Scope scope = call.endpoint.scope;
         if (m.attempts >= Math.max(2, m.destination.endpoints.size())) {
-            m.notBefore = now + pause(scope, 0, m.type.deadline(), m.attempts - 1);
+            m.notBefore = now + pause(scope.turn(TURN, TURNS), 0, m.type.deadline(), m.attempts - 1);
         }
         if (e.toldWait() > 0) {
             scope.waitUntil = Math.max(scope.waitUntil, now + e.toldWait() + 1);
@@ -1216,7 +1216,8 @@
         scope.refusals += fresh ? 1 : 0;
         scope.lastRefusal = now;
         if (fresh || wait > 0) {
-            long pause = pause(scope, wait > 0 ? 0 : BACKOFF, m.type.deadline(), scope.refusals);
+            long base = wait > 0 ? 0 : BACKOFF;
+            long pause = pause(scope.turn(TURN, TURNS), base, m.type.deadline(), scope.refusals);
             scope.backoffUntil = Math.max(scope.backoffUntil, now + wait + pause);
         }
         if (wasTrial || wait > OUTAGE_LEAST && scope.breaker != Breaker.OPEN) {
@@ -1227,9 +1228,9 @@
     }
 
     /** A turn among all senders, or half of the class's time up to all of it; doubled with each try. */
-    private long pause(Scope scope, long base, long span, int tries) {
-        double turns = Math.min(TURN, TURNS * SECOND / scope.weight) * settings.senders();
-        return Math.min(jitter(base + (long) turns), jitter(span)) << Math.min(tries - 1, MOST_DOUBLINGS);
+    private long pause(long turn, long base, long span, int tries) {
+        long first = Math.min(jitter(base + turn * settings.senders()), jitter(span));
+        return first << Math.min(tries - 1, MOST_DOUBLINGS);
     }
 
     private void cutPace(long now, Scope scope) {
@@ -1253,7 +1254,7 @@
             scope.trials = 0;
         }
         scope.breaker = Breaker.OPEN;
-        long pause = pause(scope, BACKOFF, longestTime, 1 + ++scope.trials);
+        long pause = pause(TURN, BACKOFF, longestTime, 1 + ++scope.trials);
         // All senders' trials together come no faster than a slow start begins: what returns can take them.
         pause = Math.min(pause, jitter((long) (1.5 * SECOND / rampPace(0, scope))));
         scope.trialAt = now + Math.min(TRIAL_LONGEST * settings.senders(), pause);
--- a/decisions/src/main/java/amberroute/State.java
+++ b/decisions/src/main/java/amberroute/State.java
@@ -258,6 +258,11 @@
         double formerPace;
         long lastOk = Long.MIN_VALUE / 2;
 
+        /** What each sender's turn at its door takes: so many calls of the told limit, or {@code most} where that is less. */
+        long turn(long most, double calls) {
+            return (long) Math.min(most, calls * 1e6 / weight);
+        }
+
         /** What of it has to outlast the process. */
         Relay.Memory memory(long now) {
             Relay.Health health = switch (breaker) {
