Ask again for news of discovery that cannot be read, and bound an object over its lines

Seen on reading the change again: ListText dropped an object of over 1 MiB and took its further lines for objects, a log line each, which spent the log's 200 lines of that kind; and a list that was cut short or spoilt was skipped while the next news set the version on, so what it had said (a drain) was never heard. A line that opens no object is skipped as before (SenderTest holds it). DiscoveryTroubleTest.newsThatCannotBeReadAreAskedForAgain.

--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -194,7 +194,7 @@
 
     /** To be called again and again while the process ends: lets go of connections as {@code parting} says. */
     void part(Parting parting, long now) {
-        if (!parting.begun(now)) {
+        if (!parting.begun(now) || parted) {
             return;
         }
         if (passedDown) {
@@ -208,8 +208,8 @@
             // What has come of a next request cannot be answered any more; its client sends it once more.
             Stream.concat(unproven.stream(), usual.stream()).filter(s -> s.waiting.isEmpty()).toList()
                     .forEach(s -> s.channel.close());
-            if (connections() == 0 && !parted) {
-                parted = true;
+            parted = connections() == 0;
+            if (parted) {
                 Log.warn("parted from all clients");
             }
         } else {
--- a/sender/src/main/java/amberroute/sender/Control.java
+++ b/sender/src/main/java/amberroute/sender/Control.java
@@ -36,7 +36,7 @@
  */
 final class Control {
     static final int MOST_CONNECTIONS = 16;
-    /** A stop may name all those that are absent: 4,096 names of 64 characters at most. */
+    /** A stop may name all those that are absent: 4,096 names of 60 characters. */
     static final int LONGEST_LINE = 1 << 18;
     private static final int IDLE_MINUTES = 10;
 
--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -427,7 +427,7 @@
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress to = address;
         private final ByteBuf pending = Unpooled.buffer(1_024);
-        private final ListText list = new ListText(LONGEST_LINE);
+        private final ListText list = new ListText();
         private Channel channel;
         private long lastLine = System.nanoTime();
         private boolean good;
@@ -465,10 +465,11 @@
                 pending.discardReadBytes().writeBytes(content.content());
                 readLines();
             }
-            if (pending.readableBytes() > LONGEST_LINE) {
-                Log.warn("discovery: a line of over " + LONGEST_LINE + " bytes; the list stays as it is");
+            boolean tooLong = pending.readableBytes() + list.length() > LONGEST_LINE;
+            if (tooLong) {
+                Log.warn("discovery: a list of over " + LONGEST_LINE + " bytes; the one that is known stays");
             }
-            if (part instanceof LastHttpContent || !good || pending.readableBytes() > LONGEST_LINE) {
+            if (part instanceof LastHttpContent || !good || tooLong) {
                 context.close();
             }
         }
@@ -479,15 +480,18 @@
                 String line = pending.readCharSequence(length, StandardCharsets.UTF_8).toString();
                 pending.skipBytes(1);
                 heard = true;
-                String whole = list.add(line);
-                if (list.dropped() > 0) {
-                    Log.warn("discovery: skipped a list that is not whole");
+                if (list.cutBy(line)) {
+                    lost("it was cut short");
+                    return;
                 }
                 if (line.isBlank()) {
                     // Nothing has changed: all that a watch of a list that stays has to say.
                     pauses.good();
-                } else if (whole != null) {
-                    readLine(whole);
+                } else {
+                    String whole = list.add(line);
+                    if (whole != null && !read(whole)) {
+                        return;
+                    }
                 }
                 length = pending.bytesBefore((byte) '\n');
             }
@@ -506,19 +510,35 @@
             return false;
         }
 
-        private void readLine(String line) {
+        /**
+         * News that cannot be read are asked for again, from the version that is known: what comes behind them would else hide
+         * that they are missing. What is not even the beginning of an object is no news.
+         */
+        private void lost(String why) {
+            Log.warn("discovery: news that cannot be read, asked for again: " + why);
+            close();
+        }
+
+        /** False where the watch is closed by it. */
+        private boolean read(String text) {
             try {
-                JsonObject news = JsonParser.parseString(line).getAsJsonObject();
+                JsonObject news = JsonParser.parseString(text).getAsJsonObject();
                 boolean all = news.has("all") && news.get("all").getAsBoolean();
                 if (all && !targets.isEmpty() && !readable(news)) {
                     // A discovery that has just started knows nothing yet; what is known is served on.
                     Log.warn("discovery: passed over a whole list without a receiver");
-                    return;
+                    return true;
                 }
                 take(news, all ? ListKind.FULL : ListKind.DELTA);
                 pauses.good();
+                return true;
             } catch (RuntimeException e) {
+                if (text.stripLeading().startsWith("{")) {
+                    lost(e.getMessage());
+                    return false;
+                }
                 Log.warn("discovery: skipped a line: " + e.getMessage());
+                return true;
             }
         }
 
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -44,8 +44,8 @@
  * Carries the words of the hand-over protocol between daemons and its records to the journal; what they mean is decided
  * by {@link Ownership}, who is offered what by {@link Placement}, and which clients may go elsewhere by {@link Naming}.
  * One JSON object a line ({@link PeerLine}), over TCP; answers come back on the connection of what they answer. At most
- * {@value #LEAST_PEERS} connections and {@value #EACH_PEER} for each configured peer are served, lines of at most {@value #LONGEST_LINE} bytes, and {@value #MOST_OUT} lots
- * are offered at a time. Lives on the event loop.
+ * {@value #LEAST_PEERS} connections and {@value #EACH_PEER} for each configured peer are served, lines of at most
+ * {@value #LONGEST_LINE} bytes, and {@value #MOST_OUT} lots are offered at a time. Lives on the event loop.
  */
 final class HandOver {
     static final int LONGEST_LINE = 1 << 18;
--- a/sender/src/main/java/amberroute/sender/ListText.java
+++ b/sender/src/main/java/amberroute/sender/ListText.java
@@ -1,30 +1,27 @@
 package amberroute.sender;
 
 /**
- * Puts one object of discovery's list together from the lines that it came in: usually one, several where it is indented. What
- * is spoilt costs itself alone: a blank line, or one that opens an object at its first character, ends whatever is not whole.
+ * Puts one object of discovery's list together from the lines that it came in: usually one, several where it is indented. A blank
+ * line, or one that opens an object at its first character, ends one that is not whole: it was cut short. How long an object may
+ * be is for whoever adds lines to say ({@link #length}).
  */
 final class ListText {
-    private final int longest;
     private final StringBuilder text = new StringBuilder();
     private int depth;
     private boolean quoted;
     private boolean escaped;
-    private int dropped;
 
-    /** For objects of so many characters at most. */
-    ListText(int longest) {
-        this.longest = longest;
+    /** Whether this line shows that the object before it was cut short; that one is dropped. */
+    boolean cutBy(String line) {
+        boolean cut = text.length() > 0 && (line.isBlank() || line.charAt(0) == '{');
+        if (cut) {
+            clear();
+        }
+        return cut;
     }
 
-    /** The next line, without its end; returns the object that it completes, or null. */
+    /** The next line, not a blank one, without its end; returns the object that it completes, or null. */
     String add(String line) {
-        if (text.length() > 0 && (line.isBlank() || line.charAt(0) == '{') || text.length() + line.length() > longest) {
-            drop();
-        }
-        if (line.isBlank()) {
-            return null;
-        }
         text.append(line).append('\n');
         for (int i = 0; i < line.length(); i++) {
             look(line.charAt(i));
@@ -40,6 +37,11 @@
         return whole;
     }
 
+    /** Characters of what is not whole yet. */
+    int length() {
+        return text.length();
+    }
+
     private void look(char c) {
         if (quoted) {
             quoted = escaped || c != '"';
@@ -53,22 +55,8 @@
         }
     }
 
-    private void drop() {
-        dropped += text.length() > 0 ? 1 : 0;
-        clear();
-    }
-
     private void clear() {
         text.setLength(0);
         depth = 0;
-        quoted = false;
-        escaped = false;
-    }
-
-    /** How many objects were not whole, since this was last asked for. */
-    int dropped() {
-        int n = dropped;
-        dropped = 0;
-        return n;
     }
 }
--- a/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
@@ -59,22 +59,42 @@
         };
     }
 
-    /** Over several lines, in pieces that end anywhere, behind one that was cut short. */
+    private String indented(int version, String uid) {
+        return new com.google.gson.GsonBuilder().setPrettyPrinting().create()
+                .toJson(com.google.gson.JsonParser.parseString(world.list(version, false, "Ready", uid))) + "\n";
+    }
+
+    /** Over several lines, in pieces that end anywhere. */
     @Test
     void anIndentedListIsRead() throws IOException {
         sender = world.start();
         await(() -> sender.ready("s-1"));
-        String list = new com.google.gson.GsonBuilder().setPrettyPrinting().create()
-                .toJson(com.google.gson.JsonParser.parseString(world.list(9, false, "Ready", "s-2"))) + "\n";
-        world.announce(list.substring(0, 60) + "\n\n");
-        world.announce(list.substring(0, 100));
-        world.announce(list.substring(100));
+        world.announce(indented(9, "s-2").substring(0, 100));
+        world.announce(indented(9, "s-2").substring(100));
         await(() -> sender.ready("s-2"));
         world.announce(world.list(10, false, "Terminating", "s-2"));
         await(() -> !sender.ready("s-2"));
         assertTrue(sender.ready("s-1"));
     }
 
+    /** What cannot be read was news: passed over, it would never come again, and the next news would hide that. */
+    @ParameterizedTest
+    @ValueSource(strings = {"cut short and a blank line", "cut short and the next list", "a version that is none"})
+    void newsThatCannotBeReadAreAskedForAgain(String how) throws IOException {
+        sender = world.start();
+        await(() -> sender.ready("s-1"));
+        world.announce(world.list(9, false, "Ready", "s-2"));
+        await(() -> sender.ready("s-2"));
+        world.announce(switch (how) {
+            case "cut short and a blank line" -> indented(10, "s-3").substring(0, 60) + "\n\n";
+            case "cut short and the next list" -> world.list(10, false, "Ready", "s-3").substring(0, 60) + "\n"
+                    + world.list(11, false, "Ready", "s-4");
+            default -> "{\"rev\":\"x\",\"all\":false,\"targets\":[]}\n";
+        });
+        await(() -> world.discovery.requests.stream().anyMatch(r -> r.head().contains("since=9")));
+        await(() -> sender.ready("s-1") && !sender.ready("s-2"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"refuses", "closes", "says nothing and closes", "empty", "unreadable entries",
             "torn"})
