Let the rigs share how a stage settles and a fleet gets ready, and datagrams their ranges

Need: five rigs wrote the wait for the end of all messages, the list of daemons' addresses or the wait for readiness again, and Beat, Probe and Digest each their checks of what a datagram says. Change: Stage.settle and addresses, LocalFleet.await and awaitReady, membership.Ranges.

--- a/cli/src/main/java/amberroute/cli/AdoptionRig.java
+++ b/cli/src/main/java/amberroute/cli/AdoptionRig.java
@@ -1,7 +1,6 @@
 package amberroute.cli;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -116,16 +115,14 @@
             file = folder.resolve("adoptable.toml");
             Files.writeString(file, "adoption = true\n" + Files.readString(made));
             int port = Stage.freePorts(daemons, seed);
-            List<InetSocketAddress> senders = new ArrayList<>();
             for (int i = 0; i < daemons; i++) {
                 slots.add(new Slot(i, port + i));
-                senders.add(new InetSocketAddress("127.0.0.1", port + i));
                 slots.get(i).start();
             }
             for (Slot slot : slots) {
                 slot.awaitReady();
             }
-            Clients clients = stage.clients(senders, Stage.kinds());
+            Clients clients = stage.clients(Stage.addresses(port, daemons), Stage.kinds());
             stage.run(() -> clients.run(new Clients.Load(perSecond, 0.2, 8, 40, 8)));
             for (int round = 0; round < rounds; round++) {
                 // A partner that is away fills the journals, and calls that hang leave messages in doubt.
@@ -138,11 +135,7 @@
                     System.out.println((round + 1) + " rounds: " + stage.totals());
                 }
             }
-            stage.run(clients::pause);
-            long end = System.nanoTime() + 20_000_000_000L;
-            while (System.nanoTime() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
-                Thread.sleep(100);
-            }
+            stage.settle(() -> { });
             return result(stage);
         } finally {
             for (Slot slot : slots) {
--- a/cli/src/main/java/amberroute/cli/ColdFleetRig.java
+++ b/cli/src/main/java/amberroute/cli/ColdFleetRig.java
@@ -1,6 +1,5 @@
 package amberroute.cli;
 
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -105,22 +104,18 @@
         String more = "start.at_once = " + daemons + "\nhandover.listen = \"127.0.0.1:" + (port + daemons) + "\"\n"
                 + (gentle ? "handover.gentle = true\n" : "");
         Path file = stage.fleetFile(folder, daemons, port, Home.daemonJar(), more);
-        List<InetSocketAddress> senders = new ArrayList<>();
-        for (int i = 0; i < daemons; i++) {
-            senders.add(new InetSocketAddress("127.0.0.1", port + i));
-        }
-        Clients clients = stage.clients(senders, Stage.kinds());
+        Clients clients = stage.clients(Stage.addresses(port, daemons), Stage.kinds());
         LocalFleet fleet = new LocalFleet(Definition.read(file, Home.daemonJar()));
         try (stage; fleet) {
             Clients.Load load = new Clients.Load(usual * capacity(), 0, 1, 200, 8);
             if (starting) {
                 // All daemons are there and have called nobody yet; the partner has just started, and all clients come at once.
                 fleet.start();
-                awaitAll(fleet);
+                fleet.awaitReady(READY_MS);
                 stage.become(1, Partner.Mode.DEAD);
             } else {
                 fleet.start();
-                awaitAll(fleet);
+                fleet.awaitReady(READY_MS);
                 stage.run(() -> clients.run(load));
                 Thread.sleep(quiet * 1_000L);
                 stage.become(1, Partner.Mode.DEAD);
@@ -134,11 +129,7 @@
             }
             long usualMs = follow(stage, figures.coldSpan() / 1_000 + 6_000);
             long answered = stage.totals().delivered();
-            stage.run(clients::pause);
-            long end = System.nanoTime() + 20_000_000_000L;
-            while (System.nanoTime() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
-                Thread.sleep(100);
-            }
+            stage.settle(() -> { });
             fleet.stop(Supervision.Mode.FINAL);
             Book.Totals t = stage.totals();
             Seen seen = new Seen(stage.highestColdShare(), stage.falls(), usualMs, answered, t.ok() && t.taken() > 0);
@@ -169,17 +160,4 @@
         }
         return usualMs;
     }
-
-    private static void awaitAll(LocalFleet fleet) throws Exception {
-        long end = System.nanoTime() + READY_MS * 1_000_000;
-        while (true) {
-            if (fleet.ask("status").get("ready").getAsBoolean()) {
-                return;
-            }
-            if (System.nanoTime() > end) {
-                throw new java.io.IOException("the fleet is not ready: " + fleet.log());
-            }
-            Thread.sleep(20);
-        }
-    }
 }
--- a/cli/src/main/java/amberroute/cli/LocalFleet.java
+++ b/cli/src/main/java/amberroute/cli/LocalFleet.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 import com.google.gson.JsonObject;
@@ -50,6 +51,21 @@
         return FleetClient.ask(definition.control(), request);
     }
 
+    /** Waits until the supervisor's status is so, for so many milliseconds at most. */
+    void await(long most, Predicate<JsonObject> condition) throws IOException, InterruptedException {
+        long end = System.nanoTime() + most * 1_000_000;
+        while (!condition.test(ask("status"))) {
+            if (System.nanoTime() > end) {
+                throw new IOException("the fleet does not get there: " + log());
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    void awaitReady(long most) throws IOException, InterruptedException {
+        await(most, status -> status.get("ready").getAsBoolean());
+    }
+
     /** What the supervisor has logged. */
     String log() {
         return log.toString(StandardCharsets.UTF_8);
--- a/cli/src/main/java/amberroute/cli/OverloadRig.java
+++ b/cli/src/main/java/amberroute/cli/OverloadRig.java
@@ -1,7 +1,6 @@
 package amberroute.cli;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -98,13 +97,7 @@
                 stage.destination(d, 1, Partner.Figures.roomy().limited(perSecond, 0), "single");
             }
             int port = Stage.freePorts(2 * daemons + daemons * daemons, seed);
-            List<InetSocketAddress> senders = new ArrayList<>();
-            List<InetSocketAddress> listeners = new ArrayList<>();
-            for (int i = 0; i < daemons; i++) {
-                senders.add(new InetSocketAddress("127.0.0.1", port + i));
-                listeners.add(new InetSocketAddress("127.0.0.1", port + daemons + i));
-            }
-            FaultNet net = stage.net(listeners, port + 2 * daemons);
+            FaultNet net = stage.net(Stage.addresses(port + daemons, daemons), port + 2 * daemons);
             Path file = stage.senderFile(folder, daemons, "handover.listen = \"127.0.0.1:1\"\nhandover.peers = [\"none=127.0.0.1:1\"]\n"
                     + "fleet.overload = " + priced);
             for (int i = 0; i < daemons; i++) {
@@ -113,7 +106,7 @@
             for (RigDaemon daemon : all) {
                 daemon.awaitReady();
             }
-            Clients clients = stage.clients(senders, Stage.kinds());
+            Clients clients = stage.clients(Stage.addresses(port, daemons), Stage.kinds());
             load(stage, clients, 0.7);
             Thread.sleep(WARM_MS);
             long steadyFrom = Stage.micros();
@@ -129,11 +122,7 @@
             load(stage, clients, 0.7);
             Thread.sleep(EASY_MS);
             long easyTo = Stage.micros();
-            stage.run(clients::pause);
-            long end = System.nanoTime() + 20_000_000_000L;
-            while (System.nanoTime() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
-                Thread.sleep(50);
-            }
+            stage.settle(() -> { });
             return seen(stage, view, new long[] {steadyFrom, spikeFrom, easyFrom, easyTo});
         } finally {
             for (RigDaemon daemon : all) {
--- a/cli/src/main/java/amberroute/cli/SurvivorsRig.java
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -148,11 +148,9 @@
             file = stage.senderFile(folder, daemons, "handover.listen = \"127.0.0.1:1\"\nhandover.peers = [\"none=127.0.0.1:1\"]\n"
                     + (off ? "" : "survival.on = true\n"));
             int port = Stage.freePorts(2 * daemons + daemons * daemons, seed);
-            List<InetSocketAddress> senders = new ArrayList<>();
-            List<InetSocketAddress> listeners = new ArrayList<>();
+            List<InetSocketAddress> senders = Stage.addresses(port, daemons);
+            List<InetSocketAddress> listeners = Stage.addresses(port + daemons, daemons);
             for (int i = 0; i < daemons; i++) {
-                senders.add(new InetSocketAddress("127.0.0.1", port + i));
-                listeners.add(new InetSocketAddress("127.0.0.1", port + daemons + i));
                 slots.add(new Slot(i, port + i, "127.0.0.1:" + (port + daemons + i)));
             }
             net = stage.net(listeners, port + 2 * daemons);
@@ -177,12 +175,7 @@
                 Thread.sleep(400);
                 play(faults, away);
             }
-            stage.run(clients::pause);
-            long end = System.nanoTime() + 20_000_000_000L;
-            while (System.nanoTime() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
-                slots.forEach(slot -> quietly(slot));
-                Thread.sleep(50);
-            }
+            stage.settle(() -> slots.forEach(slot -> quietly(slot)));
             return result();
         } finally {
             if (logs) {
--- a/cli/src/main/java/amberroute/cli/WideRig.java
+++ b/cli/src/main/java/amberroute/cli/WideRig.java
@@ -1,11 +1,8 @@
 package amberroute.cli;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
 
@@ -89,21 +86,15 @@
         stage.senderFile(folder, count);
         Path file = stage.fleetFile(folder, count, port, Home.daemonJar(), "start.at_once = 8\nrolling.at_once = "
                 + Math.max(1, count / 10) + "\n");
-        List<InetSocketAddress> senders = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            senders.add(new InetSocketAddress("127.0.0.1", port + i));
-        }
-        Clients clients = stage.clients(senders, Stage.kinds());
+        Clients clients = stage.clients(Stage.addresses(port, count), Stage.kinds());
         LocalFleet fleet = new LocalFleet(Definition.read(file, Home.daemonJar()));
         try (stage; fleet) {
             fleet.start();
-            await(fleet, READY_MS, status -> status.get("ready").getAsBoolean());
+            fleet.awaitReady(READY_MS);
             stage.run(() -> clients.run(new Clients.Load(rate * count, 0.1, 4, 20 * count, 4)));
             Thread.sleep(seconds * 1_000L);
-            JsonObject roll = new JsonObject();
-            roll.addProperty("do", "restart");
-            fleet.ask(roll);
-            await(fleet, RESTART_MS, status -> status.get("ready").getAsBoolean() && restarted(status));
+            fleet.ask("restart");
+            fleet.await(RESTART_MS, status -> status.get("ready").getAsBoolean() && restarted(status));
             double megabytes = 0;
             long threads = 0;
             long descriptors = 0;
@@ -115,11 +106,7 @@
                     descriptors = Math.max(descriptors, open.count());
                 }
             }
-            stage.run(clients::pause);
-            long end = System.nanoTime() + 20_000_000_000L;
-            while (System.nanoTime() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
-                Thread.sleep(100);
-            }
+            stage.settle(() -> { });
             fleet.stop(Supervision.Mode.FINAL);
             Book.Totals t = stage.totals();
             Seen seen = new Seen(count, partners * each, megabytes, threads, descriptors, t.taken(), t.delivered(), t.ok() && t.taken() > 0);
@@ -148,18 +135,4 @@
         }
         throw new IOException("no " + name + " of process " + pid);
     }
-
-    private interface Condition {
-        boolean holds(JsonObject status);
-    }
-
-    private static void await(LocalFleet fleet, long most, Condition condition) throws Exception {
-        long end = System.nanoTime() + most * 1_000_000;
-        while (!condition.holds(fleet.ask("status"))) {
-            if (System.nanoTime() > end) {
-                throw new IOException("the fleet does not get there: " + fleet.log());
-            }
-            Thread.sleep(50);
-        }
-    }
 }
--- a/membership/src/main/java/amberroute/membership/Beat.java
+++ b/membership/src/main/java/amberroute/membership/Beat.java
@@ -69,52 +69,31 @@
                 return null;
             }
             int phase = in.get();
-            byte[] name = new byte[within(in.get(), 1, LONGEST_NAME)];
+            byte[] name = new byte[Ranges.within(in.get(), 1, LONGEST_NAME)];
             in.get(name);
             String from = new String(name, StandardCharsets.US_ASCII);
             long incarnation = in.getLong();
             long number = in.getLong();
             List<News> news = new ArrayList<>();
-            for (int i = within(in.get(), 0, MOST_NEWS); i > 0; i--) {
-                news.add(new News(in.getInt(), Health.values()[within(in.get(), 0, 3)], age(in.getInt()), age(in.getInt()),
-                        age(in.getInt()), rate(in.getFloat()), rate(in.getFloat()), rate(in.getFloat())));
+            for (int i = Ranges.within(in.get(), 0, MOST_NEWS); i > 0; i--) {
+                news.add(new News(in.getInt(), Health.values()[Ranges.within(in.get(), 0, 3)], age(in.getInt()), age(in.getInt()),
+                        age(in.getInt()), Ranges.rate(in.getFloat()), Ranges.rate(in.getFloat()), Ranges.rate(in.getFloat())));
             }
             List<Loan> loans = new ArrayList<>();
-            for (int i = within(in.get(), 0, MOST_LOANS); i > 0; i--) {
-                loans.add(new Loan(within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), part(in.getFloat())));
+            for (int i = Ranges.within(in.get(), 0, MOST_LOANS); i > 0; i--) {
+                loans.add(new Loan(Ranges.within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), Ranges.part(in.getFloat())));
             }
             if (in.hasRemaining() || !from.matches("[A-Za-z0-9._-]+") || number < 0 || incarnation < 0) {
                 return null;
             }
-            return new Beat(from, incarnation, number, FleetView.Phase.values()[within(phase, 0, 2)], List.copyOf(news),
+            return new Beat(from, incarnation, number, FleetView.Phase.values()[Ranges.within(phase, 0, 2)], List.copyOf(news),
                     List.copyOf(loans));
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             return null;
         }
     }
 
-    private static int within(int value, int least, int most) {
-        if (value < least || value > most) {
-            throw new IllegalArgumentException("out of range");
-        }
-        return value;
-    }
-
     private static int age(int value) {
-        return within(value, -1, LONGEST_AGE);
-    }
-
-    private static float rate(float value) {
-        if (!(value >= 0) || value > 1e9f) {
-            throw new IllegalArgumentException("no rate");
-        }
-        return value;
-    }
-
-    private static float part(float value) {
-        if (!(value >= 0) || value > 1) {
-            throw new IllegalArgumentException("no part");
-        }
-        return value;
+        return Ranges.within(value, -1, LONGEST_AGE);
     }
 }
--- a/membership/src/main/java/amberroute/membership/Probe.java
+++ b/membership/src/main/java/amberroute/membership/Probe.java
@@ -70,7 +70,7 @@
             if (in.get() != 'A' || in.get() != 'R' || in.get() != VERSION) {
                 return null;
             }
-            Kind kind = Kind.values()[within(in.get(), Kind.values().length)];
+            Kind kind = Kind.values()[Ranges.within(in.get(), 0, Kind.values().length - 1)];
             long number = in.getLong();
             long incarnation = in.getLong();
             FleetView.Phase phase = phase(in);
@@ -78,8 +78,8 @@
             String zone = text(in);
             String target = text(in);
             List<News> news = new ArrayList<>();
-            for (int i = within(in.get(), MOST_NEWS + 1); i > 0; i--) {
-                State state = State.values()[within(in.get(), State.values().length)];
+            for (int i = Ranges.within(in.get(), 0, MOST_NEWS); i > 0; i--) {
+                State state = State.values()[Ranges.within(in.get(), 0, State.values().length - 1)];
                 FleetView.Phase theirs = phase(in);
                 long of = in.getLong();
                 news.add(new News(text(in), state, of, theirs, text(in)));
@@ -92,18 +92,11 @@
     }
 
     private static FleetView.Phase phase(ByteBuffer in) {
-        return FleetView.Phase.values()[within(in.get(), FleetView.Phase.values().length)];
-    }
-
-    private static int within(int value, int below) {
-        if (value < 0 || value >= below) {
-            throw new IllegalArgumentException("out of range");
-        }
-        return value;
+        return FleetView.Phase.values()[Ranges.within(in.get(), 0, FleetView.Phase.values().length - 1)];
     }
 
     private static String text(ByteBuffer in) {
-        byte[] bytes = new byte[within(in.get(), LONGEST + 1)];
+        byte[] bytes = new byte[Ranges.within(in.get(), 0, LONGEST)];
         in.get(bytes);
         String text = new String(bytes, StandardCharsets.US_ASCII);
         if (!PLAIN.matcher(text).matches()) {
--- /dev/null
+++ b/membership/src/main/java/amberroute/membership/Ranges.java
@@ -0,0 +1,32 @@
+package amberroute.membership;
+
+/** Checks of what a datagram says; whatever is out of range is an IllegalArgumentException, for which the datagram is passed over. */
+public final class Ranges {
+    private static final float MOST_RATE = 1e9f;
+
+    private Ranges() {
+    }
+
+    public static int within(int value, int least, int most) {
+        if (value < least || value > most) {
+            throw new IllegalArgumentException("out of range");
+        }
+        return value;
+    }
+
+    /** A share of a whole, 0 to 1. */
+    public static float part(float value) {
+        if (!(value >= 0) || value > 1) {
+            throw new IllegalArgumentException("no part");
+        }
+        return value;
+    }
+
+    /** So much a second. */
+    public static float rate(float value) {
+        if (!(value >= 0) || value > MOST_RATE) {
+            throw new IllegalArgumentException("no rate");
+        }
+        return value;
+    }
+}
--- a/overload/src/main/java/amberroute/overload/Digest.java
+++ b/overload/src/main/java/amberroute/overload/Digest.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import amberroute.membership.Ranges;
+
 /**
  * One datagram in which a sender tells what it has to do with some destinations, beside the beats and probes on the same socket.
  * At most {@value #MOST_BYTES} bytes. The form is ours, all numbers big-endian:
@@ -35,7 +37,6 @@
     private static final int STEP_BYTES = 5;
     /** Beside no load at all. */
     static final int MOST_LOANS = 32;
-    private static final float MOST_RATE = 1e9f;
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]+");
 
     /** Bytes without any load. */
@@ -82,26 +83,26 @@
             if (in.get() != 'A' || in.get() != 'L' || in.get() != VERSION) {
                 return null;
             }
-            byte[] name = new byte[within(in.get(), 1, LONGEST_NAME)];
+            byte[] name = new byte[Ranges.within(in.get(), 1, LONGEST_NAME)];
             in.get(name);
             String from = new String(name, StandardCharsets.US_ASCII);
             long incarnation = in.getLong();
             long number = in.getLong();
             Map<Integer, Load> loads = new LinkedHashMap<>();
-            for (int i = within(in.get(), 0, MOST_LOADS); i > 0; i--) {
+            for (int i = Ranges.within(in.get(), 0, MOST_LOADS); i > 0; i--) {
                 int destination = in.getInt();
-                float served = rate(in.getFloat());
-                float full = rate(in.getFloat());
-                float waiting = rate(in.getFloat());
+                float served = Ranges.rate(in.getFloat());
+                float full = Ranges.rate(in.getFloat());
+                float waiting = Ranges.rate(in.getFloat());
                 double[] demand = new double[Worths.STEPS];
-                for (int steps = within(in.get(), 0, Worths.STEPS); steps > 0; steps--) {
-                    demand[within(in.get(), 0, Worths.STEPS - 1)] = rate(in.getFloat());
+                for (int steps = Ranges.within(in.get(), 0, Worths.STEPS); steps > 0; steps--) {
+                    demand[Ranges.within(in.get(), 0, Worths.STEPS - 1)] = Ranges.rate(in.getFloat());
                 }
                 loads.put(destination, new Load(demand, served, full, waiting));
             }
             List<Loan> loans = new ArrayList<>();
-            for (int i = within(in.get(), 0, MOST_LOANS); i > 0; i--) {
-                loans.add(new Loan(within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), part(in.getFloat())));
+            for (int i = Ranges.within(in.get(), 0, MOST_LOANS); i > 0; i--) {
+                loans.add(new Loan(Ranges.within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), Ranges.part(in.getFloat())));
             }
             return in.hasRemaining() || !NAME.matcher(from).matches() || number < 0 || incarnation < 0 ? null
                     : new Digest(from, incarnation, number, loads, loans);
@@ -109,25 +110,4 @@
             return null;
         }
     }
-
-    private static int within(int value, int least, int most) {
-        if (value < least || value > most) {
-            throw new IllegalArgumentException("out of range");
-        }
-        return value;
-    }
-
-    private static float part(float value) {
-        if (!(value >= 0) || value > 1) {
-            throw new IllegalArgumentException("no part");
-        }
-        return value;
-    }
-
-    private static float rate(float value) {
-        if (!(value >= 0) || value > MOST_RATE) {
-            throw new IllegalArgumentException("no rate");
-        }
-        return value;
-    }
 }
--- a/testkit/src/main/java/amberroute/testkit/Stage.java
+++ b/testkit/src/main/java/amberroute/testkit/Stage.java
@@ -226,6 +226,25 @@
         return file;
     }
 
+    /** Loopback addresses with so many ports in a row from this one on. */
+    public static List<InetSocketAddress> addresses(int firstPort, int count) {
+        List<InetSocketAddress> out = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            out.add(new InetSocketAddress("127.0.0.1", firstPort + i));
+        }
+        return out;
+    }
+
+    /** Clients ask for nothing new; waits until all that they asked has its end in the book, for 20 s at most. */
+    public void settle(Runnable meanwhile) throws InterruptedException {
+        run(clients::pause);
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (System.nanoTime() < end && on(() -> clients.working() > 0 || book.open() > 0)) {
+            meanwhile.run();
+            Thread.sleep(50);
+        }
+    }
+
     /** The first of so many ports in a row that are free just now; below the range that the system deals out. */
     public static int freePorts(int count, long seed) throws IOException {
         java.util.Random random = new java.util.Random(seed ^ ProcessHandle.current().pid());
