--- a/sender/src/test/java/amberroute/sender/SenderProcess.java
+++ b/sender/src/test/java/amberroute/sender/SenderProcess.java
@@ -7,16 +7,17 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 
 /** A sender in a process of its own, for signals, kills and limits. Its output goes to a file. */
 final class SenderProcess implements Closeable {
-    private final Process process;
+    private final ProcessHandle process;
     private final Path log;
 
-    private SenderProcess(Process process, Path log) {
+    SenderProcess(ProcessHandle process, Path log) {
         this.process = process;
         this.log = log;
     }
@@ -31,12 +32,22 @@
     /** Returns at once; it may hold so many descriptors, 0 for as many as this process. */
     static SenderProcess begin(Map<String, String> environment, Path log, int descriptors) throws IOException {
         String limit = descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ";
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", limit + "exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-Xmx64m",
-                "-cp", System.getProperty("java.class.path"), "amberroute.sender.Main", "serve");
+        List<String> words = new ArrayList<>(List.of("/bin/sh", "-c", limit + "exec \"$0\" \"$@\""));
+        words.addAll(command());
+        ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().putAll(environment);
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
-        return new SenderProcess(builder.start(), log);
+        return new SenderProcess(builder.start().toHandle(), log);
+    }
+
+    /** What runs a sender of the code under test. */
+    static List<String> command() {
+        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-Xmx64m",
+                "-cp", System.getProperty("java.class.path"), "amberroute.sender.Main", "serve");
+    }
+
+    long pid() {
+        return process.pid();
     }
 
     boolean ready() {
@@ -51,8 +62,10 @@
         assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor());
     }
 
-    void kill() throws InterruptedException {
-        process.destroyForcibly().waitFor();
+    /** Returns when it has ended. */
+    void kill() {
+        process.destroyForcibly();
+        process.onExit().join();
     }
 
     boolean logged(String text) {
@@ -78,12 +91,7 @@
 
     @Override
     public void close() {
-        process.destroyForcibly();
-        try {
-            process.waitFor();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        kill();
     }
 
     static void closeAll(List<SenderProcess> all) {
