Start a replacement with a smaller heap, as the limit holds for both processes

Cause: each process touched its heap of 40 MB whole at its start, so a pair had 142 to 146 MB (proportional, 0 to 1,892 messages held), above the 144 MB that some configurations allow both together. Change: the heap starts at 24 MB and is brought to its full size before an ordinary start serves, or when the process that was replaced is gone.

--- a/sender/src/main/java/amberroute/sender/Predecessor.java
+++ b/sender/src/main/java/amberroute/sender/Predecessor.java
@@ -36,6 +36,9 @@
 
         /** A client of the other process handed this in. */
         void submitted(ClientServer.Submission submission, ClientServer.Answer answer);
+
+        /** The other process is gone, or says nothing any more. */
+        void gone();
     }
 
     private final EventLoop loop;
@@ -148,6 +151,7 @@
         if (opened) {
             loseAll();
         }
+        host.gone();
     }
 
     private void loseAll() {
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -309,6 +309,9 @@
             SignalHook.install("TERM").then(stop);
             SignalHook.install("INT").then(stop);
         }
+        if (sender.lock != null) {
+            HeapReserve.commit();
+        }
         sender.start();
         hangup.then(() -> sender.reload(environment));
         if (sender.config.standalone() == null) {
@@ -840,6 +843,12 @@
         public void submitted(ClientServer.Submission submission, ClientServer.Answer answer) {
             onSubmission(submission, answer);
         }
+
+        @Override
+        public void gone() {
+            // The limit on memory holds for both processes together: only now there is room.
+            new Thread(HeapReserve::commit, "heap").start();
+        }
     }
 
     private final class Giving implements Successors.Host {
--- a/sender/src/test/java/amberroute/sender/ProcessReplacementTest.java
+++ b/sender/src/test/java/amberroute/sender/ProcessReplacementTest.java
@@ -175,4 +175,120 @@
         fresh.kill();
         assertOldProcessServes(old);
     }
+
+    /**
+     * Replacements are killed at moments spread over their start, their transfer and their first moments as owner, under traffic. The
+     * first process outlives them all; no message is lost, none that may not be repeated is called twice, and no key's order breaks.
+     */
+    @Test
+    void replacementsKilledAtManyMomentsUnderTraffic() throws Exception {
+        SenderProcess old = start();
+        long begun = System.nanoTime();
+        SenderProcess probe = start();
+        long untilReady = (System.nanoTime() - begun) / 1_000_000;
+        probe.kill();
+        Traffic traffic = new Traffic();
+        for (int round = 0; round < ROUNDS; round++) {
+            SenderProcess fresh = begin();
+            // From half of the usual start to as much behind it.
+            Thread.sleep(untilReady * (50 + 100L * round / (ROUNDS - 1)) / 100);
+            fresh.kill();
+            long answered = traffic.accepted.size();
+            await(() -> traffic.accepted.size() > answered);
+            assertTrue(socket.status(old).isEmpty(), "round " + round + ": it ended with status " + socket.status(old));
+        }
+        traffic.stop();
+        await(() -> traffic.accepted.stream().allMatch(id -> calls(id) > 0
+                || world.notices.stream().anyMatch(notice -> notice.contains("\"" + id + "\""))));
+        List<String> twice = traffic.accepted.stream().filter(id -> id.startsWith("unsafe") && calls(id) > 1).toList();
+        assertEquals(List.of(), twice);
+        assertEquals(List.of(), traffic.outOfOrder());
+        long takeovers = old.lines("reclaim: owns the folder again");
+        assertTrue(takeovers > 1, "only " + takeovers + " replacements had taken over when they were killed");
+        System.out.println(ROUNDS + " replacements killed, " + takeovers + " of them as owners, ready after " + untilReady + " ms: " + traffic.accepted.size()
+                + " messages taken on, " + traffic.again + " submissions asked again, " + world.notices.size() + " notices");
+    }
+
+    /** The limit on memory holds for both processes together: the new one has to start smaller, and grows when the old one is gone. */
+    @Test
+    void theNewOneTakesLessMemoryWhileTheOldOneRuns() throws Exception {
+        world.openCap = 300;
+        List<String> command = SenderProcess.command(SenderProcess.deployedOptions());
+        SenderProcess old = beginBy(command);
+        await(old::ready);
+        world.receiver.answers = r -> null;
+        World.Client client = client();
+        for (int i = 0; i < 200; i++) {
+            client.submit("safe", "m" + i, NO_KEY, 300_000, 7);
+        }
+        long alone = old.proportionalKilobytes();
+        SenderProcess fresh = beginBy(command);
+        long[] peak = new long[1];
+        await(() -> {
+            peak[0] = Math.max(peak[0], old.proportionalKilobytes() + fresh.proportionalKilobytes());
+            return fresh.ready();
+        });
+        System.out.println("memory in MB: " + alone / 1_024 + " alone, " + peak[0] / 1_024 + " both together at most");
+        assertTrue(peak[0] < 1.9 * alone, peak[0] + " kB, alone " + alone);
+        old.kill();
+        await(() -> fresh.proportionalKilobytes() > 0.9 * alone);
+    }
+
+    private SenderProcess beginBy(List<String> command) throws Exception {
+        SenderProcess process = socket.begin(world.environment(), folder.resolve("log" + processes.size()), command);
+        processes.add(process);
+        return process;
+    }
+
+    private static final int ROUNDS = 12;
+
+    /** A client that hands in one message after another, of each effect in turn, and asks again on another connection. */
+    private final class Traffic {
+        final List<String> accepted = new CopyOnWriteArrayList<>();
+        volatile int again;
+        private volatile boolean ended;
+        private final Thread thread = new Thread(this::run, "traffic");
+
+        Traffic() {
+            thread.start();
+        }
+
+        private void run() {
+            List<String> effects = List.of("safe", "keyed", "unsafe");
+            for (int i = 0; !ended; i++) {
+                String effect = effects.get(i % effects.size());
+                submit(effect, effect + i);
+            }
+        }
+
+        /** Under a new id each time, as what became of the one before is not known. */
+        private void submit(String effect, String name) {
+            for (int attempt = 0; !ended; attempt++) {
+                String id = name + "a" + attempt;
+                try (World.Client client = client()) {
+                    if (client.submit(effect, id, effect.equals("keyed") ? KEY : NO_KEY, 20_000, 7).equals("+OK")) {
+                        accepted.add(id);
+                        return;
+                    }
+                } catch (IOException e) {
+                    // The process that had read it is gone.
+                }
+                again++;
+            }
+        }
+
+        void stop() throws InterruptedException {
+            ended = true;
+            thread.join();
+        }
+
+        /** First calls of the key that came ahead of the first call of one that was taken on before. */
+        List<String> outOfOrder() {
+            List<String> taken = accepted.stream().filter(id -> id.startsWith("keyed")).toList();
+            List<String> called = world.receiver.requests.stream().map(r -> r.body().replace("body of ", ""))
+                    .filter(taken::contains).distinct().toList();
+            List<String> expected = taken.stream().filter(called::contains).toList();
+            return called.equals(expected) ? List.of() : called;
+        }
+    }
 }
--- a/sender/src/test/java/amberroute/sender/SenderProcess.java
+++ b/sender/src/test/java/amberroute/sender/SenderProcess.java
@@ -5,6 +5,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -42,8 +43,33 @@
 
     /** What runs a sender of the code under test. */
     static List<String> command() {
-        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-Xmx64m",
-                "-cp", System.getProperty("java.class.path"), "amberroute.sender.Main", "serve");
+        return command(List.of("-XX:TieredStopAtLevel=1", "-Xmx64m"));
+    }
+
+    /** The same with these options of the JVM. */
+    static List<String> command(List<String> options) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "amberroute.sender.Main", "serve"));
+        return command;
+    }
+
+    /** The options that the deploy file gives the JVM, but for the class archive, which the tests' class path does not fit. */
+    static List<String> deployedOptions() throws IOException {
+        Path file = Path.of(System.getProperty("amberroute.root"), "deploy", "balancer.toml");
+        String run = Files.readAllLines(file).stream().filter(line -> line.startsWith("run ")).findFirst().orElseThrow();
+        return Stream.of(run.split("[ \"]+")).filter(word -> word.startsWith("-X") || word.startsWith("-D"))
+                .filter(word -> !word.contains("SharedArchiveFile")).toList();
+    }
+
+    /** Kilobytes of memory, what it shares with others counted in part; 0 once it has ended. */
+    long proportionalKilobytes() {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(process.pid()), "smaps_rollup"))) {
+            return lines.filter(line -> line.startsWith("Pss:")).mapToLong(line -> Long.parseLong(line.split("\\s+")[1])).sum();
+        } catch (IOException | UncheckedIOException e) {
+            return 0;
+        }
     }
 
     long pid() {
@@ -76,6 +102,13 @@
         }
     }
 
+    /** How many lines of its log have this text. */
+    long lines(String text) throws IOException {
+        try (Stream<String> all = Files.lines(log)) {
+            return all.filter(line -> line.contains(text)).count();
+        }
+    }
+
     int port() throws IOException {
         String text = Files.readString(log);
         String address = text.substring(text.indexOf("ready at")).lines().findFirst().orElseThrow();
--- a/sender/src/test/java/amberroute/sender/SharedSocket.java
+++ b/sender/src/test/java/amberroute/sender/SharedSocket.java
@@ -72,10 +72,15 @@
 
     /** Starts a sender and returns at once. */
     SenderProcess begin(Map<String, String> environment, Path log) throws IOException, InterruptedException {
+        return begin(environment, log, SenderProcess.command());
+    }
+
+    /** The same by a command of its own. */
+    SenderProcess begin(Map<String, String> environment, Path log, List<String> command) throws IOException, InterruptedException {
         List<String> fields = new ArrayList<>(List.of("start", log.toString(), Integer.toString(environment.size() + 1),
                 "GW_ACCEPT_FD=0"));
         environment.forEach((name, value) -> fields.add(name + "=" + value));
-        fields.addAll(SenderProcess.command());
+        fields.addAll(command);
         commands.write(String.join("\t", fields) + "\n");
         commands.flush();
         long pid = Long.parseLong(answer("started "));
