Tell deadlines, key lives and holds by a clock that no step of the wall clock moves

Measured on real processes with a stepped wall clock (a preloaded library), before: a message of 5 s ended 21.6 s behind its acceptance with the clock set back by an hour and a kill, 2.6 s with it set forward; a keyed message was called three times, twice behind its key's life.

Change: SteadyClock: the machine's monotonic clock plus an offset that stands in the state folder with the boot's id and a checksum; the formats are as before. A folder from another boot or machine asks the wall clock anew, and what was in doubt then counts as beyond its key's life.

--- a/sender/src/main/java/amberroute/sender/FleetLoad.java
+++ b/sender/src/main/java/amberroute/sender/FleetLoad.java
@@ -39,8 +39,8 @@
     private final boolean parts;
     private Channel channel;
 
-    /** {@code clock} is monotonic, in microseconds; {@code waiting} tells what is held for a destination. */
-    FleetLoad(EventLoop loop, String name, Map<String, InetSocketAddress> peers, int daemons, boolean parts, LongSupplier clock,
+    /** {@code clock} is monotonic, in microseconds; {@code incarnation} is larger than that of each process before this one; {@code waiting} tells what is held for a destination. */
+    FleetLoad(EventLoop loop, String name, Map<String, InetSocketAddress> peers, int daemons, boolean parts, LongSupplier clock, long incarnation,
             IntToDoubleFunction waiting, Consumer<Relay.Event> events) {
         this.parts = parts;
         this.loop = loop;
@@ -49,7 +49,7 @@
         this.waiting = waiting;
         this.events = events;
         overload = new Overload(clock.getAsLong(), name, List.copyOf(peers.keySet()), Math.max(daemons, peers.size() + 1),
-                parts, System.currentTimeMillis() * 1_000, random);
+                parts, incarnation * 1_000, random);
     }
 
     /** Begins to tell, and to compute prices. */
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -140,6 +141,8 @@
     private final Map<String, InetSocketAddress> peers;
     private final Host host;
     private final Journal journal;
+    /** Milliseconds, as deadlines and holds are told. */
+    private final LongSupplier clock;
     private final Placement placement;
     private final Map<String, Link> links = new HashMap<>();
     private final Map<String, Offer> offers = new LinkedHashMap<>();
@@ -169,7 +172,8 @@
     private long movedBytes;
     private long lots;
 
-    HandOver(EventLoop loop, String name, Map<String, InetSocketAddress> peers, Host host, Journal journal) {
+    /** {@code clock} tells milliseconds as the journal's times have them. */
+    HandOver(EventLoop loop, String name, Map<String, InetSocketAddress> peers, Host host, Journal journal, LongSupplier clock) {
         this.loop = loop;
         this.name = name;
         this.peers = new LinkedHashMap<>(peers);
@@ -178,7 +182,8 @@
         this.journal = journal;
         mostPeers = LEAST_PEERS + EACH_PEER * this.peers.size();
         placement = new Placement(this.peers.keySet());
-        counter = System.currentTimeMillis() * 1_000;
+        this.clock = clock;
+        counter = clock.getAsLong() * 1_000;
     }
 
     /** Listens for peers; returns the address bound. */
@@ -208,7 +213,7 @@
             List<Held> messages = journal.messages(kept.numbers());
             if (kept.ownership().status() == Ownership.Status.OFFERED && !messages.isEmpty()) {
                 Offer offer = new Offer(lot, kept.ownership(), messages,
-                        new Placement.Lot(kept.ownership().peer(), List.of(group(messages, System.currentTimeMillis()))));
+                        new Placement.Lot(kept.ownership().peer(), List.of(group(messages, clock.getAsLong()))));
                 offer.back = true;
                 offers.put(lot, offer);
             }
@@ -226,11 +231,11 @@
         if (peers.isEmpty() || offers.size() > MOST_OUT / 2) {
             return;
         }
-        long wall = System.currentTimeMillis();
+        long now = clock.getAsLong();
         Map<Long, List<Held>> byFirst = new LinkedHashMap<>();
         List<Placement.Group> groups = new ArrayList<>();
         for (List<Held> messages : host.movable()) {
-            Placement.Group group = group(messages, wall);
+            Placement.Group group = group(messages, now);
             groups.add(group);
             byFirst.put(group.first(), messages);
             if (groups.size() >= MOST_GROUPS) {
@@ -251,10 +256,10 @@
         }
     }
 
-    private static Placement.Group group(List<Held> messages, long wall) {
+    private static Placement.Group group(List<Held> messages, long now) {
         Held first = messages.get(0);
         long bytes = messages.stream().mapToLong(m -> m.body.length + 1_024L).sum();
-        long left = messages.stream().mapToLong(m -> m.deadline).min().orElse(wall) - wall;
+        long left = messages.stream().mapToLong(m -> m.deadline).min().orElse(now) - now;
         return new Placement.Group(first.number, first.key, messages.size(), bytes, left);
     }
 
@@ -319,7 +324,7 @@
         if (naming != null) {
             return;
         }
-        naming = new Naming(System.currentTimeMillis(), peers.keySet(), ends, NAMING_MS);
+        naming = new Naming(clock.getAsLong(), peers.keySet(), ends, NAMING_MS);
         naming.absent(absent);
         peers.keySet().forEach(this::nameTo);
     }
@@ -346,12 +351,12 @@
 
     /** Whether a client of this key has to be left without an answer for a moment. */
     boolean undecided(long key) {
-        return naming != null && naming.named(key) && !naming.settled(System.currentTimeMillis());
+        return naming != null && naming.named(key) && !naming.settled(clock.getAsLong());
     }
 
     /** How long a client of this key is to stay away from all others, in milliseconds. */
     long stayAway(long key) {
-        return naming == null ? 0 : naming.stayAway(System.currentTimeMillis(), key);
+        return naming == null ? 0 : naming.stayAway(clock.getAsLong(), key);
     }
 
     /** Keys that are over, here for the leaver that named them, or for what was adopted, are released everywhere. */
@@ -480,9 +485,9 @@
     }
 
     private void askAgain() {
-        long wall = System.currentTimeMillis();
+        long now = clock.getAsLong();
         for (Offer offer : List.copyOf(offers.values())) {
-            if (offer.messages.stream().anyMatch(m -> m.deadline <= wall)) {
+            if (offer.messages.stream().anyMatch(m -> m.deadline <= now)) {
                 giveUp(offer);
                 continue;
             }
@@ -654,7 +659,7 @@
             }
             switch (line.get("word").getAsString()) {
                 case "HOLD" -> {
-                    long until = Math.min(line.get("until").getAsLong(), System.currentTimeMillis() + Sender.LONGEST_LIFE_MS);
+                    long until = Math.min(line.get("until").getAsLong(), clock.getAsLong() + Sender.LONGEST_LIFE_MS);
                     int batch = line.get("batch").getAsInt();
                     if (host.hold(from, PeerLine.keys(line.getAsJsonArray("keys")), until)) {
                         Runnable held = () -> context.writeAndFlush(PeerLine.bytes(PeerLine.held(batch)));
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -172,6 +172,8 @@
     private byte[] place;
     private byte[] holders;
     private Runnable onFenced = () -> { };
+    /** When old lots were last looked for, by the clock that their times are told by. */
+    private long told;
     private long reserved;
     /** Bytes of an earlier version's file that could not be read, where that is what was looked at. */
     private long oldUnread;
@@ -936,14 +938,14 @@
     private boolean roomForLot(String name) {
         long most = Math.min(MOST_LOTS, log.limits().budget() / LOTS_SHARE / LOT_BYTES);
         if (lots.size() >= most) {
-            dropOldLots();
+            dropOldLots(told);
         }
         return lots.size() < most || lots.containsKey(name);
     }
 
     /** What nobody can ask for any more: a late offer of messages whose time is up is refused for that. */
-    void dropOldLots() {
-        long now = System.currentTimeMillis();
+    void dropOldLots(long now) {
+        told = now;
         List<String> old = lots.entrySet().stream().filter(lot -> lot.getValue().until() < now
                 && lot.getValue().ownership().status() != Ownership.Status.OFFERED).map(Map.Entry::getKey).toList();
         Batch batch = new Batch();
--- a/sender/src/main/java/amberroute/sender/PeerBeats.java
+++ b/sender/src/main/java/amberroute/sender/PeerBeats.java
@@ -41,7 +41,8 @@
     /** Takes what is no beat; null where nobody wants it. */
     private Consumer<DatagramPacket> others;
 
-    PeerBeats(EventLoop loop, String name, Map<String, InetSocketAddress> peers, LongSupplier clock, ColdLimits limits,
+    /** {@code clock} is monotonic, in microseconds; {@code incarnation} is larger than that of each process before this one. */
+    PeerBeats(EventLoop loop, String name, Map<String, InetSocketAddress> peers, LongSupplier clock, long incarnation, ColdLimits limits,
             Supplier<FleetView.Phase> phase, IntToDoubleFunction waiting, Consumer<ColdLimits.Ceiling> ceilings) {
         this.loop = loop;
         this.name = name;
@@ -51,7 +52,7 @@
         this.phase = phase;
         this.waiting = waiting;
         this.ceilings = ceilings;
-        heartbeats = new Heartbeats(peers.keySet(), System.currentTimeMillis());
+        heartbeats = new Heartbeats(peers.keySet(), incarnation);
     }
 
     /** Listens and begins to tell of this daemon. */
--- a/sender/src/main/java/amberroute/sender/PeerProbes.java
+++ b/sender/src/main/java/amberroute/sender/PeerProbes.java
@@ -32,14 +32,14 @@
     private final Swim swim;
     private Channel channel;
 
-    /** {@code clock} is monotonic, in microseconds. */
+    /** {@code clock} is monotonic, in microseconds; {@code incarnation} is larger than that of each process before this one. */
     PeerProbes(EventLoop loop, String name, String zone, Map<String, InetSocketAddress> peers, LongSupplier clock,
-            Supplier<FleetView.Phase> phase) {
+            long incarnation, Supplier<FleetView.Phase> phase) {
         this.loop = loop;
         this.peers = Map.copyOf(peers);
         this.clock = clock;
         this.phase = phase;
-        swim = new Swim(name, zone, peers.keySet(), System.currentTimeMillis(), new SplittableRandom());
+        swim = new Swim(name, zone, peers.keySet(), incarnation, new SplittableRandom());
     }
 
     Swim view() {
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -118,6 +118,7 @@
     private final EventLoop loop;
     /** Null until the state folder is this process's. */
     private Journal journal;
+    private SteadyClock clock;
     private Relay module;
     private final Recorder recorder = new Recorder();
     private final Directory directory;
@@ -263,6 +264,7 @@
         if (config.standalone() != null && config.standalone().survive() != null) {
             OldEstates.putAside(config.state());
         }
+        clock = SteadyClock.open(config.state());
         Durability durability = config.standalone() == null ? Durability.NONE : config.standalone().durability();
         journal = Journal.open(config.state(), new FolderDisk(config.state()), config.diskBytes(), durability,
                 durability == Durability.NONE ? null : new Forcer());
@@ -542,9 +544,9 @@
         return System.nanoTime() / 1_000 - START;
     }
 
-    /** Wall time in milliseconds: for what must survive a restart. */
-    private static long wall() {
-        return System.currentTimeMillis();
+    /** Milliseconds by the folder's clock: for what must survive a restart. */
+    private long steady() {
+        return clock.millis();
     }
 
     // ---- Recovery. ----
@@ -577,13 +579,13 @@
 
     /** Brings what the journal has to the module, and what another process passed on; {@code leaving} as the directory gave it. */
     private void restore(JsonArray leaving) {
-        journal.memories().forEach(m -> found(m.destination(), m.health(), Math.max(0, now() - (wall() - m.since()) * 1_000)));
+        journal.memories().forEach(m -> found(m.destination(), m.health(), Math.max(0, now() - (steady() - m.since()) * 1_000)));
         journal.memories().forEach(m -> note(new Event.Remembered(
                 new Relay.Memory(m.destination(), m.uid().isEmpty() ? 0 : directory.number(m.uid()), m.health(), 0,
-                        m.pace(), m.usual()), Math.max(0, wall() - m.since()) * 1_000)));
+                        m.pace(), m.usual()), Math.max(0, steady() - m.since()) * 1_000)));
         journal.classes().forEach(classes::restore);
         configure(inForce);
-        journal.expireHolds(wall());
+        journal.expireHolds(steady());
         holdBack(journal.holds().keys());
         for (Held m : List.copyOf(journal.live())) {
             m.type = classes.version(m.type) == null ? classes.number(m.className) : m.type;
@@ -619,12 +621,12 @@
         StandaloneConfig.Standalone alone = config.standalone();
         if (alone != null && (alone.handOver() != null || !alone.peers().isEmpty() || !journal.lots().isEmpty()
                 || journal.holds().size() > 0)) {
-            handOver = new HandOver(loop, config.name(), alone.peers(), new HandOverHost(), journal);
+            handOver = new HandOver(loop, config.name(), alone.peers(), new HandOverHost(), journal, this::steady);
             handOver.recover();
             repeating.add(loop.scheduleWithFixedDelay(() -> {
                 if (!given) {
-                    journal.dropOldLots();
-                    free(journal.expireHolds(wall()));
+                    journal.dropOldLots(steady());
+                    free(journal.expireHolds(steady()));
                 }
             }, HOLDS_MS, HOLDS_MS, TimeUnit.MILLISECONDS));
         }
@@ -635,6 +637,7 @@
             if (!given) {
                 journal.retry();
                 journal.tidy();
+                clock.record();
             }
         }, RETRY_MS, RETRY_MS, TimeUnit.MILLISECONDS));
     }
@@ -675,7 +678,7 @@
         if (alone != null && alone.overload()) {
             Map<String, InetSocketAddress> others = new LinkedHashMap<>(alone.peers());
             others.remove(config.name());
-            load = new FleetLoad(loop, config.name(), others, settings.senders(), alone.parts(), Sender::now, this::heldFor,
+            load = new FleetLoad(loop, config.name(), others, settings.senders(), alone.parts(), Sender::now, steady(), this::heldFor,
                     this::note);
         }
         if (alone == null || alone.lease() == 0) {
@@ -690,10 +693,10 @@
         limits = new ColdLimits(now(), new ColdLimits.Fleet(daemons, names.indexOf(config.name()), alone.lease(),
                 new ColdLimit.Rules(rules.startCapacity(), rules.coldSpan(), rules.fallMultiple(), rules.fallSpan(),
                         alone.first())),
-                wall() * 1_000);
+                steady() * 1_000);
         Map<String, InetSocketAddress> peers = new LinkedHashMap<>(alone.peers());
         peers.remove(config.name());
-        beats = new PeerBeats(loop, config.name(), peers, Sender::now, limits, this::fleetPhase, this::heldFor,
+        beats = new PeerBeats(loop, config.name(), peers, Sender::now, steady(), limits, this::fleetPhase, this::heldFor,
                 this::ceiling);
     }
 
@@ -719,8 +722,9 @@
     }
 
     private void resume(Held m, boolean cutOff) {
-        long age = m.doubtSince == 0 ? -1 : Math.max(0, (wall() - m.doubtSince) * 1_000);
-        note(new Event.Resumed(m.number, m.type, m.key, (m.deadline - wall()) * 1_000, m.destination,
+        long age = m.doubtSince == 0 ? -1 : clock.interrupted(m.doubtSince) ? NO_LIMIT
+                : Math.max(0, (steady() - m.doubtSince) * 1_000);
+        note(new Event.Resumed(m.number, m.type, m.key, (m.deadline - steady()) * 1_000, m.destination,
                 m.attempts - (estateOut.contains(m.number) ? 1 : 0), age,
                 m.doubtAt.isEmpty() ? 0 : directory.number(m.doubtAt), cutOff));
     }
@@ -824,7 +828,7 @@
             }
             if (told == null) {
                 onResult(new Receivers.Result(m, m.attempts - 1, directory.number(m.sentTo), ending,
-                        Math.max(0, wall() - m.sentAt) * 1_000, false, 0, List.of(), -1));
+                        Math.max(0, steady() - m.sentAt) * 1_000, false, 0, List.of(), -1));
                 return;
             }
             long endpoint = directory.number(uid);
@@ -1099,7 +1103,7 @@
                     + (others.size() + 1) + ": what is in hand is in this folder alone, and waits for it when it is lost");
             return null;
         }
-        probes = new PeerProbes(loop, config.name(), alone.zone(), others, Sender::now, this::fleetPhase);
+        probes = new PeerProbes(loop, config.name(), alone.zone(), others, Sender::now, steady(), this::fleetPhase);
         survival = new Survival(loop, config, journal, probes, new SurvivalHost());
         return null;
     }
@@ -1291,7 +1295,7 @@
         int messages = 0;
         int again = 0;
         try (Journal journalThere = Journal.peek(folder)) {
-            for (Map.Entry<String, List<Held>> lot : Adoption.lots(fence.lots(), journalThere.live(), wall()).entrySet()) {
+            for (Map.Entry<String, List<Held>> lot : Adoption.lots(fence.lots(), journalThere.live(), steady()).entrySet()) {
                 Integer taken = loop.submit(() -> takeIn(lot.getKey(), lot.getValue())).syncUninterruptibly().getNow();
                 if (taken < 0) {
                     throw new IOException("the journal has no room; what is left in " + folder
@@ -1434,7 +1438,7 @@
             return;
         }
         Held m = new Held(journal.nextNumber(), s.id(), s.idempotencyKey(), s.className(), s.key(),
-                s.destination(), wall() + s.timeLeft(), s.body());
+                s.destination(), steady() + s.timeLeft(), s.body());
         m.type = classes.number(s.className());
         if (inOrder(m) && journal.holds().held(m.key)) {
             handOver.turnedUp(m.key);
@@ -1672,7 +1676,7 @@
     }
 
     private void tellLate(LateEnds point, Held m) {
-        String line = point.passed(m, wall());
+        String line = point.passed(m, steady());
         if (line != null) {
             Log.warn(line);
         }
@@ -1721,7 +1725,7 @@
         long giveUpAt = group.get(0).giveUpAt();
         for (Send s : group) {
             Held m = held.get(s.id());
-            if (m != null && route != null && journal.attempt(m, directory.uid(endpoint), wall())) {
+            if (m != null && route != null && journal.attempt(m, directory.uid(endpoint), steady())) {
                 items.add(new Receivers.Item(m, m.attempts - 1));
             } else if (m != null) {
                 m.attempts++;
@@ -1747,7 +1751,7 @@
             callOff(route, unwanted);
         }
         if (!wanted.isEmpty()) {
-            receivers.start(route, wanted, giveUpAt - now(), longestIdle, RepeatWindow.left(wanted, classes::type, wall()));
+            receivers.start(route, wanted, giveUpAt - now(), longestIdle, RepeatWindow.left(wanted, classes::type, steady()));
         }
     }
 
@@ -1823,7 +1827,7 @@
             Relay.Memory m = r.memory();
             found(m.destination(), m.health(), m.since());
             journal.remember(new Journal.Memory(m.destination(), directory.uid(m.endpoint()), m.health(),
-                    wall() - m.since() / 1_000, m.pace(), m.usual()));
+                    steady() - m.since() / 1_000, m.pace(), m.usual()));
         } else if (action instanceof Note n) {
             Log.warn("module: " + n.text());
         }
@@ -1950,7 +1954,7 @@
         Map<Long, Long> ends = new HashMap<>();
         for (Held m : journal.live()) {
             if (inOrder(m)) {
-                ends.merge(m.key, m.notice == null ? m.deadline : Math.max(m.deadline, wall() + NOTICE_MS), Math::max);
+                ends.merge(m.key, m.notice == null ? m.deadline : Math.max(m.deadline, steady() + NOTICE_MS), Math::max);
             }
         }
         arriving.values().stream().map(Arriving::message).filter(this::inOrder)
@@ -2064,7 +2068,7 @@
         }
 
         private long end(List<Held> messages) {
-            return messages.stream().mapToLong(m -> m.deadline).max().orElse(wall() + LONGEST_LIFE_MS);
+            return messages.stream().mapToLong(m -> m.deadline).max().orElse(steady() + LONGEST_LIFE_MS);
         }
 
         @Override
@@ -2121,7 +2125,7 @@
             }
             for (Held m : messages) {
                 int type = classes.number(m.className);
-                if (type < 0 || !directory.listed(m.destination) || m.deadline - wall() < Placement.LEAST_LEFT
+                if (type < 0 || !directory.listed(m.destination) || m.deadline - steady() < Placement.LEAST_LEFT
                         || !theirs.has(m.className) || !theirs.get(m.className).getAsString().equals(meaning(type))
                         || wouldBeLost(m, classes.type(type))) {
                     return Placement.No.UNFIT;
--- a/sender/src/test/java/amberroute/sender/JournalLotsTest.java
+++ b/sender/src/test/java/amberroute/sender/JournalLotsTest.java
@@ -172,7 +172,7 @@
                 most = Math.max(most, journal.used());
             }
             assertTrue(most < 1_600_000, "nothing was retired: " + most);
-            journal.dropOldLots();
+            journal.dropOldLots(System.currentTimeMillis());
         }
         try (Journal journal = open()) {
             assertEquals(2, journal.live().stream().filter(m -> m.frozen).count());
--- a/sender/src/test/java/amberroute/sender/SurvivalTest.java
+++ b/sender/src/test/java/amberroute/sender/SurvivalTest.java
@@ -88,7 +88,7 @@
     private Survival survival() throws Exception {
         Files.createDirectories(config.state());
         journal = Journal.open(config.state(), 1 << 20);
-        PeerProbes probes = new PeerProbes(loop, "one", "-", config.standalone().peers(), () -> System.nanoTime() / 1_000,
+        PeerProbes probes = new PeerProbes(loop, "one", "-", config.standalone().peers(), () -> System.nanoTime() / 1_000, 1,
                 () -> FleetView.Phase.READY);
         survival = loop.submit(() -> new Survival(loop, config, journal, probes, new Survival.Host() {
             @Override
