Wait for timers in whole milliseconds, so that the event loop never spins before one

Excluded: timers of the module (zero were due at once), turns, tasks (8 to 19 a second), unread keys.

Change: WholeMillisecondWaits round the loop's waits up.

--- a/sender/src/main/java/amberroute/sender/OpsServer.java
+++ b/sender/src/main/java/amberroute/sender/OpsServer.java
@@ -45,7 +45,8 @@
 
     private final BooleanSupplier ready;
     private final Supplier<String> metrics;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            WholeMillisecondWaits.around(NioIoHandler.newFactory()));
     private final Set<Channel> open = new LinkedHashSet<>();
     private InetSocketAddress bound;
 
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -228,7 +228,8 @@
         lock = succeeds ? StateLock.tryOwn(config.state(), config.standalone() != null)
                 : StateLock.take(config.state(), config.standalone() != null);
         group = around != null ? around.group
-                : new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), looks));
+                : new MultiThreadIoEventLoopGroup(1,
+                        WholeMillisecondWaits.around(NioIoHandler.newFactory(SelectorProvider.provider(), looks)));
         loop = around != null ? around.loop : group.next();
         control = new Control(loop, this::onControl);
         successors = succeeds ? new Successors(loop, new Giving()) : null;
