Go on accepting, delivering and ending in time while system calls fail

Cause, each seen on a real process with a preloaded library: one failing accept (ECONNABORTED, EMFILE, ENOBUFS) kept Netty from accepting for a second, three of them for 3,041 ms, where clients wait 400; while the disk took nothing (ENOSPC, EIO) safe messages were not called at all, and the notice of a message whose time was up waited for the disk, so that it had no final answer.

Change: a failed accept is tried again after 10 ms, logged; what may be repeated is called with its attempt unrecorded until the disk is back (not where copies are kept); at the end of its time a message's notice goes before its record, as no process calls it any more then.

A start on a disk that takes nothing was ready before too. Connects that fail here (EADDRNOTAVAIL, ENOBUFS, ENETUNREACH) held up a message under 4 s before and after.

--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -52,6 +52,8 @@
     private static final long PARTING_IDLE_MS = 250;
     /** After a request that makes no sense the next is read only after a pause, doubled with each in a row. */
     private static final long PAUSE_MS = 50;
+    /** Until accepting is tried again behind a failure: short beside what clients wait, long beside what a try costs. */
+    private static final long ACCEPT_PAUSE_MS = 10;
     private static final int MOST_BAD = 16;
     /** A connection that ends is read on, so that what was written to it arrives, but only for so many bytes. */
     private static final long LINGER_BYTES = 1 << 18;
@@ -105,6 +107,8 @@
     private Channel server;
     /** The socket is another process's too, or will be. */
     private boolean passedDown;
+    /** Whether who connects is accepted here, but for moments in which that fails. */
+    private boolean accepting = true;
     private boolean retiring;
     private boolean parted;
     /** Nobody is accepted any more but those who wait already. */
@@ -155,8 +159,19 @@
                 });
     }
 
-    /** Tells how long connections may have waited to be accepted. */
+    /** Tells how long connections may have waited to be accepted, and goes on where accepting one fails. */
     private final class Accepted extends ChannelInboundHandlerAdapter {
+        /**
+         * Netty's own way is to accept nobody for a second, which is longer than clients wait. A connection that was aborted concerns
+         * nobody else; with no descriptor or buffer left the others wait in the queue, and looking for them at once would spin.
+         */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            Log.warn("accept: failed, tried again in " + ACCEPT_PAUSE_MS + " ms: " + cause.getMessage());
+            context.channel().config().setAutoRead(false);
+            loop.schedule(() -> context.channel().config().setAutoRead(accepting), ACCEPT_PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             accepted++;
@@ -183,13 +198,18 @@
      */
     void retire() {
         retiring = true;
-        server.config().setAutoRead(false);
+        accept(false);
+    }
+
+    private void accept(boolean wanted) {
+        accepting = wanted;
+        server.config().setAutoRead(wanted);
     }
 
     /** Serves on after {@link #retire}: connections stay, and new ones are accepted. */
     void resume() {
         retiring = false;
-        server.config().setAutoRead(true);
+        accept(true);
     }
 
     /** Connections close behind their next answer, as this process leaves; new ones are still told so. */
@@ -217,7 +237,7 @@
         }
         if (passedDown) {
             // Those who connect now wait for the process that takes this one's place.
-            server.config().setAutoRead(false);
+            accept(false);
         } else {
             closeDoor();
         }
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -679,6 +679,20 @@
         return true;
     }
 
+    /**
+     * An attempt whose record the disk does not take now, of a message that may be repeated without harm: it is recorded as soon as it
+     * can be, and a restart before that makes the attempt once more.
+     */
+    void attemptUnrecorded(Held m, String uid, long wall) {
+        m.attempt(uid, wall);
+        mustWrite(m.number, new Batch().put(m.number, STANDING, standing(m)), NOTHING);
+    }
+
+    /** Whether a change of this message is not on the disk yet. */
+    boolean owes(Held m) {
+        return live.containsKey(m.number) && owed.containsKey(m.number);
+    }
+
     private static final Runnable NOTHING = () -> { };
 
     void outcome(Held m, boolean mayHaveRun) {
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -1688,6 +1688,19 @@
         tellLate(endedLate, m);
         figures.ended(m.className, as);
         journal.end(m, notice, () -> tell(m));
+        if (journal.owes(m)) {
+            loop.schedule(() -> tellUnrecorded(m), m.deadline - steady(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * Its time is up and the disk has not taken its end: whatever a restart finds of it, nobody calls it any more, so the notice may
+     * go first.
+     */
+    private void tellUnrecorded(Held m) {
+        if (!given && journal.owes(m)) {
+            notices.send(m);
+        }
     }
 
     /** Its end is written; it is told once that outlasts what it has to. */
@@ -1726,7 +1739,7 @@
         long giveUpAt = group.get(0).giveUpAt();
         for (Send s : group) {
             Held m = held.get(s.id());
-            if (m != null && route != null && journal.attempt(m, directory.uid(endpoint), steady())) {
+            if (m != null && route != null && recordAttempt(m, directory.uid(endpoint))) {
                 items.add(new Receivers.Item(m, m.attempts - 1));
             } else if (m != null) {
                 m.attempts++;
@@ -1743,6 +1756,18 @@
         }
     }
 
+    /** What may be repeated is delivered also while the disk takes nothing, unless others are told of each record. */
+    private boolean recordAttempt(Held m, String uid) {
+        if (journal.attempt(m, uid, steady())) {
+            return true;
+        }
+        if (classes.type(m.type).effect() != Relay.Effect.SAFE || survival != null || copying != null) {
+            return false;
+        }
+        journal.attemptUnrecorded(m, uid, steady());
+        return true;
+    }
+
     /** Their attempts are on the disk. What was called off meanwhile, or is over, does not go out any more. */
     private void start(Receivers.Route route, List<Receivers.Item> items, long giveUpAt, long longestIdle) {
         List<Receivers.Item> wanted = items.stream().filter(item -> held.containsKey(item.message().number)
--- a/sender/src/test/java/amberroute/sender/SteppedClock.java
+++ b/sender/src/test/java/amberroute/sender/SteppedClock.java
@@ -1,7 +1,6 @@
 package amberroute.sender;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.file.Files;
@@ -10,8 +9,6 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.junit.jupiter.api.Assumptions;
-
 /** A wall clock that tests step under running processes, by a library that is built here; needs a C compiler. */
 final class SteppedClock {
     private final Path library;
@@ -19,18 +16,8 @@
 
     /** Skips the test where the machine has no C compiler. */
     SteppedClock(Path folder) throws IOException, InterruptedException {
-        Path source = folder.resolve("step-clock.c");
-        try (InputStream text = SteppedClock.class.getResourceAsStream("/step-clock.c")) {
-            Files.copy(text, source);
-        }
-        library = folder.resolve("step-clock.so");
+        library = PreloadedLibrary.build(folder, "step-clock");
         step = folder.resolve("step");
-        Assumptions.assumeTrue(Files.isExecutable(Path.of("/usr/bin/cc")), "no C compiler at /usr/bin/cc: the clock cannot be stepped");
-        Process compiler = new ProcessBuilder("/usr/bin/cc", "-shared", "-fPIC", "-O1", "-o", library.toString(), source.toString(),
-                "-ldl").inheritIO().start();
-        if (compiler.waitFor() != 0) {
-            throw new IOException("the library cannot be built");
-        }
         step(0);
     }
 
