--- a/benchmarks/src/main/java/amberroute/oracle/DecisionsBenchmark.java
+++ b/benchmarks/src/main/java/amberroute/oracle/DecisionsBenchmark.java
@@ -1,12 +1,14 @@
 package amberroute.oracle;
 
+import amberroute.Policy;
+import amberroute.Relay;
+import amberroute.Relay.Event;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Fork;
@@ -20,10 +22,6 @@
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
 
-import amberroute.Policy;
-import amberroute.Relay;
-import amberroute.Relay.Event;
-
 /**
  * One arrival, one outcome and one turn with so many messages held over so many destinations, all slots taken: the present
  * module beside the one of before. What is held stays nearly the same: what leaves is as much as what comes.
@@ -33,7 +31,9 @@
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Warmup(iterations = 3, time = 1)
 @Measurement(iterations = 3, time = 1)
-@Fork(value = 1, jvmArgsAppend = {"-Xmx3g", "-XX:+UseSerialGC"})
+@Fork(
+        value = 1,
+        jvmArgsAppend = {"-Xmx3g", "-XX:+UseSerialGC"})
 public class DecisionsBenchmark {
     /** Microseconds between two arrivals. */
     private static final long STEP = 200;
@@ -59,32 +59,25 @@
         }
 
         @Override
-        public void refuse(long id, long retryAfter) {
-        }
+        public void refuse(long id, long retryAfter) {}
 
         @Override
-        public void fail(long id) {
-        }
+        public void fail(long id) {}
 
         @Override
-        public void cancel(long id, int attempt) {
-        }
+        public void cancel(long id, int attempt) {}
 
         @Override
-        public void closeIdle(long endpoint) {
-        }
+        public void closeIdle(long endpoint) {}
 
         @Override
-        public void wake(long delay, long token) {
-        }
+        public void wake(long delay, long token) {}
 
         @Override
-        public void follow() {
-        }
+        public void follow() {}
 
         @Override
-        public void log(String text) {
-        }
+        public void log(String text) {}
     };
 
     @Setup(Level.Trial)
@@ -92,15 +85,42 @@
         int held = Integer.parseInt(size.split("/")[0]);
         destinations = Integer.parseInt(size.split("/")[1]);
         List<Relay.MessageClass> classes = List.of(
-                new Relay.MessageClass(2, 0.5, 600_000_000L, 3_600_000_000L, Relay.Effect.SAFE, Relay.KeyScope.DESTINATION, 0, false),
-                new Relay.MessageClass(1, 0.5, 300_000_000L, 3_000_000_000L, Relay.Effect.KEYED, Relay.KeyScope.DESTINATION,
-                        3_600_000_000L, false),
-                new Relay.MessageClass(4, 0.5, 200_000_000L, 2_400_000_000L, Relay.Effect.UNSAFE, Relay.KeyScope.DESTINATION, 0, false));
-        Relay.Settings settings = new Relay.Settings(1, 1, 0, 5_000, false, 0.3, Relay.LateWorth.EVEN, Relay.WeightKind.NONE, classes,
-                List.of(), List.of(new Relay.Kind(false, 1)),
+                new Relay.MessageClass(
+                        2, 0.5, 600_000_000L, 3_600_000_000L, Relay.Effect.SAFE, Relay.KeyScope.DESTINATION, 0, false),
+                new Relay.MessageClass(
+                        1,
+                        0.5,
+                        300_000_000L,
+                        3_000_000_000L,
+                        Relay.Effect.KEYED,
+                        Relay.KeyScope.DESTINATION,
+                        3_600_000_000L,
+                        false),
+                new Relay.MessageClass(
+                        4,
+                        0.5,
+                        200_000_000L,
+                        2_400_000_000L,
+                        Relay.Effect.UNSAFE,
+                        Relay.KeyScope.DESTINATION,
+                        0,
+                        false));
+        Relay.Settings settings = new Relay.Settings(
+                1,
+                1,
+                0,
+                5_000,
+                false,
+                0.3,
+                Relay.LateWorth.EVEN,
+                Relay.WeightKind.NONE,
+                classes,
+                List.of(),
+                List.of(new Relay.Kind(false, 1)),
                 new Relay.Limits(32, 200_000, 12, false, true, true, 3_000_000, 1, 15_000_000, 1_000_000),
                 new Relay.Rules(300_000, 6_000_000, 0.15, 12_000_000, 2.5, 1_500_000, 100_000),
-                new Relay.Prices(0, 0, List.of()), new Relay.ReportFields(-1, -1));
+                new Relay.Prices(0, 0, List.of()),
+                new Relay.ReportFields(-1, -1));
         relay = module.equals("before") ? new OldPolicy(settings) : new Policy(settings);
         List<Relay.Entry> entries = new ArrayList<>();
         for (int d = 0; d < destinations; d++) {
@@ -124,8 +144,16 @@
 
     private void arrive() {
         int type = random.nextInt(3);
-        relay.step(now, new Event.Arrival(++ids, type, -1, 0, 3_600_000_000L - random.nextLong(600_000_000L),
-                random.nextInt(destinations)), actions);
+        relay.step(
+                now,
+                new Event.Arrival(
+                        ++ids,
+                        type,
+                        -1,
+                        0,
+                        3_600_000_000L - random.nextLong(600_000_000L),
+                        random.nextInt(destinations)),
+                actions);
     }
 
     /** So many arrive for one destination in one turn. */
@@ -141,15 +169,29 @@
     void resume(int messages) {
         now += STEP;
         for (int i = 0; i < messages; i++) {
-            relay.step(now, new Event.Resumed(++ids, random.nextInt(3), 0, 3_600_000_000L - random.nextLong(600_000_000L), random.nextInt(destinations), 0, -1,
-                    0, false), actions);
+            relay.step(
+                    now,
+                    new Event.Resumed(
+                            ++ids,
+                            random.nextInt(3),
+                            0,
+                            3_600_000_000L - random.nextLong(600_000_000L),
+                            random.nextInt(destinations),
+                            0,
+                            -1,
+                            0,
+                            false),
+                    actions);
         }
         turn();
     }
 
     private void answer() {
         long[] call = calls.poll();
-        relay.step(now, new Event.Outcome(call[0], 0, call[1], Relay.Ending.OK, Math.max(1, now - call[2]), true, 0, List.of(), 0),
+        relay.step(
+                now,
+                new Event.Outcome(
+                        call[0], 0, call[1], Relay.Ending.OK, Math.max(1, now - call[2]), true, 0, List.of(), 0),
                 actions);
     }
 
--- a/benchmarks/src/main/java/amberroute/oracle/ScaleFigures.java
+++ b/benchmarks/src/main/java/amberroute/oracle/ScaleFigures.java
@@ -7,8 +7,7 @@
  * for one destination with 100,000 held, and the one that resumes 100,000. Prints; asserts nothing.
  */
 final class ScaleFigures {
-    private ScaleFigures() {
-    }
+    private ScaleFigures() {}
 
     private static long used() {
         for (int i = 0; i < 4; i++) {
@@ -46,8 +45,15 @@
             from = System.nanoTime();
             resumed.resume(100_000);
             long resume = System.nanoTime() - from;
-            System.out.printf(Locale.ROOT, "%-6s %d bytes a message; 10,000 (before: 500) arrive at 100,000 held: %.0f ms, the step behind it %.2f ms; "
-                    + "100,000 resume in one turn: %.0f ms%n", module, bytes, clump / 1e6, next / 1e6, resume / 1e6);
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-6s %d bytes a message; 10,000 (before: 500) arrive at 100,000 held: %.0f ms, the step behind it %.2f ms; "
+                            + "100,000 resume in one turn: %.0f ms%n",
+                    module,
+                    bytes,
+                    clump / 1e6,
+                    next / 1e6,
+                    resume / 1e6);
         }
     }
 }
--- a/cli/src/main/java/amberroute/cli/AdoptionRig.java
+++ b/cli/src/main/java/amberroute/cli/AdoptionRig.java
@@ -1,5 +1,11 @@
 package amberroute.cli;
 
+import amberroute.fleet.FleetClient;
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,22 +16,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.FleetClient;
-import amberroute.testkit.Book;
-import amberroute.testkit.Clients;
-import amberroute.testkit.Partner;
-import amberroute.testkit.Stage;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "adoption", mixinStandardHelpOptions = true, description = {
-    "Under load, one daemon after another is killed or stopped at a random moment, and replaced by one with a folder of",
-    "its own that takes the old one's over; now and then the replacement is killed meanwhile, and one more follows.",
-    "Exit code 0 where nothing was lost, doubled or out of order, every notice came in time and every zombie ended itself."})
+@Command(
+        name = "adoption",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Under load, one daemon after another is killed or stopped at a random moment, and replaced by one with a folder of",
+            "its own that takes the old one's over; now and then the replacement is killed meanwhile, and one more follows.",
+            "Exit code 0 where nothing was lost, doubled or out of order, every notice came in time and every zombie ended itself."
+        })
 final class AdoptionRig implements Callable<Integer> {
     private static final long READY_MS = 30_000;
     private static final int DESTINATIONS = 4;
@@ -33,10 +34,13 @@
 
     @Option(names = "--daemons", defaultValue = "3", description = "how many (${DEFAULT-VALUE})")
     private int daemons;
+
     @Option(names = "--rounds", defaultValue = "100", description = "daemons that are taken over (${DEFAULT-VALUE})")
     private int rounds;
+
     @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
     private long seed;
+
     @Option(names = "--per-second", defaultValue = "60", description = "messages a second (${DEFAULT-VALUE})")
     private double perSecond;
 
@@ -68,14 +72,26 @@
             }
             Path state = folder.resolve("s" + index + "-" + folders.size());
             folders.add(state);
-            ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-                    "-Xmx64m", "-Xss512k", "-jar", Home.daemonJar().toString(), "serve", "--config", file.toString());
+            ProcessBuilder builder = new ProcessBuilder(
+                    "java",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Xshare:auto",
+                    "-Xmx64m",
+                    "-Xss512k",
+                    "-jar",
+                    Home.daemonJar().toString(),
+                    "serve",
+                    "--config",
+                    file.toString());
             builder.environment().put("GW_NAME", "d" + index);
             builder.environment().put("GW_LISTEN", "127.0.0.1:" + port);
             builder.environment().put("GW_STATE", state.toString());
             builder.environment().put("GW_ADOPT", String.join(":", old));
             process = builder.redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("d" + index + ".log").toFile())).start();
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                            folder.resolve("d" + index + ".log").toFile()))
+                    .start();
         }
 
         Path state() {
@@ -84,8 +100,10 @@
 
         boolean ready() {
             try {
-                return FleetClient.ask(state().resolve("control"), FleetClient.request("status")).get("state")
-                        .getAsString().equals("ready");
+                return FleetClient.ask(state().resolve("control"), FleetClient.request("status"))
+                        .get("state")
+                        .getAsString()
+                        .equals("ready");
             } catch (IOException | RuntimeException e) {
                 return false;
             }
@@ -95,8 +113,11 @@
             long end = System.nanoTime() + READY_MS * 1_000_000;
             while (!ready()) {
                 if (System.nanoTime() > end || !process.isAlive()) {
-                    throw new IOException("daemon " + index + " is not ready: " + Files.readString(folder.resolve("d" + index
-                            + ".log")).lines().reduce((a, b) -> b).orElse("") );
+                    throw new IOException("daemon " + index + " is not ready: "
+                            + Files.readString(folder.resolve("d" + index + ".log"))
+                                    .lines()
+                                    .reduce((a, b) -> b)
+                                    .orElse(""));
                 }
                 Thread.sleep(10);
             }
@@ -135,7 +156,7 @@
                     System.out.println((round + 1) + " rounds: " + stage.totals());
                 }
             }
-            stage.settle(() -> { });
+            stage.settle(() -> {});
             return result(stage);
         } finally {
             for (Slot slot : slots) {
@@ -189,7 +210,9 @@
     }
 
     private static void signal(String name, Process process) throws Exception {
-        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid())
+                .start()
+                .waitFor();
     }
 
     /** As the daemons' logs tell. */
--- a/cli/src/main/java/amberroute/cli/AllSeeing.java
+++ b/cli/src/main/java/amberroute/cli/AllSeeing.java
@@ -1,13 +1,12 @@
 package amberroute.cli;
 
+import amberroute.testkit.Book;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-import amberroute.testkit.Book;
-
 /**
  * What a fleet served of the worth that it was asked for, and what one modelled sender would have that has all messages before it from
  * the moment on which their clients first came, and whose every call is answered at once: at each moment at which a destination can
@@ -15,7 +14,8 @@
  * does not look ahead; but no sender knows more than it does.
  */
 final class AllSeeing {
-    private static final Map<String, Double> WORTH = Map.of("quote-status", 2.0, "policy-order", 1.0, "premium-charge", 4.0);
+    private static final Map<String, Double> WORTH =
+            Map.of("quote-status", 2.0, "policy-order", 1.0, "premium-charge", 4.0);
     private static final double LATE = 0.5;
 
     /** One message over all its hand-ins; times in microseconds, {@code doneAt} 0 where it was not delivered. */
@@ -25,18 +25,22 @@
         }
     }
 
-    private AllSeeing() {
-    }
+    private AllSeeing() {}
 
     /** The messages whose clients first came within a span. */
     static List<Message> messages(List<Book.Entry> entries, long from, long to) {
         Map<String, List<Book.Entry>> byOrigin = new HashMap<>();
-        entries.forEach(e -> byOrigin.computeIfAbsent(e.origin, o -> new ArrayList<>()).add(e));
+        entries.forEach(
+                e -> byOrigin.computeIfAbsent(e.origin, o -> new ArrayList<>()).add(e));
         List<Message> out = new ArrayList<>();
         for (List<Book.Entry> tries : byOrigin.values()) {
             Book.Entry one = tries.get(0);
             long first = tries.stream().mapToLong(Book.Entry::handedAt).min().orElse(0);
-            long done = tries.stream().filter(e -> e.end() == Book.End.DELIVERED).mapToLong(Book.Entry::endedAt).min().orElse(0);
+            long done = tries.stream()
+                    .filter(e -> e.end() == Book.End.DELIVERED)
+                    .mapToLong(Book.Entry::endedAt)
+                    .min()
+                    .orElse(0);
             if (first >= from && first < to) {
                 out.add(new Message(WORTH.get(one.className), one.destination, first, one.aim, one.deadline, done));
             }
@@ -45,14 +49,20 @@
     }
 
     static double served(List<Message> messages) {
-        return messages.stream().mapToDouble(m -> m.doneAt() == 0 ? 0 : m.worthAt(m.doneAt())).sum();
+        return messages.stream()
+                .mapToDouble(m -> m.doneAt() == 0 ? 0 : m.worthAt(m.doneAt()))
+                .sum();
     }
 
     /** With so many calls a second at each destination, where every call carries one message. */
     static double best(List<Message> messages, double perSecond) {
         Map<Integer, List<Message>> byDestination = new HashMap<>();
-        messages.forEach(m -> byDestination.computeIfAbsent(m.destination(), d -> new ArrayList<>()).add(m));
-        return byDestination.values().stream().mapToDouble(all -> bestAt(all, perSecond)).sum();
+        messages.forEach(m -> byDestination
+                .computeIfAbsent(m.destination(), d -> new ArrayList<>())
+                .add(m));
+        return byDestination.values().stream()
+                .mapToDouble(all -> bestAt(all, perSecond))
+                .sum();
     }
 
     private static double bestAt(List<Message> all, double perSecond) {
@@ -67,8 +77,10 @@
             }
             long at = now;
             waiting.removeIf(m -> m.deadline() < at);
-            Message best = waiting.stream().max(Comparator.comparingDouble((Message m) -> m.worthAt(at))
-                    .thenComparing(m -> -m.aim())).orElse(null);
+            Message best = waiting.stream()
+                    .max(Comparator.comparingDouble((Message m) -> m.worthAt(at))
+                            .thenComparing(m -> -m.aim()))
+                    .orElse(null);
             if (best != null) {
                 waiting.remove(best);
                 sum += best.worthAt(now);
--- a/cli/src/main/java/amberroute/cli/CheckCommand.java
+++ b/cli/src/main/java/amberroute/cli/CheckCommand.java
@@ -1,25 +1,27 @@
 package amberroute.cli;
 
+import amberroute.fleet.Definition;
+import amberroute.sender.StandaloneConfig;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
-
-import amberroute.fleet.Definition;
-import amberroute.sender.StandaloneConfig;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "check", mixinStandardHelpOptions = true,
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
         description = "Reads a sender file or a service definition and says what is wrong with it; starts nothing.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(arity = "0..1", paramLabel = "FILE", description = "a service definition, or a sender file")
     private Path file;
 
-    @Option(names = "--keys", description = "lists all keys of both files instead, with type, bounds, default and meaning")
+    @Option(
+            names = "--keys",
+            description = "lists all keys of both files instead, with type, bounds, default and meaning")
     private boolean keys;
 
     @Override
@@ -32,12 +34,20 @@
             return 0;
         }
         // Which of the two it is shows in keys that only a definition has.
-        boolean fleet = Files.exists(file) && Files.readString(file).lines().anyMatch(l -> l.matches("\\s*(count|sender)\\s*=.*"));
+        boolean fleet = Files.exists(file)
+                && Files.readString(file).lines().anyMatch(l -> l.matches("\\s*(count|sender)\\s*=.*"));
         if (fleet) {
             Definition definition = Definition.read(file, Path.of("amberroute.jar"));
             for (Definition.Instance i : definition.instances()) {
-                StandaloneConfig.check(i.sender(), Map.of("GW_NAME", i.name(), "GW_LISTEN", i.listen(),
-                        "GW_STATE", i.state().toString()));
+                StandaloneConfig.check(
+                        i.sender(),
+                        Map.of(
+                                "GW_NAME",
+                                i.name(),
+                                "GW_LISTEN",
+                                i.listen(),
+                                "GW_STATE",
+                                i.state().toString()));
             }
             System.out.println(definition.summary());
         } else {
--- a/cli/src/main/java/amberroute/cli/ClassArchive.java
+++ b/cli/src/main/java/amberroute/cli/ClassArchive.java
@@ -1,5 +1,8 @@
 package amberroute.cli;
 
+import amberroute.testkit.Partner;
+import amberroute.testkit.RespRequest;
+import amberroute.testkit.Stage;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -15,10 +18,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import amberroute.testkit.Partner;
-import amberroute.testkit.RespRequest;
-import amberroute.testkit.Stage;
-
 /**
  * Makes the class-data archive that shortens the daemon's start (AppCDS), at the end of the build: a daemon serves a few
  * messages on stand-ins, then the JVM writes the classes that it has loaded. An archive belongs to one JVM and these very
@@ -30,8 +29,7 @@
     private static final int MESSAGES = 12;
     private static final long MOST_MS = 30_000;
 
-    private ClassArchive() {
-    }
+    private ClassArchive() {}
 
     /** Takes the daemon's jar and the archive's path. */
     public static void main(String[] args) throws IOException {
@@ -51,12 +49,23 @@
         Path log = folder.resolve("log");
         try (Stage stage = new Stage(1)) {
             stage.destination(1, 1, Partner.Figures.roomy(), "std");
-            Files.writeString(folder.resolve("config.json"), config(stage.platform().address()));
+            Files.writeString(
+                    folder.resolve("config.json"), config(stage.platform().address()));
             // The collector has to be that of the daemon; a relative path in the jar's manifest does the rest.
-            List<String> command = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-                    "-Xshare:auto", "-Xmx40m", "-XX:+RecordDynamicDumpInfo", "-Dio.netty.allocator.type=unpooled",
-                    "-Dio.netty.noPreferDirect=true", "-jar", jar.toString(), "serve"));
-            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+            List<String> command = new ArrayList<>(List.of(
+                    "java",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Xshare:auto",
+                    "-Xmx40m",
+                    "-XX:+RecordDynamicDumpInfo",
+                    "-Dio.netty.allocator.type=unpooled",
+                    "-Dio.netty.noPreferDirect=true",
+                    "-jar",
+                    jar.toString(),
+                    "serve"));
+            ProcessBuilder builder =
+                    new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
             builder.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
             builder.environment().put("GW_STATE", folder.resolve("state").toString());
             builder.environment().keySet().removeAll(List.of("GW_LISTEN", "GW_DISCOVERY", "GW_NAME"));
@@ -80,20 +89,21 @@
             }
             Thread.sleep(10);
         }
-        throw new IOException("the daemon is not ready: " + Files.readString(log).replaceAll("\\p{Cntrl}+", " "));
+        throw new IOException(
+                "the daemon is not ready: " + Files.readString(log).replaceAll("\\p{Cntrl}+", " "));
     }
 
     /** One message after another, of each class, some of which nobody delivers in time. */
     private static void serve(InetSocketAddress address) throws IOException {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setSoTimeout(5_000);
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                    StandardCharsets.ISO_8859_1));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (int i = 0; i < MESSAGES; i++) {
                 String options = "c=" + List.of("safe", "keyed", "unsafe").get(i % 3) + ",d=" + (i == 0 ? 1 : 2_000)
                         + ",dest=1,k=k" + i;
-                socket.getOutputStream().write(RespRequest.of("SUBMIT", "000000000000000" + i % 3, "archive" + i, options,
-                        "body"));
+                socket.getOutputStream()
+                        .write(RespRequest.of("SUBMIT", "000000000000000" + i % 3, "archive" + i, options, "body"));
                 in.readLine();
             }
         }
@@ -102,9 +112,15 @@
     private static void dump(Process daemon, Path file) throws Exception {
         Files.deleteIfExists(file);
         Path java = Path.of(daemon.info().command().orElseThrow(() -> new IOException("the JVM's path is not told")));
-        Process jcmd = new ProcessBuilder(java.resolveSibling("jcmd").toString(), Long.toString(daemon.pid()),
-                "VM.cds", "dynamic_dump", file.toString()).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        Process jcmd = new ProcessBuilder(
+                        java.resolveSibling("jcmd").toString(),
+                        Long.toString(daemon.pid()),
+                        "VM.cds",
+                        "dynamic_dump",
+                        file.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
         if (!jcmd.waitFor(MOST_MS, TimeUnit.MILLISECONDS) || !Files.exists(file)) {
             jcmd.destroyForcibly();
             throw new IOException("this JVM writes no archive");
@@ -127,6 +143,7 @@
                    {"name":"keyed","effect":"token","dedup_scope":"all","importance":1,"goal_time_us":500000,
                     "deadline_us":2000000,"key_ttl_us":5000000,"sequential":true},
                    {"name":"unsafe","effect":"side_effect","importance":4,"goal_time_us":500000,"deadline_us":2000000}]}}
-                """.formatted(platform);
+                """
+                .formatted(platform);
     }
 }
--- a/cli/src/main/java/amberroute/cli/ColdFleetRig.java
+++ b/cli/src/main/java/amberroute/cli/ColdFleetRig.java
@@ -1,52 +1,70 @@
 package amberroute.cli;
 
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.Callable;
-
-import com.google.gson.JsonObject;
-
 import amberroute.fleet.Definition;
 import amberroute.fleet.Supervision;
 import amberroute.testkit.Book;
 import amberroute.testkit.Clients;
 import amberroute.testkit.Partner;
 import amberroute.testkit.Stage;
+import com.google.gson.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "cold-fleet", mixinStandardHelpOptions = true, description = {
-    "A fleet before one partner that is cold, under a full backlog: once the partner comes back from an outage that the fleet",
-    "has seen (returning), once the fleet itself starts with nothing but a cold partner before it (starting); each with the",
-    "common limit and without. The load is counted as a share of what brings the partner down. Exit code 0 where with the",
-    "limit it stayed at or below 1 in both, where starting without it did not, and where all books close."})
+@Command(
+        name = "cold-fleet",
+        mixinStandardHelpOptions = true,
+        description = {
+            "A fleet before one partner that is cold, under a full backlog: once the partner comes back from an outage that the fleet",
+            "has seen (returning), once the fleet itself starts with nothing but a cold partner before it (starting); each with the",
+            "common limit and without. The load is counted as a share of what brings the partner down. Exit code 0 where with the",
+            "limit it stayed at or below 1 in both, where starting without it did not, and where all books close."
+        })
 final class ColdFleetRig implements Callable<Integer> {
     private static final long READY_MS = 60_000;
     /** Warm capacity in messages a second, by calls of 20 ms. */
     private static final int SERVICE = 20_000;
     /** How much more than its capacity comes in the first moment after a start, and for how long. */
     private static final double BURST = 5;
+
     private static final long BURST_MS = 1_000;
 
     @Option(names = "--daemons", defaultValue = "20", description = "how many (${DEFAULT-VALUE})")
     private int daemons;
+
     @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
     private long seed;
-    @Option(names = "--slots", defaultValue = "2", description = "the partner's; each carries 50 messages a second (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--slots",
+            defaultValue = "2",
+            description = "the partner's; each carries 50 messages a second (${DEFAULT-VALUE})")
     private int slots;
-    @Option(names = "--usual", defaultValue = "0.9", description = "usual load as a share of the partner's capacity (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--usual",
+            defaultValue = "0.9",
+            description = "usual load as a share of the partner's capacity (${DEFAULT-VALUE})")
     private double usual;
-    @Option(names = "--quiet", defaultValue = "16", description = "seconds of usual load before the outage (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--quiet",
+            defaultValue = "16",
+            description = "seconds of usual load before the outage (${DEFAULT-VALUE})")
     private int quiet;
+
     @Option(names = "--outage", defaultValue = "8", description = "seconds that the partner is out (${DEFAULT-VALUE})")
     private int outage;
+
     @Option(names = "--starting-only", description = "leave out the fleet that sees its partner return")
     private boolean startingOnly;
 
     /** What came of one run: times in milliseconds from the return on, -1 for never. */
-    private record Seen(double share, long falls, long usualMs, long answered, boolean books) { }
+    private record Seen(double share, long falls, long usualMs, long answered, boolean books) {}
 
     private double capacity() {
         return slots * 1e6 / SERVICE;
@@ -72,7 +90,9 @@
         }
         add(out, "starting", starting);
         add(out, "starting_free", startingFree);
-        boolean ok = (startingOnly || kept(returning) && returningFree.books()) && kept(starting) && startingFree.books()
+        boolean ok = (startingOnly || kept(returning) && returningFree.books())
+                && kept(starting)
+                && startingFree.books()
                 && startingFree.share() > 1;
         out.addProperty("ok", ok);
         System.out.println(out);
@@ -99,17 +119,21 @@
         Partner.Figures figures = Partner.Figures.roomy().sized(slots, 4 * slots, SERVICE);
         stage.destination(1, 1, figures, "single");
         int port = Stage.freePorts(2 * daemons, seed);
-        stage.senderFile(folder, daemons, "cold.span = \"" + figures.coldSpan() / 1_000 + "ms\"\ncold.from = "
-                + figures.coldFrom());
+        stage.senderFile(
+                folder,
+                daemons,
+                "cold.span = \"" + figures.coldSpan() / 1_000 + "ms\"\ncold.from = " + figures.coldFrom());
         String more = "start.at_once = " + daemons + "\nhandover.listen = \"127.0.0.1:" + (port + daemons) + "\"\n"
                 + (gentle ? "handover.gentle = true\n" : "");
         Path file = stage.fleetFile(folder, daemons, port, Home.daemonJar(), more);
         Clients clients = stage.clients(Stage.addresses(port, daemons), Stage.kinds());
         LocalFleet fleet = new LocalFleet(Definition.read(file, Home.daemonJar()));
-        try (stage; fleet) {
+        try (stage;
+                fleet) {
             Clients.Load load = new Clients.Load(usual * capacity(), 0, 1, 200, 8);
             if (starting) {
-                // All daemons are there and have called nobody yet; the partner has just started, and all clients come at once.
+                // All daemons are there and have called nobody yet; the partner has just started, and all clients come
+                // at once.
                 fleet.start();
                 fleet.awaitReady(READY_MS);
                 stage.become(1, Partner.Mode.DEAD);
@@ -129,12 +153,12 @@
             }
             long usualMs = follow(stage, figures.coldSpan() / 1_000 + 6_000);
             long answered = stage.totals().delivered();
-            stage.settle(() -> { });
+            stage.settle(() -> {});
             fleet.stop(Supervision.Mode.FINAL);
             Book.Totals t = stage.totals();
             Seen seen = new Seen(stage.highestColdShare(), stage.falls(), usualMs, answered, t.ok() && t.taken() > 0);
-            System.out.println((starting ? "starting" : "returning") + (gentle ? " with the limit: " : " without: ") + seen + " "
-                    + t);
+            System.out.println((starting ? "starting" : "returning") + (gentle ? " with the limit: " : " without: ")
+                    + seen + " " + t);
             return seen;
         } finally {
             LocalFleet.delete(folder);
--- a/cli/src/main/java/amberroute/cli/DemoCommand.java
+++ b/cli/src/main/java/amberroute/cli/DemoCommand.java
@@ -1,25 +1,31 @@
 package amberroute.cli;
 
+import com.google.gson.JsonObject;
 import java.util.List;
 import java.util.concurrent.Callable;
-
-import com.google.gson.JsonObject;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "demo", mixinStandardHelpOptions = true, description = {
-    "Plays a fleet on this machine: stand-in partners, discovery and clients on loopback, an outage and a rolling restart.",
-    "Ends with the books: exit code 0 where no message was lost, doubled or out of order, 3 where one was."})
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays a fleet on this machine: stand-in partners, discovery and clients on loopback, an outage and a rolling restart.",
+            "Ends with the books: exit code 0 where no message was lost, doubled or out of order, 3 where one was."
+        })
 final class DemoCommand implements Callable<Integer> {
     @Option(names = "--seconds", defaultValue = "60", description = "how long, about; 10 at least (${DEFAULT-VALUE})")
     private int seconds;
+
     @Option(names = "--daemons", defaultValue = "3", description = "how many senders (${DEFAULT-VALUE})")
     private int daemons;
+
     @Option(names = "--seed", description = "for all random choices; a new one if not told")
     private Long seed;
+
     @Option(names = "--per-second", defaultValue = "200", description = "messages a second (${DEFAULT-VALUE})")
     private double perSecond;
+
     @Option(names = "--json", description = "only the last line, one JSON object")
     private boolean json;
 
@@ -31,8 +37,16 @@
         long drawn = seed != null ? seed : System.nanoTime() & 0xffffff;
         boolean terminal = System.console() != null && !json;
         long quiet = seconds * 300L;
-        Play.Plan plan = new Play.Plan(daemons, drawn, perSecond, quiet, Math.max(1_500, seconds * 100L), 1,
-                seconds * 200L, 0, "rolling.at_once = " + Math.max(1, daemons / 10) + "\n");
+        Play.Plan plan = new Play.Plan(
+                daemons,
+                drawn,
+                perSecond,
+                quiet,
+                Math.max(1_500, seconds * 100L),
+                1,
+                seconds * 200L,
+                0,
+                "rolling.at_once = " + Math.max(1, daemons / 10) + "\n");
         Screen screen = new Screen(terminal);
         try (Play play = new Play(plan, line -> {
             if (!json) {
@@ -42,16 +56,18 @@
             if (!json) {
                 System.out.println("seed " + drawn + "; files in " + play.folder());
             }
-            Thread table = new Thread(() -> {
-                try {
-                    while (true) {
-                        Thread.sleep(terminal ? 250 : 2_000);
-                        screen.show(terminal ? play.table() : List.of(play.line()));
-                    }
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }, "table");
+            Thread table = new Thread(
+                    () -> {
+                        try {
+                            while (true) {
+                                Thread.sleep(terminal ? 250 : 2_000);
+                                screen.show(terminal ? play.table() : List.of(play.line()));
+                            }
+                        } catch (InterruptedException e) {
+                            Thread.currentThread().interrupt();
+                        }
+                    },
+                    "table");
             table.setDaemon(true);
             if (!json) {
                 table.start();
--- a/cli/src/main/java/amberroute/cli/EstateCommand.java
+++ b/cli/src/main/java/amberroute/cli/EstateCommand.java
@@ -1,26 +1,31 @@
 package amberroute.cli;
 
+import amberroute.fleet.FleetClient;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.FleetClient;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "estate", mixinStandardHelpOptions = true, subcommands = {EstateCommand.ListAll.class, EstateCommand.Show.class,
-    EstateCommand.Take.class, EstateCommand.Release.class},
-    description = "What a daemon has in hand, who holds copies of it, and what it holds for others.")
+@Command(
+        name = "estate",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            EstateCommand.ListAll.class,
+            EstateCommand.Show.class,
+            EstateCommand.Take.class,
+            EstateCommand.Release.class
+        },
+        description = "What a daemon has in hand, who holds copies of it, and what it holds for others.")
 final class EstateCommand {
     /** A command about one estate that a daemon knows. */
     abstract static class OfOne implements Callable<Integer> {
         @Parameters(paramLabel = "ESTATE", description = "as list names it")
         protected String estate;
+
         @Option(names = "--by", required = true, paramLabel = "SOCKET", description = "the daemon's control socket")
         protected Path control;
     }
@@ -33,14 +38,18 @@
         return answer;
     }
 
-    @Command(name = "list", mixinStandardHelpOptions = true, description = "One line for each estate that the daemon knows.")
+    @Command(
+            name = "list",
+            mixinStandardHelpOptions = true,
+            description = "One line for each estate that the daemon knows.")
     static final class ListAll implements Callable<Integer> {
         @Option(names = "--by", required = true, paramLabel = "SOCKET", description = "the daemon's control socket")
         private Path control;
 
         @Override
         public Integer call() throws IOException {
-            System.out.printf("%-28s %-12s %-16s %6s %9s  %s%n", "ESTATE", "HERE", "OWNER", "TERM", "CHANGE", "HOLDERS (BEHIND)");
+            System.out.printf(
+                    "%-28s %-12s %-16s %6s %9s  %s%n", "ESTATE", "HERE", "OWNER", "TERM", "CHANGE", "HOLDERS (BEHIND)");
             for (JsonElement each : ask(control, FleetClient.request("estates")).getAsJsonArray("estates")) {
                 JsonObject one = each.getAsJsonObject();
                 StringBuilder holders = new StringBuilder();
@@ -53,14 +62,23 @@
                     }
                     holders.append(' ');
                 }
-                System.out.printf("%-28s %-12s %-16s %6d %9d  %s%n", one.get("estate").getAsString(), one.get("here").getAsString(),
-                        one.get("owner").getAsString(), one.get("term").getAsLong(), one.get("number").getAsLong(), holders);
+                System.out.printf(
+                        "%-28s %-12s %-16s %6d %9d  %s%n",
+                        one.get("estate").getAsString(),
+                        one.get("here").getAsString(),
+                        one.get("owner").getAsString(),
+                        one.get("term").getAsLong(),
+                        one.get("number").getAsLong(),
+                        holders);
             }
             return 0;
         }
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true, description = "All that the daemon knows of one estate, as JSON.")
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
+            description = "All that the daemon knows of one estate, as JSON.")
     static final class Show extends OfOne {
         @Override
         public Integer call() throws IOException {
@@ -75,8 +93,12 @@
         }
     }
 
-    @Command(name = "take", mixinStandardHelpOptions = true, description = {
-        "The daemon tries for an estate now, if it has a copy and has not just heard of the owner. The group still decides."})
+    @Command(
+            name = "take",
+            mixinStandardHelpOptions = true,
+            description = {
+                "The daemon tries for an estate now, if it has a copy and has not just heard of the owner. The group still decides."
+            })
     static final class Take extends OfOne {
         @Override
         public Integer call() throws IOException {
@@ -86,8 +108,12 @@
         }
     }
 
-    @Command(name = "release", mixinStandardHelpOptions = true, description = {
-        "The daemon lets go of an estate that it has taken over, where another holder has all of it; that one goes on with it."})
+    @Command(
+            name = "release",
+            mixinStandardHelpOptions = true,
+            description = {
+                "The daemon lets go of an estate that it has taken over, where another holder has all of it; that one goes on with it."
+            })
     static final class Release extends OfOne {
         @Override
         public Integer call() throws IOException {
--- a/cli/src/main/java/amberroute/cli/FleetCommand.java
+++ b/cli/src/main/java/amberroute/cli/FleetCommand.java
@@ -1,33 +1,42 @@
 package amberroute.cli;
 
-import java.io.IOException;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.Callable;
-
-import com.google.gson.JsonArray;
-import com.google.gson.JsonObject;
-
 import amberroute.fleet.Definition;
 import amberroute.fleet.FleetClient;
 import amberroute.fleet.Supervision;
 import amberroute.fleet.Supervisor;
 import amberroute.sender.ServiceNotify;
 import amberroute.sender.SignalHook;
-
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "fleet", mixinStandardHelpOptions = true, description = "Many daemons from one service definition.",
-        subcommands = {FleetCommand.Up.class, FleetCommand.Status.class, FleetCommand.Restart.class,
-            FleetCommand.Reload.class, FleetCommand.Scale.class, FleetCommand.Stop.class})
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
+        description = "Many daemons from one service definition.",
+        subcommands = {
+            FleetCommand.Up.class,
+            FleetCommand.Status.class,
+            FleetCommand.Restart.class,
+            FleetCommand.Reload.class,
+            FleetCommand.Scale.class,
+            FleetCommand.Stop.class
+        })
 final class FleetCommand {
 
     /** What all of them are told. */
     abstract static class OfFleet implements Callable<Integer> {
-        @Option(names = {"-f", "--file"}, defaultValue = "deploy/fleet.toml", paramLabel = "FILE",
+        @Option(
+                names = {"-f", "--file"},
+                defaultValue = "deploy/fleet.toml",
+                paramLabel = "FILE",
                 description = "the service definition (${DEFAULT-VALUE})")
         Path file;
 
@@ -52,9 +61,14 @@
         }
     }
 
-    @Command(name = "up", mixinStandardHelpOptions = true, description = {"Supervises the fleet in the foreground.",
-        "SIGTERM stops it for a later start, SIGHUP makes all daemons read their files again. Daemons that an earlier "
-                + "supervisor left running are taken over."})
+    @Command(
+            name = "up",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Supervises the fleet in the foreground.",
+                "SIGTERM stops it for a later start, SIGHUP makes all daemons read their files again. Daemons that an earlier "
+                        + "supervisor left running are taken over."
+            })
     static final class Up extends OfFleet {
         @Override
         public Integer call() throws Exception {
@@ -70,7 +84,9 @@
         }
     }
 
-    @Command(name = "status", mixinStandardHelpOptions = true,
+    @Command(
+            name = "status",
+            mixinStandardHelpOptions = true,
             description = "Shows each daemon. Exit code 0 where all are ready, 3 where not.")
     static final class Status extends OfFleet {
         @Option(names = "--json", description = "one JSON object")
@@ -90,24 +106,34 @@
 
     static List<String> table(JsonObject status) {
         List<String> lines = new ArrayList<>();
-        lines.add(String.format("%-16s %-9s %8s %7s %6s %5s %6s  %s", "daemon", "state", "for s", "pid", "starts",
-                "held", "calls", "listens on"));
+        lines.add(String.format(
+                "%-16s %-9s %8s %7s %6s %5s %6s  %s",
+                "daemon", "state", "for s", "pid", "starts", "held", "calls", "listens on"));
         status.getAsJsonArray("daemons").forEach(item -> {
             JsonObject d = item.getAsJsonObject();
-            lines.add(String.format("%-16s %-9s %8.1f %7d %6d %5s %6s  %s", d.get("name").getAsString(),
-                    d.get("state").getAsString(), d.get("for_ms").getAsLong() / 1e3, d.get("pid").getAsLong(),
-                    d.get("starts").getAsLong(), d.has("held") ? d.get("held").getAsString() : "-",
-                    d.has("calls") ? d.get("calls").getAsString() : "-", d.get("listen").getAsString()));
+            lines.add(String.format(
+                    "%-16s %-9s %8.1f %7d %6d %5s %6s  %s",
+                    d.get("name").getAsString(),
+                    d.get("state").getAsString(),
+                    d.get("for_ms").getAsLong() / 1e3,
+                    d.get("pid").getAsLong(),
+                    d.get("starts").getAsLong(),
+                    d.has("held") ? d.get("held").getAsString() : "-",
+                    d.has("calls") ? d.get("calls").getAsString() : "-",
+                    d.get("listen").getAsString()));
         });
         lines.add("rolling restart: " + status.get("rolling").getAsString());
         return lines;
     }
 
-    @Command(name = "restart", mixinStandardHelpOptions = true,
+    @Command(
+            name = "restart",
+            mixinStandardHelpOptions = true,
             description = "Restarts all daemons, or those named, one after another as the definition's budget says.")
     static final class Restart extends OfFleet {
         @Parameters(arity = "0..*", paramLabel = "NAME", description = "only these")
         private List<String> names = List.of();
+
         @Option(names = "--wait", description = "until it is over; exit code 3 where it was aborted")
         private boolean wait;
 
@@ -119,7 +145,8 @@
             request.add("names", list);
             told(ask(request));
             while (wait) {
-                String rolling = ask(FleetClient.request("status")).get("rolling").getAsString();
+                String rolling =
+                        ask(FleetClient.request("status")).get("rolling").getAsString();
                 if (rolling.equals("done") || rolling.startsWith("aborted")) {
                     System.out.println("rolling restart " + rolling);
                     return rolling.equals("done") ? 0 : Main.BAD;
@@ -138,12 +165,17 @@
         }
     }
 
-    @Command(name = "scale", mixinStandardHelpOptions = true, description = {
-        "Runs the first so many daemons. Those that leave stop for good, rolling.at_once at a time: each message that one",
-        "holds gets its final answer, or goes to a peer where hand-over is set. The number outlasts the supervisor."})
+    @Command(
+            name = "scale",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Runs the first so many daemons. Those that leave stop for good, rolling.at_once at a time: each message that one",
+                "holds gets its final answer, or goes to a peer where hand-over is set. The number outlasts the supervisor."
+            })
     static final class Scale extends OfFleet {
         @Parameters(paramLabel = "N", description = "how many daemons, at most as many as the definition has by most")
         private int wanted;
+
         @Option(names = "--wait", description = "until just these are there")
         private boolean wait;
 
@@ -159,11 +191,15 @@
         }
     }
 
-    @Command(name = "stop", mixinStandardHelpOptions = true,
-            description = "Stops all daemons and the supervisor; what is held waits in the journals for the next start.")
+    @Command(
+            name = "stop",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Stops all daemons and the supervisor; what is held waits in the journals for the next start.")
     static final class Stop extends OfFleet {
         @Option(names = "--final", description = "for good: every message gets its final answer before the daemons end")
         private boolean forGood;
+
         @Option(names = "--wait", description = "until the supervisor has ended")
         private boolean wait;
 
--- a/cli/src/main/java/amberroute/cli/HandOverRig.java
+++ b/cli/src/main/java/amberroute/cli/HandOverRig.java
@@ -1,5 +1,10 @@
 package amberroute.cli;
 
+import amberroute.fleet.FleetClient;
+import amberroute.testkit.Partner;
+import amberroute.testkit.RespRequest;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,29 +16,40 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.FleetClient;
-import amberroute.testkit.Partner;
-import amberroute.testkit.RespRequest;
-import amberroute.testkit.Stage;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "hand-over", mixinStandardHelpOptions = true, description = {
-    "One daemon that holds so many messages for a partner that is away gives them to another and ends: how long that takes,",
-    "how many bytes it is, and how long the heir's loop was held up at most. Exit code 0 where all moved and none is owed twice."})
+@Command(
+        name = "hand-over",
+        mixinStandardHelpOptions = true,
+        description = {
+            "One daemon that holds so many messages for a partner that is away gives them to another and ends: how long that takes,",
+            "how many bytes it is, and how long the heir's loop was held up at most. Exit code 0 where all moved and none is owed twice."
+        })
 final class HandOverRig implements Callable<Integer> {
-    private static final Pattern MOVED = Pattern.compile("; ([0-9]+) messages were handed over in ([0-9]+) lots, ([0-9]+) bytes");
+    private static final Pattern MOVED =
+            Pattern.compile("; ([0-9]+) messages were handed over in ([0-9]+) lots, ([0-9]+) bytes");
 
-    @Option(names = "--messages", split = ",", defaultValue = "10,1000,50000", description = "how many, one run each (${DEFAULT-VALUE})")
+    @Option(
+            names = "--messages",
+            split = ",",
+            defaultValue = "10,1000,50000",
+            description = "how many, one run each (${DEFAULT-VALUE})")
     private List<Integer> sizes;
-    @Option(names = "--keyed", defaultValue = "0.3", description = "share of them with an ordered key, four to a key (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--keyed",
+            defaultValue = "0.3",
+            description = "share of them with an ordered key, four to a key (${DEFAULT-VALUE})")
     private double keyed;
+
     @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
     private long seed;
-    @Option(names = "--within", defaultValue = "120", description = "seconds that the leaver may take (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--within",
+            defaultValue = "120",
+            description = "seconds that the leaver may take (${DEFAULT-VALUE})")
     private int within;
 
     private Path folder;
@@ -51,11 +67,13 @@
             // Refused at once and for long: nothing is out, all waits.
             stage.become(1, Partner.Mode.DEAD);
             Path file = stage.senderFile(folder, 2);
-            String text = Files.readString(file).replace("open_messages = 1000", "open_messages = " + Math.min(200_000, 2 * size + 100))
+            String text = Files.readString(file)
+                    .replace("open_messages = 1000", "open_messages = " + Math.min(200_000, 2 * size + 100))
                     .replace("disk = \"16MB\"", "disk = \"" + Math.max(16, size / 100) + "MB\"")
                     .replace("deadline = \"6s\"", "deadline = \"10m\"")
                     // What nobody has answered yet is taken to need its aim: with a longer one most would be refused.
-                    .replace("aim = \"1500ms\"", "aim = \"100ms\"").replace("descriptors = 512", "descriptors = 1024");
+                    .replace("aim = \"1500ms\"", "aim = \"100ms\"")
+                    .replace("descriptors = 512", "descriptors = 1024");
             // The trials of a partner that is away shall end none of them.
             Files.writeString(file, text.replace("[limits]", "[limits]\nmax_attempts = 100"));
             int port = Stage.freePorts(4, seed);
@@ -85,14 +103,24 @@
             out.addProperty("taken", taken);
             out.addProperty("moved", told ? Long.parseLong(moved.group(1)) : 0);
             out.addProperty("lots", told ? Long.parseLong(moved.group(2)) : 0);
-            out.addProperty("bytes_each", told ? Math.round(Long.parseLong(moved.group(3)) / Math.max(1.0,
-                    Long.parseLong(moved.group(1)))) : 0);
+            out.addProperty(
+                    "bytes_each",
+                    told
+                            ? Math.round(Long.parseLong(moved.group(3)) / Math.max(1.0, Long.parseLong(moved.group(1))))
+                            : 0);
             out.addProperty("took_ms", took / 1_000.0);
-            out.addProperty("heir_longest_turn_ms", status.get("longest_turn_us").getAsLong() / 1e3);
+            out.addProperty(
+                    "heir_longest_turn_ms", status.get("longest_turn_us").getAsLong() / 1e3);
             out.addProperty("heir_longest_turn_before_ms", longestIdle / 1e3);
             out.addProperty("heir_holds", status.get("held").getAsInt());
-            out.addProperty("ok", ended && told && taken > 0 && leaver.process.exitValue() == 0
-                    && Long.parseLong(moved.group(1)) == held && status.get("held").getAsInt() == held);
+            out.addProperty(
+                    "ok",
+                    ended
+                            && told
+                            && taken > 0
+                            && leaver.process.exitValue() == 0
+                            && Long.parseLong(moved.group(1)) == held
+                            && status.get("held").getAsInt() == held);
             return out;
         } finally {
             for (RigDaemon d : daemons) {
@@ -116,8 +144,12 @@
         return Pipelined.hand(port, size, i -> {
             boolean order = random.nextDouble() < keyed;
             String key = order ? String.format("%016x", 1 + i / 4) : Pipelined.NO_KEY;
-            return RespRequest.of("SUBMIT", key, "m" + i, (order ? "c=policy-order,k=k" + i : "c=quote-status")
-                    + ",d=600000,dest=1", Pipelined.BODY);
+            return RespRequest.of(
+                    "SUBMIT",
+                    key,
+                    "m" + i,
+                    (order ? "c=policy-order,k=k" + i : "c=quote-status") + ",d=600000,dest=1",
+                    Pipelined.BODY);
         });
     }
 }
--- a/cli/src/main/java/amberroute/cli/HeldLoadRig.java
+++ b/cli/src/main/java/amberroute/cli/HeldLoadRig.java
@@ -1,31 +1,42 @@
 package amberroute.cli;
 
+import amberroute.testkit.Partner;
+import amberroute.testkit.RespRequest;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
-
-import com.google.gson.JsonObject;
-
-import amberroute.testkit.Partner;
-import amberroute.testkit.RespRequest;
-import amberroute.testkit.Stage;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "held-load", mixinStandardHelpOptions = true, description = {
-    "One daemon that holds so many messages for a partner that is away passes others on to one that is well, as fast as clients",
-    "that keep 32 under way hand them in: messages a second, CPU time for each, and the longest turn. Exit code 0 where every message",
-    "that was taken on for the partner that is well was delivered, and what was held is still held."})
+@Command(
+        name = "held-load",
+        mixinStandardHelpOptions = true,
+        description = {
+            "One daemon that holds so many messages for a partner that is away passes others on to one that is well, as fast as clients",
+            "that keep 32 under way hand them in: messages a second, CPU time for each, and the longest turn. Exit code 0 where every message",
+            "that was taken on for the partner that is well was delivered, and what was held is still held."
+        })
 final class HeldLoadRig implements Callable<Integer> {
     private static final long DRAIN_MS = 20_000;
 
-    @Option(names = "--held", split = ",", defaultValue = "100,10000,50000", description = "how many, one run each (${DEFAULT-VALUE})")
+    @Option(
+            names = "--held",
+            split = ",",
+            defaultValue = "100,10000,50000",
+            description = "how many, one run each (${DEFAULT-VALUE})")
     private List<Integer> sizes;
-    @Option(names = "--messages", defaultValue = "30000", description = "how many pass by what is held (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--messages",
+            defaultValue = "30000",
+            description = "how many pass by what is held (${DEFAULT-VALUE})")
     private int messages;
+
     @Option(names = "--seed", defaultValue = "1", description = "for the stand-ins (${DEFAULT-VALUE})")
     private long seed;
 
@@ -44,10 +55,12 @@
             stage.destination(2, 4, Partner.Figures.roomy().sized(64, 256, 1_000), "single");
             stage.become(1, Partner.Mode.DEAD);
             Path file = stage.senderFile(folder, 1);
-            String text = Files.readString(file).replace("open_messages = 1000", "open_messages = " + (2 * held + 4_000))
+            String text = Files.readString(file)
+                    .replace("open_messages = 1000", "open_messages = " + (2 * held + 4_000))
                     .replace("disk = \"16MB\"", "disk = \"" + Math.max(64, held / 100) + "MB\"")
                     .replace("deadline = \"6s\"", "deadline = \"10m\"")
-                    .replace("aim = \"1500ms\"", "aim = \"100ms\"").replace("descriptors = 512", "descriptors = 1024");
+                    .replace("aim = \"1500ms\"", "aim = \"100ms\"")
+                    .replace("descriptors = 512", "descriptors = 1024");
             Files.writeString(file, text.replace("[limits]", "[limits]\nmax_attempts = 100"));
             int port = Stage.freePorts(1, seed);
             daemon = new RigDaemon(folder, file, "sender", port, Math.max(200, held / 50), Map.of());
@@ -98,7 +111,14 @@
 
     /** Hands in so many, some at a time on one connection; returns how many were taken on. */
     private static int hand(int port, int size, int destination, String name) throws IOException {
-        return Pipelined.hand(port, size, i -> RespRequest.of("SUBMIT", Pipelined.NO_KEY, name + i,
-                "c=quote-status,d=600000,dest=" + destination, Pipelined.BODY));
+        return Pipelined.hand(
+                port,
+                size,
+                i -> RespRequest.of(
+                        "SUBMIT",
+                        Pipelined.NO_KEY,
+                        name + i,
+                        "c=quote-status,d=600000,dest=" + destination,
+                        Pipelined.BODY));
     }
 }
--- a/cli/src/main/java/amberroute/cli/Home.java
+++ b/cli/src/main/java/amberroute/cli/Home.java
@@ -7,14 +7,18 @@
 
 /** Where the daemon's jar lies: beside the command line's own, or under the root in a run from classes. */
 final class Home {
-    private Home() {
-    }
+    private Home() {}
 
     static Path daemonJar() throws IOException {
         try {
-            Path own = Path.of(Home.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            Path own = Path.of(Home.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
             for (Path folder = own.getParent(); folder != null; folder = folder.getParent()) {
-                for (Path jar : new Path[] {folder.resolve("amberroute.jar"), folder.resolve("target/amberroute.jar")}) {
+                for (Path jar :
+                        new Path[] {folder.resolve("amberroute.jar"), folder.resolve("target/amberroute.jar")}) {
                     if (Files.isRegularFile(jar)) {
                         return jar;
                     }
--- a/cli/src/main/java/amberroute/cli/JournalCommand.java
+++ b/cli/src/main/java/amberroute/cli/JournalCommand.java
@@ -1,18 +1,21 @@
 package amberroute.cli;
 
+import amberroute.sender.JournalView;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-
-import amberroute.sender.JournalView;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "journal", mixinStandardHelpOptions = true, subcommands = {JournalCommand.Show.class,
-    JournalCommand.Verify.class, JournalCommand.Repair.class}, description = "What a state folder's journal has.")
+@Command(
+        name = "journal",
+        mixinStandardHelpOptions = true,
+        subcommands = {JournalCommand.Show.class, JournalCommand.Verify.class, JournalCommand.Repair.class},
+        description = "What a state folder's journal has.")
 final class JournalCommand {
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "Lists what a state folder owes, a line each; reads only, also beside a running daemon.")
     static final class Show implements Callable<Integer> {
         @Parameters(paramLabel = "FOLDER", description = "a sender's state folder")
@@ -27,9 +30,13 @@
         }
     }
 
-    @Command(name = "verify", mixinStandardHelpOptions = true, description = {
-        "Reads every record and says what could not be read; reads only.",
-        "Exit code 0 for a sound journal (a torn end is sound: nobody was told of it), 3 for a damaged one."})
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Reads every record and says what could not be read; reads only.",
+                "Exit code 0 for a sound journal (a torn end is sound: nobody was told of it), 3 for a damaged one."
+            })
     static final class Verify implements Callable<Integer> {
         @Parameters(paramLabel = "FOLDER", description = "a sender's state folder")
         private Path folder;
@@ -43,12 +50,17 @@
         }
     }
 
-    @Command(name = "repair", mixinStandardHelpOptions = true, description = {
-        "Writes all that can be read of a journal into a new folder; the original is never touched.",
-        "Exit code 0 where it was written, 1 where not."})
+    @Command(
+            name = "repair",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Writes all that can be read of a journal into a new folder; the original is never touched.",
+                "Exit code 0 where it was written, 1 where not."
+            })
     static final class Repair implements Callable<Integer> {
         @Parameters(index = "0", paramLabel = "FOLDER", description = "a sender's state folder")
         private Path folder;
+
         @Parameters(index = "1", paramLabel = "INTO", description = "a folder that is not there or has no journal")
         private Path into;
 
--- a/cli/src/main/java/amberroute/cli/JournalCrashRig.java
+++ b/cli/src/main/java/amberroute/cli/JournalCrashRig.java
@@ -1,27 +1,30 @@
 package amberroute.cli;
 
+import amberroute.sender.JournalTrial;
+import com.google.gson.JsonObject;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.function.UnaryOperator;
-
-import com.google.gson.JsonObject;
-
-import amberroute.sender.JournalTrial;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "journal-crash", mixinStandardHelpOptions = true, description = {
-    "The journal at full load on a simulated disk that kills the process, fails or fills up at each operation in turn, then "
-        + "real processes that are killed; each recovered and compared with a model that never saw the disk.",
-    "Exit code 0 where nothing was lost, doubled or wrong, 3 where not."})
+@Command(
+        name = "journal-crash",
+        mixinStandardHelpOptions = true,
+        description = {
+            "The journal at full load on a simulated disk that kills the process, fails or fills up at each operation in turn, then "
+                    + "real processes that are killed; each recovered and compared with a model that never saw the disk.",
+            "Exit code 0 where nothing was lost, doubled or wrong, 3 where not."
+        })
 final class JournalCrashRig implements Callable<Integer> {
     @Option(names = "--rounds", defaultValue = "1000", description = "on the simulated disk (${DEFAULT-VALUE})")
     private int rounds;
+
     @Option(names = "--processes", defaultValue = "50", description = "real ones that are killed (${DEFAULT-VALUE})")
     private int processes;
+
     @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
     private long seed;
 
@@ -29,9 +32,19 @@
     public Integer call() throws Exception {
         JournalTrial.Counts simulated = JournalTrial.play(seed, 0, rounds, UnaryOperator.identity());
         Path folder = Files.createTempDirectory("amberroute-journal-");
-        JournalTrial.Counts killed = processes == 0 ? new JournalTrial.Counts() : JournalTrial.kill(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), JournalTrial.class.getName()), folder, seed, processes);
+        JournalTrial.Counts killed = processes == 0
+                ? new JournalTrial.Counts()
+                : JournalTrial.kill(
+                        List.of(
+                                Path.of(System.getProperty("java.home"), "bin", "java")
+                                        .toString(),
+                                "-XX:TieredStopAtLevel=1",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                JournalTrial.class.getName()),
+                        folder,
+                        seed,
+                        processes);
         for (JournalTrial.Counts counts : List.of(simulated, killed)) {
             if (!counts.first.isEmpty()) {
                 System.out.println("first harm: " + counts.first);
--- a/cli/src/main/java/amberroute/cli/LocalFleet.java
+++ b/cli/src/main/java/amberroute/cli/LocalFleet.java
@@ -1,5 +1,10 @@
 package amberroute.cli;
 
+import amberroute.fleet.Definition;
+import amberroute.fleet.FleetClient;
+import amberroute.fleet.Supervision;
+import amberroute.fleet.Supervisor;
+import com.google.gson.JsonObject;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -10,13 +15,6 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.Definition;
-import amberroute.fleet.FleetClient;
-import amberroute.fleet.Supervision;
-import amberroute.fleet.Supervisor;
-
 /** A fleet of real daemons under a supervisor on a thread of this process, for the demo and the rigs. */
 final class LocalFleet implements AutoCloseable {
     private static final long STOP_MS = 60_000;
@@ -30,13 +28,15 @@
     LocalFleet(Definition definition) throws IOException {
         this.definition = definition;
         supervisor = new Supervisor(definition, new PrintStream(log, true, StandardCharsets.UTF_8));
-        thread = new Thread(() -> {
-            try {
-                supervisor.run();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "supervisor");
+        thread = new Thread(
+                () -> {
+                    try {
+                        supervisor.run();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "supervisor");
     }
 
     void start() {
--- a/cli/src/main/java/amberroute/cli/Main.java
+++ b/cli/src/main/java/amberroute/cli/Main.java
@@ -1,10 +1,8 @@
 package amberroute.cli;
 
-import java.io.PrintWriter;
-
 import amberroute.config.ConfigException;
 import amberroute.settings.BadInput;
-
+import java.io.PrintWriter;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -12,10 +10,23 @@
  * The command line. Exit codes: 0 done, 1 it could not be done (one line on standard error says why), 2 wrong usage,
  * 3 a check or a run ended badly.
  */
-@Command(name = "amberroute", mixinStandardHelpOptions = true, version = "amberroute 0.2.0",
+@Command(
+        name = "amberroute",
+        mixinStandardHelpOptions = true,
+        version = "amberroute 0.2.0",
         description = "Takes messages on and delivers each to an endpoint of its destination within its deadline.",
-        subcommands = {ServeCommand.class, FleetCommand.class, DemoCommand.class, CheckCommand.class, SubmitCommand.class,
-            JournalCommand.class, AdoptCommand.class, EstateCommand.class, OverloadCommand.class, RigCommand.class})
+        subcommands = {
+            ServeCommand.class,
+            FleetCommand.class,
+            DemoCommand.class,
+            CheckCommand.class,
+            SubmitCommand.class,
+            JournalCommand.class,
+            AdoptCommand.class,
+            EstateCommand.class,
+            OverloadCommand.class,
+            RigCommand.class
+        })
 public final class Main implements Runnable {
     /** Exit code of a check or a run that ended badly. */
     static final int BAD = 3;
@@ -31,7 +42,9 @@
     static int execute(String... args) {
         CommandLine line = new CommandLine(new Main());
         line.setExecutionExceptionHandler((e, command, parsed) -> {
-            if (e instanceof ConfigException || e instanceof BadInput || e instanceof java.io.IOException
+            if (e instanceof ConfigException
+                    || e instanceof BadInput
+                    || e instanceof java.io.IOException
                     || e instanceof IllegalArgumentException) {
                 complain(command.getErr(), e.getMessage() == null ? e.toString() : e.getMessage());
                 return 1;
--- a/cli/src/main/java/amberroute/cli/OverloadRig.java
+++ b/cli/src/main/java/amberroute/cli/OverloadRig.java
@@ -1,5 +1,11 @@
 package amberroute.cli;
 
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.FaultNet;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -7,23 +13,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
-
-import com.google.gson.JsonObject;
-
-import amberroute.testkit.Book;
-import amberroute.testkit.Clients;
-import amberroute.testkit.FaultNet;
-import amberroute.testkit.Partner;
-import amberroute.testkit.Stage;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "overload", mixinStandardHelpOptions = true, description = {
-    "Daemons before two destinations that are asked for more than they do: 130% for a while, three times as much for some seconds,",
-    "then 70%, with clients that come again. Once with each daemon alone, once with prices, beside a modelled sender that sees all.",
-    "Exit code 0 where nothing was lost, doubled or out of order in both, and, with ten seconds or more of the first, prices served no",
-    "less than none did."})
+@Command(
+        name = "overload",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Daemons before two destinations that are asked for more than they do: 130% for a while, three times as much for some seconds,",
+            "then 70%, with clients that come again. Once with each daemon alone, once with prices, beside a modelled sender that sees all.",
+            "Exit code 0 where nothing was lost, doubled or out of order in both, and, with ten seconds or more of the first, prices served no",
+            "less than none did."
+        })
 final class OverloadRig implements Callable<Integer> {
     private static final int DESTINATIONS = 2;
     private static final long READY_MS = 60_000;
@@ -33,28 +34,51 @@
     private static final double BACK = 0.9;
     /** Chance: two plays of the same differ by about so much in what they serve. */
     private static final double NOISE = 0.03;
+
     private static final int LONG = 10;
 
     /** What befalls the fleet in the middle of the steady overload. */
-    enum Trouble { NONE, KILL, PAUSE, SPLIT, STORM }
+    enum Trouble {
+        NONE,
+        KILL,
+        PAUSE,
+        SPLIT,
+        STORM
+    }
 
     @Option(names = "--daemons", defaultValue = "12", description = "how many (${DEFAULT-VALUE})")
     private int daemons;
+
     @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
     private long seed;
-    @Option(names = "--per-second", defaultValue = "60", description = "what each destination takes a second (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--per-second",
+            defaultValue = "60",
+            description = "what each destination takes a second (${DEFAULT-VALUE})")
     private double perSecond;
+
     @Option(names = "--steady", defaultValue = "15", description = "seconds of 130% (${DEFAULT-VALUE})")
     private int steady;
+
     @Option(names = "--spike", defaultValue = "6", description = "seconds of three times as much (${DEFAULT-VALUE})")
     private int spike;
+
     @Option(names = "--trouble", defaultValue = "NONE", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
     private Trouble trouble;
+
     @Option(names = "--logs", description = "print the daemons' logs at the end")
     private boolean logs;
 
     /** Of one play: worth served against the one that sees all, in each part; calls refused a message; seconds until back. */
-    private record Seen(double steady, double spike, double easy, double refused, double backAfter, boolean books, JsonObject view) { }
+    private record Seen(
+            double steady,
+            double spike,
+            double easy,
+            double refused,
+            double backAfter,
+            boolean books,
+            JsonObject view) {}
 
     @Override
     public Integer call() throws Exception {
@@ -67,7 +91,8 @@
         add(out, "alone", without);
         add(out, "priced", with);
         // Of a few seconds chance has too large a part.
-        boolean better = steady < LONG || with.steady() + with.spike() >= without.steady() + without.spike() - 2 * NOISE;
+        boolean better =
+                steady < LONG || with.steady() + with.spike() >= without.steady() + without.spike() - 2 * NOISE;
         boolean ok = without.books() && with.books() && better && with.view() != null;
         out.addProperty("ok", ok);
         System.out.println(out);
@@ -98,8 +123,11 @@
             }
             int port = Stage.freePorts(2 * daemons + daemons * daemons, seed);
             FaultNet net = stage.net(Stage.addresses(port + daemons, daemons), port + 2 * daemons);
-            Path file = stage.senderFile(folder, daemons, "handover.listen = \"127.0.0.1:1\"\nhandover.peers = [\"none=127.0.0.1:1\"]\n"
-                    + "fleet.overload = " + priced);
+            Path file = stage.senderFile(
+                    folder,
+                    daemons,
+                    "handover.listen = \"127.0.0.1:1\"\nhandover.peers = [\"none=127.0.0.1:1\"]\n" + "fleet.overload = "
+                            + priced);
             for (int i = 0; i < daemons; i++) {
                 all.add(start(folder, file, net, port, i));
             }
@@ -122,7 +150,7 @@
             load(stage, clients, 0.7);
             Thread.sleep(EASY_MS);
             long easyTo = Stage.micros();
-            stage.settle(() -> { });
+            stage.settle(() -> {});
             return seen(stage, view, new long[] {steadyFrom, spikeFrom, easyFrom, easyTo});
         } finally {
             for (RigDaemon daemon : all) {
@@ -142,8 +170,14 @@
                 peers.add("s" + i + "=" + net.address(index, i));
             }
         }
-        return new RigDaemon(folder, file, "s" + index, port + index, 64, Map.of("GW_HANDOVER", "127.0.0.1:" + (port + daemons + index),
-                "GW_PEERS", String.join(",", peers)), true);
+        return new RigDaemon(
+                folder,
+                file,
+                "s" + index,
+                port + index,
+                64,
+                Map.of("GW_HANDOVER", "127.0.0.1:" + (port + daemons + index), "GW_PEERS", String.join(",", peers)),
+                true);
     }
 
     private void load(Stage stage, Clients clients, double times) {
@@ -151,7 +185,8 @@
     }
 
     /** Two seconds of it. */
-    private void befall(Stage stage, FaultNet net, List<RigDaemon> all, Path folder, Path file, int port) throws Exception {
+    private void befall(Stage stage, FaultNet net, List<RigDaemon> all, Path folder, Path file, int port)
+            throws Exception {
         long from = Stage.micros();
         switch (trouble) {
             case KILL -> {
@@ -186,15 +221,20 @@
     }
 
     private static void signal(RigDaemon daemon, String name) throws Exception {
-        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + daemon.process.pid()).start().waitFor();
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + daemon.process.pid())
+                .start()
+                .waitFor();
     }
 
     /** What the second daemon takes the whole for: the first may be the one that trouble befell. */
     private static JsonObject ask(Path folder) throws IOException {
-        JsonObject view = amberroute.fleet.FleetClient.ask(folder.resolve("s1").resolve("control"),
-                amberroute.fleet.FleetClient.request("overload"));
+        JsonObject view = amberroute.fleet.FleetClient.ask(
+                folder.resolve("s1").resolve("control"), amberroute.fleet.FleetClient.request("overload"));
         System.out.println("as s1 sees it: " + view);
-        return view.get("ok").getAsBoolean() && !view.getAsJsonArray("destinations").isEmpty() ? view : null;
+        return view.get("ok").getAsBoolean()
+                        && !view.getAsJsonArray("destinations").isEmpty()
+                ? view
+                : null;
     }
 
     private Seen seen(Stage stage, JsonObject view, long[] parts) {
@@ -208,15 +248,25 @@
         double back = -1;
         for (long at = parts[2]; back < 0 && at + 1_000_000 <= parts[3]; at += 250_000) {
             List<AllSeeing.Message> some = AllSeeing.messages(entries, at, at + 1_000_000);
-            long inTime = some.stream().filter(m -> m.doneAt() > 0 && m.doneAt() <= m.aim()).count();
+            long inTime = some.stream()
+                    .filter(m -> m.doneAt() > 0 && m.doneAt() <= m.aim())
+                    .count();
             back = inTime >= BACK * some.size() ? (at - parts[2]) / 1e6 : back;
         }
-        long refused = stage.on(() -> stage.partners().stream().mapToLong(p -> p.partner().overLimit()).sum());
+        long refused = stage.on(() -> stage.partners().stream()
+                .mapToLong(p -> p.partner().overLimit())
+                .sum());
         JsonObject sums = new JsonObject();
         Sums.add(sums, totals);
         System.out.println(sums);
         stage.on(stage.book()::complaints).forEach(c -> System.out.println("! " + c));
-        return new Seen(shares[0], shares[1], shares[2], (double) refused / Math.max(1, totals.delivered()), back,
-                totals.ok() && totals.taken() > 0, view);
+        return new Seen(
+                shares[0],
+                shares[1],
+                shares[2],
+                (double) refused / Math.max(1, totals.delivered()),
+                back,
+                totals.ok() && totals.taken() > 0,
+                view);
     }
 }
--- a/cli/src/main/java/amberroute/cli/Pipelined.java
+++ b/cli/src/main/java/amberroute/cli/Pipelined.java
@@ -17,8 +17,7 @@
     private static final int UNDER_WAY = 32;
     private static final int PATIENCE_MS = 60_000;
 
-    private Pipelined() {
-    }
+    private Pipelined() {}
 
     /** Hands in so many, each as its number makes it; returns how many were taken on. */
     static int hand(int port, int size, IntFunction<byte[]> request) throws IOException {
@@ -27,7 +26,8 @@
             socket.setSoTimeout(PATIENCE_MS);
             socket.setTcpNoDelay(true);
             OutputStream out = new BufferedOutputStream(socket.getOutputStream(), 1 << 16);
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (int from = 0; from < size; from += UNDER_WAY) {
                 int n = Math.min(UNDER_WAY, size - from);
                 for (int i = from; i < from + n; i++) {
--- a/cli/src/main/java/amberroute/cli/Play.java
+++ b/cli/src/main/java/amberroute/cli/Play.java
@@ -1,5 +1,17 @@
 package amberroute.cli;
 
+import amberroute.fleet.Definition;
+import amberroute.fleet.FleetClient;
+import amberroute.fleet.Supervision;
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.FaultProxy;
+import amberroute.testkit.Partner;
+import amberroute.testkit.PartnerServer;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -14,20 +26,6 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.Definition;
-import amberroute.fleet.FleetClient;
-import amberroute.fleet.Supervision;
-import amberroute.testkit.Book;
-import amberroute.testkit.Clients;
-import amberroute.testkit.FaultProxy;
-import amberroute.testkit.Partner;
-import amberroute.testkit.PartnerServer;
-import amberroute.testkit.Stage;
-
 /**
  * One run of a fleet of real daemons between stand-ins: comes up, serves for a while, goes through an outage of a
  * partner and rolling restarts, stops for good, and closes its books.
@@ -40,10 +38,28 @@
      * change, with an outage of the same length in the middle where there were no restarts. With {@code move} daemons hand
      * over what they hold when they leave, and agree on what they give a cold partner.
      */
-    record Plan(int daemons, long seed, double perSecond, long quiet, long outage, int rolls, long after, int kills,
-            String rolling, int scaleTo, boolean move) {
+    record Plan(
+            int daemons,
+            long seed,
+            double perSecond,
+            long quiet,
+            long outage,
+            int rolls,
+            long after,
+            int kills,
+            String rolling,
+            int scaleTo,
+            boolean move) {
 
-        Plan(int daemons, long seed, double perSecond, long quiet, long outage, int rolls, long after, int kills,
+        Plan(
+                int daemons,
+                long seed,
+                double perSecond,
+                long quiet,
+                long outage,
+                int rolls,
+                long after,
+                int kills,
                 String rolling) {
             this(daemons, seed, perSecond, quiet, outage, rolls, after, kills, rolling, 0, false);
         }
@@ -53,6 +69,7 @@
     private static final Pattern MOVED = Pattern.compile("; ([0-9]+) messages were handed over");
     /** Calls to this one pass a proxy that delays them and now and then resets all its connections. */
     private static final int SPOILT = 5;
+
     private static final double RESETS = 0.1;
     private static final long READY_MS = 120_000;
     private static final long ROLL_MS = 600_000;
@@ -68,6 +85,7 @@
     private long upMillis;
     /** What the supervisor said last; the table is drawn on another thread. */
     private volatile JsonObject status;
+
     private final Random random;
     private long killed;
     private long scaleMillis;
@@ -82,14 +100,17 @@
             Partner.Figures figures = Partner.Figures.roomy();
             // Two endpoints of 25 calls a second and slot: about 1.6 times what the busiest destination is asked.
             figures = figures.sized(Math.max(2, (int) Math.ceil(plan.perSecond() * 0.01)), 32, 40_000);
-            figures = d == 3 ? figures.limited(Math.max(20, plan.perSecond() / 3), 0)
+            figures = d == 3
+                    ? figures.limited(Math.max(20, plan.perSecond() / 3), 0)
                     : d == 4 ? figures.limited(Math.max(20, plan.perSecond() / 3), 1_000_000) : figures;
             stage.destination(d, 2, figures, d % 2 == 0 ? "batch" : "single", d == SPOILT);
         }
         stage.fault(FaultProxy.Fault.delayed(1_000));
         int port = Stage.freePorts(2 * plan.daemons(), plan.seed());
-        String more = !plan.move() ? "" : "rolling.move = true\nhandover.gentle = true\nhandover.listen = \"127.0.0.1:"
-                + (port + plan.daemons()) + "\"\n";
+        String more = !plan.move()
+                ? ""
+                : "rolling.move = true\nhandover.gentle = true\nhandover.listen = \"127.0.0.1:"
+                        + (port + plan.daemons()) + "\"\n";
         stage.senderFile(folder, plan.daemons());
         Path file = stage.fleetFile(folder, plan.daemons(), port, Home.daemonJar(), more + plan.rolling());
         List<InetSocketAddress> senders = new ArrayList<>();
@@ -108,7 +129,8 @@
         upMillis = millis() - begun;
         lines.accept(plan.daemons() + " daemons are ready after " + upMillis + " ms");
         long quietFrom = Stage.micros();
-        stage.run(() -> clients.run(new Clients.Load(plan.perSecond(), 0.2, 12, Math.max(20, (int) plan.perSecond()), 8)));
+        stage.run(() ->
+                clients.run(new Clients.Load(plan.perSecond(), 0.2, 12, Math.max(20, (int) plan.perSecond()), 8)));
         watch(plan.quiet());
         long quietTo = Stage.micros();
         long rollFrom = quietTo;
@@ -134,7 +156,8 @@
             if (plan.kills() > 0) {
                 until(() -> status.get("ready").getAsBoolean(), READY_MS, "the fleet to be ready again");
             }
-            lines.accept("rolling restart " + (i + 1) + ": " + status.get("rolling").getAsString());
+            lines.accept(
+                    "rolling restart " + (i + 1) + ": " + status.get("rolling").getAsString());
         }
         if (plan.scaleTo() > 0) {
             scale();
@@ -191,7 +214,8 @@
     /** SIGKILL for any daemon that lives, ready or not. */
     private void killOne() {
         List<Long> alive = new ArrayList<>();
-        status.getAsJsonArray("daemons").forEach(d -> alive.add(d.getAsJsonObject().get("pid").getAsLong()));
+        status.getAsJsonArray("daemons")
+                .forEach(d -> alive.add(d.getAsJsonObject().get("pid").getAsLong()));
         alive.removeIf(pid -> pid <= 0);
         if (!alive.isEmpty()) {
             ProcessHandle.of(alive.get(random.nextInt(alive.size()))).ifPresent(process -> {
@@ -205,7 +229,8 @@
     /** Until every message has its end, or its time is long gone. */
     private void settle() throws Exception {
         long end = millis() + 20_000;
-        while (millis() < end && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
+        while (millis() < end
+                && stage.on(() -> clients.working() > 0 || stage.book().open() > 0)) {
             watch(200);
         }
     }
@@ -267,10 +292,13 @@
         stage.run(() -> {
             for (int i = 0; i < stage.partners().size(); i += 2) {
                 PartnerServer one = stage.partners().get(i);
-                out.add(String.format("destination %d  %-7s  calls %6d  over its limit %4d", one.destination(),
+                out.add(String.format(
+                        "destination %d  %-7s  calls %6d  over its limit %4d",
+                        one.destination(),
                         one.partner().mode().name().toLowerCase(java.util.Locale.ROOT),
                         one.calls() + stage.partners().get(i + 1).calls(),
-                        one.partner().overLimit() + stage.partners().get(i + 1).partner().overLimit()));
+                        one.partner().overLimit()
+                                + stage.partners().get(i + 1).partner().overLimit()));
             }
         });
         out.add(line());
@@ -285,12 +313,25 @@
         if (status != null) {
             for (JsonElement d : status.getAsJsonArray("daemons")) {
                 ready += d.getAsJsonObject().get("state").getAsString().equals("ready") ? 1 : 0;
-                held += d.getAsJsonObject().has("held") ? d.getAsJsonObject().get("held").getAsLong() : 0;
+                held += d.getAsJsonObject().has("held")
+                        ? d.getAsJsonObject().get("held").getAsLong()
+                        : 0;
             }
         }
-        return String.format("ready %2d/%d  taken %6d  delivered %6d  returned %4d  failed %3d  held %4d  refused %5d  "
-                + "lost %d  doubled %d  out of order %d", ready, plan.daemons(), t.taken(), t.delivered(), t.returned(),
-                t.failed(), held, t.refused(), t.lost(), t.doubled(), t.outOfOrder());
+        return String.format(
+                "ready %2d/%d  taken %6d  delivered %6d  returned %4d  failed %3d  held %4d  refused %5d  "
+                        + "lost %d  doubled %d  out of order %d",
+                ready,
+                plan.daemons(),
+                t.taken(),
+                t.delivered(),
+                t.returned(),
+                t.failed(),
+                held,
+                t.refused(),
+                t.lost(),
+                t.doubled(),
+                t.outOfOrder());
     }
 
     private JsonObject result(long quietFrom, long quietTo, long rollFrom, long rollTo) {
@@ -314,8 +355,12 @@
         }
         out.addProperty("handed_over", handedOver());
         out.addProperty("rolling", status.get("rolling").getAsString());
-        boolean ok = t.ok() && t.lateNotices() == 0 && t.taken() > 0
-                && (plan.rolls() == 0 || plan.kills() > 0 || status.get("rolling").getAsString().equals("done"));
+        boolean ok = t.ok()
+                && t.lateNotices() == 0
+                && t.taken() > 0
+                && (plan.rolls() == 0
+                        || plan.kills() > 0
+                        || status.get("rolling").getAsString().equals("done"));
         out.addProperty("ok", ok);
         if (!ok) {
             stage.on(stage.book()::complaints).forEach(c -> lines.accept("! " + c));
@@ -329,7 +374,8 @@
     private long handedOver() {
         long sum = 0;
         try (Stream<Path> files = Files.list(folder.resolve("run"))) {
-            for (Path log : files.filter(f -> f.getFileName().toString().contains(".log")).toList()) {
+            for (Path log : files.filter(f -> f.getFileName().toString().contains(".log"))
+                    .toList()) {
                 for (String line : Files.readAllLines(log)) {
                     Matcher told = MOVED.matcher(line);
                     sum += told.find() ? Long.parseLong(told.group(1)) : 0;
@@ -353,8 +399,12 @@
     List<String> log() throws IOException {
         List<String> out = new ArrayList<>(fleet.log().lines().toList());
         try (Stream<Path> files = Files.list(folder.resolve("run"))) {
-            for (Path log : files.filter(f -> f.getFileName().toString().endsWith(".log")).sorted().toList()) {
-                Files.readAllLines(log).stream().filter(l -> l.contains("stop")).forEach(l -> out.add(log.getFileName() + " " + l));
+            for (Path log : files.filter(f -> f.getFileName().toString().endsWith(".log"))
+                    .sorted()
+                    .toList()) {
+                Files.readAllLines(log).stream()
+                        .filter(l -> l.contains("stop"))
+                        .forEach(l -> out.add(log.getFileName() + " " + l));
             }
         }
         return out;
@@ -367,7 +417,8 @@
     /** Ends what still runs and clears the run's folder. */
     @Override
     public void close() throws IOException {
-        try (stage; fleet) {
+        try (stage;
+                fleet) {
             // Both are closed, the fleet first.
         } finally {
             LocalFleet.delete(folder);
--- a/cli/src/main/java/amberroute/cli/RigDaemon.java
+++ b/cli/src/main/java/amberroute/cli/RigDaemon.java
@@ -1,14 +1,12 @@
 package amberroute.cli;
 
+import amberroute.fleet.FleetClient;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.FleetClient;
-
 /** One daemon of a rig, as a process of its own with the platform's kind of JVM settings but for the heap. */
 final class RigDaemon {
     private static final long READY_MS = 60_000;
@@ -25,14 +23,28 @@
             throws IOException {
         state = folder.resolve(name);
         log = folder.resolve(name + ".log");
-        ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-                "-Xmx" + heapMb + "m", "-Xss512k", "-jar", Home.daemonJar().toString(), "serve", "--config", file.toString());
+        ProcessBuilder builder = new ProcessBuilder(
+                "java",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xshare:auto",
+                "-Xmx" + heapMb + "m",
+                "-Xss512k",
+                "-jar",
+                Home.daemonJar().toString(),
+                "serve",
+                "--config",
+                file.toString());
         builder.environment().put("GW_NAME", name);
         builder.environment().put("GW_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("GW_STATE", state.toString());
         builder.environment().putAll(more);
-        process = builder.redirectErrorStream(true).redirectOutput(again ? ProcessBuilder.Redirect.appendTo(log.toFile())
-                : ProcessBuilder.Redirect.to(log.toFile())).start();
+        process = builder.redirectErrorStream(true)
+                .redirectOutput(
+                        again
+                                ? ProcessBuilder.Redirect.appendTo(log.toFile())
+                                : ProcessBuilder.Redirect.to(log.toFile()))
+                .start();
     }
 
     static JsonObject status(Path state) throws IOException {
@@ -62,6 +74,9 @@
 
     /** CPU time that the process has used, in milliseconds. */
     long cpuMillis() {
-        return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+        return process.info()
+                .totalCpuDuration()
+                .map(java.time.Duration::toMillis)
+                .orElse(0L);
     }
 }
--- a/cli/src/main/java/amberroute/cli/RunsBySize.java
+++ b/cli/src/main/java/amberroute/cli/RunsBySize.java
@@ -1,9 +1,8 @@
 package amberroute.cli;
 
-import java.util.List;
-
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import java.util.List;
 
 /** One run of a rig for each size: a line for each, and one of all at the end. */
 final class RunsBySize {
@@ -12,8 +11,7 @@
         JsonObject play(int size) throws Exception;
     }
 
-    private RunsBySize() {
-    }
+    private RunsBySize() {}
 
     /** Returns the exit code, 0 where all runs are ok. */
     static int play(List<Integer> sizes, long seed, Run run) throws Exception {
--- a/cli/src/main/java/amberroute/cli/StartRig.java
+++ b/cli/src/main/java/amberroute/cli/StartRig.java
@@ -1,5 +1,11 @@
 package amberroute.cli;
 
+import amberroute.fleet.Definition;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,28 +14,25 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
-
-import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.Definition;
-import amberroute.testkit.Partner;
-import amberroute.testkit.Stage;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "start", mixinStandardHelpOptions = true, description = {
-    "From fleet up to all ready, with the class archive and without it in turn, and what a daemon holds at rest.",
-    "Exit code 0 where every fleet came up, 3 where not."})
+@Command(
+        name = "start",
+        mixinStandardHelpOptions = true,
+        description = {
+            "From fleet up to all ready, with the class archive and without it in turn, and what a daemon holds at rest.",
+            "Exit code 0 where every fleet came up, 3 where not."
+        })
 final class StartRig implements Callable<Integer> {
     private static final long READY_MS = 120_000;
 
     @Option(names = "--daemons", split = ",", defaultValue = "1,5,20", description = "fleet sizes (${DEFAULT-VALUE})")
     private List<Integer> sizes;
+
     @Option(names = "--rounds", defaultValue = "5", description = "starts of each size and kind (${DEFAULT-VALUE})")
     private int rounds;
+
     @Option(names = "--at-once", defaultValue = "8", description = "daemons that may be starting (${DEFAULT-VALUE})")
     private int atOnce;
 
@@ -71,7 +74,11 @@
         try (Stage stage = new Stage(0)) {
             stage.destination(1, 1, Partner.Figures.roomy(), "single");
             stage.senderFile(folder, size);
-            Path file = stage.fleetFile(folder, size, Stage.freePorts(size, System.nanoTime()), Home.daemonJar(),
+            Path file = stage.fleetFile(
+                    folder,
+                    size,
+                    Stage.freePorts(size, System.nanoTime()),
+                    Home.daemonJar(),
                     "archive = " + archive + "\n[start]\nat_once = " + atOnce + "\n");
             try (LocalFleet fleet = new LocalFleet(Definition.read(file, Home.daemonJar()))) {
                 long from = System.nanoTime();
--- a/cli/src/main/java/amberroute/cli/Sums.java
+++ b/cli/src/main/java/amberroute/cli/Sums.java
@@ -1,13 +1,11 @@
 package amberroute.cli;
 
-import com.google.gson.JsonObject;
-
 import amberroute.testkit.Book;
+import com.google.gson.JsonObject;
 
 /** A book's sums as a rig's last line has them. */
 final class Sums {
-    private Sums() {
-    }
+    private Sums() {}
 
     static void add(JsonObject out, Book.Totals t) {
         out.addProperty("taken", t.taken());
--- a/cli/src/main/java/amberroute/cli/SurvivorsRig.java
+++ b/cli/src/main/java/amberroute/cli/SurvivorsRig.java
@@ -1,5 +1,16 @@
 package amberroute.cli;
 
+import amberroute.fleet.FleetClient;
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.FaultNet;
+import amberroute.testkit.FaultScript;
+import amberroute.testkit.FaultScript.Fault;
+import amberroute.testkit.FaultScript.Kind;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -11,27 +22,17 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
-
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
-import amberroute.fleet.FleetClient;
-import amberroute.testkit.Book;
-import amberroute.testkit.Clients;
-import amberroute.testkit.FaultNet;
-import amberroute.testkit.FaultScript;
-import amberroute.testkit.FaultScript.Fault;
-import amberroute.testkit.FaultScript.Kind;
-import amberroute.testkit.Partner;
-import amberroute.testkit.Stage;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "survivors", mixinStandardHelpOptions = true, description = {
-    "Daemons that hold copies of one another's work, under load, with a net of faults between them: in each round one or two",
-    "faults (killed, killed with the folder gone, stopped, cut off, split, datagrams lost), then all heals.",
-    "Exit code 0 where nothing was lost, doubled or out of order and every notice came in time."})
+@Command(
+        name = "survivors",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Daemons that hold copies of one another's work, under load, with a net of faults between them: in each round one or two",
+            "faults (killed, killed with the folder gone, stopped, cut off, split, datagrams lost), then all heals.",
+            "Exit code 0 where nothing was lost, doubled or out of order and every notice came in time."
+        })
 final class SurvivorsRig implements Callable<Integer> {
     private static final int DESTINATIONS = 4;
     private static final long READY_MS = 30_000;
@@ -39,29 +40,47 @@
     private static final long TAKEOVER_MICROS = 4_000_000;
     /** The longest that a message of the stage's classes lives. */
     private static final long LIFE_MICROS = 6_000_000;
+
     private static final int OVER = 7;
     private static final int COPIES = 3;
     private static final long WHOLE_MS = 15_000;
 
     @Option(names = "--daemons", defaultValue = "7", description = "how many (${DEFAULT-VALUE})")
     private int daemons;
+
     @Option(names = "--rounds", defaultValue = "20", description = "rounds of faults (${DEFAULT-VALUE})")
     private int rounds;
+
     @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
     private long seed;
+
     @Option(names = "--per-second", defaultValue = "100", description = "messages a second (${DEFAULT-VALUE})")
     private double perSecond;
-    @Option(names = "--kinds", split = ",", defaultValue = "KILL,LOSE,PAUSE,CUT,ONE_WAY,SPLIT,FLAP,STORM",
+
+    @Option(
+            names = "--kinds",
+            split = ",",
+            defaultValue = "KILL,LOSE,PAUSE,CUT,ONE_WAY,SPLIT,FLAP,STORM",
             description = "which faults are drawn (${DEFAULT-VALUE})")
     private List<Kind> kinds;
-    @Option(names = "--script", description = "the faults of every round, in place of drawn ones: KIND:TARGET:AT_MS:LASTS_MS,...")
+
+    @Option(
+            names = "--script",
+            description = "the faults of every round, in place of drawn ones: KIND:TARGET:AT_MS:LASTS_MS,...")
     private String script;
-    @Option(names = "--quiet", defaultValue = "3", description = "seconds under load before the first round (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--quiet",
+            defaultValue = "3",
+            description = "seconds under load before the first round (${DEFAULT-VALUE})")
     private int quiet;
+
     @Option(names = "--off", description = "without copies: what the same costs there")
     private boolean off;
+
     @Option(names = "--direct", description = "without the net of faults between the daemons, for what copies cost")
     private boolean direct;
+
     @Option(names = "--logs", description = "print the daemons' logs at the end")
     private boolean logs;
 
@@ -69,6 +88,7 @@
     private final List<Long> takeovers = new ArrayList<>();
     /** When each daemon was last befallen: what it had may be at any other since. */
     private final Map<Integer, Long> faulted = new TreeMap<>();
+
     private final Map<Kind, Integer> played = new TreeMap<>();
     private Path folder;
     private Path file;
@@ -78,6 +98,7 @@
     private long released;
     /** How long it took behind each round until all estates had all their copies again. */
     private final List<Long> wholeMs = new ArrayList<>();
+
     private long notWhole;
     private String lacking = "";
     private long restarts;
@@ -113,17 +134,29 @@
                     peers.add("s" + i + "=" + (direct ? slots.get(i).handOver : net.address(index, i)));
                 }
             }
-            process = new RigDaemon(folder, file, "s" + index, port, 96,
-                    Map.of("GW_HANDOVER", handOver, "GW_PEERS", String.join(",", peers)), true).process;
+            process = new RigDaemon(
+                            folder,
+                            file,
+                            "s" + index,
+                            port,
+                            96,
+                            Map.of("GW_HANDOVER", handOver, "GW_PEERS", String.join(",", peers)),
+                            true)
+                    .process;
         }
 
         void kill() throws InterruptedException {
-            cpuMillis += process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+            cpuMillis += process.info()
+                    .totalCpuDuration()
+                    .map(java.time.Duration::toMillis)
+                    .orElse(0L);
             process.destroyForcibly().waitFor();
         }
 
         void signal(String name) throws Exception {
-            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid())
+                    .start()
+                    .waitFor();
         }
 
         /** A process that ended because its estate goes on elsewhere is started again, as a supervisor does. */
@@ -145,8 +178,11 @@
             for (int d = 1; d <= DESTINATIONS; d++) {
                 stage.destination(d, 2, Partner.Figures.roomy().sized(8, 32, 40_000), d % 2 == 0 ? "batch" : "single");
             }
-            file = stage.senderFile(folder, daemons, "handover.listen = \"127.0.0.1:1\"\nhandover.peers = [\"none=127.0.0.1:1\"]\n"
-                    + (off ? "" : "survival.on = true\n"));
+            file = stage.senderFile(
+                    folder,
+                    daemons,
+                    "handover.listen = \"127.0.0.1:1\"\nhandover.peers = [\"none=127.0.0.1:1\"]\n"
+                            + (off ? "" : "survival.on = true\n"));
             int port = Stage.freePorts(2 * daemons + daemons * daemons, seed);
             List<InetSocketAddress> senders = Stage.addresses(port, daemons);
             List<InetSocketAddress> listeners = Stage.addresses(port + daemons, daemons);
@@ -167,9 +203,11 @@
             steadyCpuMillis = cpu();
             Thread.sleep(quiet * 500L);
             for (int round = 0; round < rounds; round++) {
-                FaultScript faults = script != null ? FaultScript.read(script) : FaultScript.draw(random, daemons, kinds);
+                FaultScript faults =
+                        script != null ? FaultScript.read(script) : FaultScript.draw(random, daemons, kinds);
                 int away = 1 + random.nextInt(DESTINATIONS);
-                System.out.println("round " + round + " at " + Stage.micros() / 1_000 + " destination " + away + " faults " + faults);
+                System.out.println("round " + round + " at " + Stage.micros() / 1_000 + " destination " + away
+                        + " faults " + faults);
                 // A partner that is away fills what is in hand.
                 stage.become(away, random.nextBoolean() ? Partner.Mode.DEAD : Partner.Mode.HANG);
                 Thread.sleep(400);
@@ -193,8 +231,14 @@
 
     /** Milliseconds of CPU of all processes so far, those that are gone among them. */
     private long cpu() {
-        return cpuMillis + slots.stream().mapToLong(slot -> slot.process.info().totalCpuDuration()
-                .map(java.time.Duration::toMillis).orElse(0L)).sum();
+        return cpuMillis
+                + slots.stream()
+                        .mapToLong(slot -> slot.process
+                                .info()
+                                .totalCpuDuration()
+                                .map(java.time.Duration::toMillis)
+                                .orElse(0L))
+                        .sum();
     }
 
     private static void quietly(Slot slot) {
@@ -210,8 +254,8 @@
         for (Slot slot : slots) {
             while (!ready(slot)) {
                 if (System.nanoTime() > end) {
-                    throw new IOException("s" + slot.index + " is not ready: " + Files.readString(folder.resolve("s" + slot.index
-                            + ".log")));
+                    throw new IOException("s" + slot.index + " is not ready: "
+                            + Files.readString(folder.resolve("s" + slot.index + ".log")));
                 }
                 slot.look();
                 Thread.sleep(20);
@@ -248,8 +292,11 @@
                     JsonObject one = each.getAsJsonObject();
                     String here = one.get("here").getAsString();
                     boolean open = here.equals("own") || here.equals("taken over");
-                    if (open && (!one.has("behind") || one.getAsJsonObject("behind").size() < Math.min(COPIES, daemons)
-                            || one.getAsJsonObject("behind").asMap().values().stream().anyMatch(n -> n.getAsLong() < 0))) {
+                    if (open
+                            && (!one.has("behind")
+                                    || one.getAsJsonObject("behind").size() < Math.min(COPIES, daemons)
+                                    || one.getAsJsonObject("behind").asMap().values().stream()
+                                            .anyMatch(n -> n.getAsLong() < 0))) {
                         lacking = "at s" + slot.index + " " + one;
                         return false;
                     }
@@ -271,7 +318,7 @@
     }
 
     /** One thing that is to be done at a moment of the round. */
-    private record Due(long at, Callable<Void> work) { }
+    private record Due(long at, Callable<Void> work) {}
 
     private void play(FaultScript faults, int away) throws Exception {
         List<Due> due = new ArrayList<>();
@@ -303,7 +350,8 @@
         long rest = longest + 2_500;
         int next = 0;
         while (next < due.size() || (System.nanoTime() - start) / 1_000_000 < rest) {
-            while (next < due.size() && (System.nanoTime() - start) / 1_000_000 >= due.get(next).at()) {
+            while (next < due.size()
+                    && (System.nanoTime() - start) / 1_000_000 >= due.get(next).at()) {
                 due.get(next++).work().call();
             }
             for (Slot slot : slots) {
@@ -346,8 +394,7 @@
             }
             case PAUSE -> slot.signal("STOP");
             case RESTART -> slot.signal("TERM");
-            case SLOW -> {
-            }
+            case SLOW -> {}
             case RELEASE -> release(f.target());
             case CUT, FLAP -> split(List.of(f.target()), true);
             case ONE_WAY -> oneWay(f.target(), true);
@@ -365,7 +412,8 @@
         faulted.put(f.target(), now);
         if (f.kind() == Kind.SPLIT) {
             // A group may have its majority on the other side of whichever half its owner is in.
-            slots.forEach(s -> stage.run(() -> stage.book().down(s.index, now, now + f.lasts() * 1_000 + TAKEOVER_MICROS)));
+            slots.forEach(
+                    s -> stage.run(() -> stage.book().down(s.index, now, now + f.lasts() * 1_000 + TAKEOVER_MICROS)));
         }
         return null;
     }
@@ -383,8 +431,7 @@
             }
             case PAUSE -> slot.signal("CONT");
             case SLOW -> slot.signal("CONT");
-            case RESTART, RELEASE -> {
-            }
+            case RESTART, RELEASE -> {}
             case CUT, FLAP -> split(List.of(f.target()), false);
             case ONE_WAY -> oneWay(f.target(), false);
             case SPLIT -> split(half(f.target()), false);
@@ -400,7 +447,9 @@
             boolean takes = false;
             for (String line : Files.readAllLines(folder.resolve("s" + slot.index + ".log"))) {
                 int space = line.indexOf(' ');
-                if (space < 1 || !line.substring(0, space).matches("[0-9]+") || Long.parseLong(line.substring(0, space)) < lost.lostAt) {
+                if (space < 1
+                        || !line.substring(0, space).matches("[0-9]+")
+                        || Long.parseLong(line.substring(0, space)) < lost.lostAt) {
                     continue;
                 }
                 takes |= line.contains("takes over s" + lost.index + ".");
@@ -419,14 +468,17 @@
         for (Slot slot : slots) {
             try {
                 Path control = slot.state().resolve("control");
-                for (JsonElement each : FleetClient.ask(control, FleetClient.request("estates")).getAsJsonArray("estates")) {
+                for (JsonElement each :
+                        FleetClient.ask(control, FleetClient.request("estates")).getAsJsonArray("estates")) {
                     JsonObject one = each.getAsJsonObject();
-                    if (one.get("here").getAsString().equals("taken over") && one.get("estate").getAsString().startsWith("s" + target + ".")) {
+                    if (one.get("here").getAsString().equals("taken over")
+                            && one.get("estate").getAsString().startsWith("s" + target + ".")) {
                         JsonObject request = FleetClient.request("release");
                         request.add("estate", one.get("estate"));
                         JsonObject answer = FleetClient.ask(control, request);
                         released += answer.get("ok").getAsBoolean() ? 1 : 0;
-                        System.out.println("release of " + one.get("estate").getAsString() + " at s" + slot.index + ": " + answer);
+                        System.out.println(
+                                "release of " + one.get("estate").getAsString() + " at s" + slot.index + ": " + answer);
                     }
                 }
             } catch (IOException | RuntimeException e) {
@@ -495,7 +547,8 @@
         takeovers.sort(null);
         if (!takeovers.isEmpty()) {
             out.addProperty("takeover_ms_median", takeovers.get(takeovers.size() / 2));
-            out.addProperty("takeover_ms_p99", takeovers.get((int) Math.min(takeovers.size() - 1, takeovers.size() * 99L / 100)));
+            out.addProperty("takeover_ms_p99", takeovers.get((int)
+                    Math.min(takeovers.size() - 1, takeovers.size() * 99L / 100)));
         }
         wholeMs.sort(null);
         if (!wholeMs.isEmpty()) {
--- a/cli/src/main/java/amberroute/cli/WideRig.java
+++ b/cli/src/main/java/amberroute/cli/WideRig.java
@@ -1,59 +1,80 @@
 package amberroute.cli;
 
+import amberroute.fleet.Definition;
+import amberroute.fleet.Supervision;
+import amberroute.testkit.Book;
+import amberroute.testkit.Clients;
+import amberroute.testkit.Partner;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
-
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-import amberroute.fleet.Definition;
-import amberroute.fleet.Supervision;
-import amberroute.testkit.Book;
-import amberroute.testkit.Clients;
-import amberroute.testkit.Partner;
-import amberroute.testkit.Stage;
-
 /** What one daemon needs among many others and with many endpoints, beside what it needs among few. */
-@Command(name = "wide", mixinStandardHelpOptions = true, description = {
-    "Runs a small fleet, then a wide one with many endpoints, each under load and a restart of all daemons one after another, and",
-    "measures the memory, threads and descriptors of the daemon that had most of each. Fails unless all books close, no daemon has more",
-    "threads in the wide fleet, and its memory grows by less than --growth."})
+@Command(
+        name = "wide",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Runs a small fleet, then a wide one with many endpoints, each under load and a restart of all daemons one after another, and",
+            "measures the memory, threads and descriptors of the daemon that had most of each. Fails unless all books close, no daemon has more",
+            "threads in the wide fleet, and its memory grows by less than --growth."
+        })
 final class WideRig implements Callable<Integer> {
     private static final long READY_MS = 180_000;
     private static final long RESTART_MS = 600_000;
 
     @Option(names = "--daemons", defaultValue = "120", description = "of the wide fleet (${DEFAULT-VALUE})")
     private int daemons;
+
     @Option(names = "--destinations", defaultValue = "200", description = "of the wide fleet (${DEFAULT-VALUE})")
     private int destinations;
+
     @Option(names = "--endpoints", defaultValue = "3", description = "for each destination (${DEFAULT-VALUE})")
     private int endpoints;
-    @Option(names = "--small", defaultValue = "3", description = "daemons of the small fleet, and half its destinations (${DEFAULT-VALUE})")
+
+    @Option(
+            names = "--small",
+            defaultValue = "3",
+            description = "daemons of the small fleet, and half its destinations (${DEFAULT-VALUE})")
     private int small;
+
     @Option(names = "--rate", defaultValue = "4", description = "messages a second for each daemon (${DEFAULT-VALUE})")
     private double rate;
+
     @Option(names = "--seconds", defaultValue = "15", description = "of load before the restarts (${DEFAULT-VALUE})")
     private int seconds;
+
     @Option(names = "--growth", defaultValue = "1.25", description = "of memory, at most (${DEFAULT-VALUE})")
     private double growth;
+
     @Option(names = "--seed", defaultValue = "1", description = "for all random choices (${DEFAULT-VALUE})")
     private long seed;
 
     /** The most that any daemon had, and what became of the messages. */
-    private record Seen(int daemons, int endpoints, double megabytes, long threads, long descriptors, long taken, long delivered,
-            boolean books) { }
+    private record Seen(
+            int daemons,
+            int endpoints,
+            double megabytes,
+            long threads,
+            long descriptors,
+            long taken,
+            long delivered,
+            boolean books) {}
 
     @Override
     public Integer call() throws Exception {
         Seen few = play(small, Math.max(1, 2 * small), 2);
         Seen many = play(daemons, destinations, endpoints);
-        boolean ok = few.books() && many.books() && many.threads() <= few.threads() && many.megabytes() < growth * few.megabytes();
+        boolean ok = few.books()
+                && many.books()
+                && many.threads() <= few.threads()
+                && many.megabytes() < growth * few.megabytes();
         JsonObject out = new JsonObject();
         out.addProperty("ok", ok);
         out.addProperty("seed", seed);
@@ -84,11 +105,16 @@
         }
         int port = Stage.freePorts(count, seed);
         stage.senderFile(folder, count);
-        Path file = stage.fleetFile(folder, count, port, Home.daemonJar(), "start.at_once = 8\nrolling.at_once = "
-                + Math.max(1, count / 10) + "\n");
+        Path file = stage.fleetFile(
+                folder,
+                count,
+                port,
+                Home.daemonJar(),
+                "start.at_once = 8\nrolling.at_once = " + Math.max(1, count / 10) + "\n");
         Clients clients = stage.clients(Stage.addresses(port, count), Stage.kinds());
         LocalFleet fleet = new LocalFleet(Definition.read(file, Home.daemonJar()));
-        try (stage; fleet) {
+        try (stage;
+                fleet) {
             fleet.start();
             fleet.awaitReady(READY_MS);
             stage.run(() -> clients.run(new Clients.Load(rate * count, 0.1, 4, 20 * count, 4)));
@@ -106,10 +132,18 @@
                     descriptors = Math.max(descriptors, open.count());
                 }
             }
-            stage.settle(() -> { });
+            stage.settle(() -> {});
             fleet.stop(Supervision.Mode.FINAL);
             Book.Totals t = stage.totals();
-            Seen seen = new Seen(count, partners * each, megabytes, threads, descriptors, t.taken(), t.delivered(), t.ok() && t.taken() > 0);
+            Seen seen = new Seen(
+                    count,
+                    partners * each,
+                    megabytes,
+                    threads,
+                    descriptors,
+                    t.taken(),
+                    t.delivered(),
+                    t.ok() && t.taken() > 0);
             System.out.println(seen + " " + t);
             return seen;
         } finally {
--- a/cli/src/test/java/amberroute/cli/FleetProcessTest.java
+++ b/cli/src/test/java/amberroute/cli/FleetProcessTest.java
@@ -5,6 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.fleet.Definition;
+import amberroute.fleet.FleetClient;
+import amberroute.fleet.Supervisor;
+import amberroute.testkit.Partner;
+import amberroute.testkit.RespRequest;
+import amberroute.testkit.Stage;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -19,25 +27,15 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.fleet.Definition;
-import amberroute.fleet.FleetClient;
-import amberroute.fleet.Supervisor;
-import amberroute.testkit.Partner;
-import amberroute.testkit.RespRequest;
-import amberroute.testkit.Stage;
-
 /** The supervisor and its daemons as real processes, which are killed, stopped and hindered. */
 class FleetProcessTest {
-    private static final String QUICK = """
+    private static final String QUICK =
+            """
             [stop]
             within = "1500ms"
             grace = "500ms"
@@ -50,6 +48,7 @@
 
     @TempDir
     Path folder;
+
     private Stage stage;
     private Definition definition;
     private int port;
@@ -90,8 +89,11 @@
         Path lock = instance.state().resolve("lock");
         String text = Files.exists(lock) ? Files.readString(lock).strip() : "";
         long pid = text.isEmpty() ? 0 : Long.parseLong(text);
-        boolean ours = pid > 0 && ProcessHandle.of(pid).flatMap(p -> p.info().arguments())
-                .map(a -> String.join(" ", a).contains("amberroute")).orElse(false);
+        boolean ours = pid > 0
+                && ProcessHandle.of(pid)
+                        .flatMap(p -> p.info().arguments())
+                        .map(a -> String.join(" ", a).contains("amberroute"))
+                        .orElse(false);
         return ours ? pid : 0;
     }
 
@@ -101,10 +103,19 @@
     }
 
     private Process up() throws IOException {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "amberroute.cli.Main", "fleet", "up", "-f",
-                definition.file().toString()).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("supervisor.log").toFile())).start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "amberroute.cli.Main",
+                        "fleet",
+                        "up",
+                        "-f",
+                        definition.file().toString())
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve("supervisor.log").toFile()))
+                .start();
         supervisors.add(process);
         return process;
     }
@@ -133,7 +144,13 @@
 
     private String state(int daemon) {
         JsonObject status = status();
-        return status == null ? "" : status.getAsJsonArray("daemons").get(daemon).getAsJsonObject().get("state").getAsString();
+        return status == null
+                ? ""
+                : status.getAsJsonArray("daemons")
+                        .get(daemon)
+                        .getAsJsonObject()
+                        .get("state")
+                        .getAsString();
     }
 
     private List<Long> pids() {
@@ -150,7 +167,11 @@
         if (status == null || !status.get("ready").getAsBoolean()) {
             return false;
         }
-        long pid = status.getAsJsonArray("daemons").get(daemon).getAsJsonObject().get("pid").getAsLong();
+        long pid = status.getAsJsonArray("daemons")
+                .get(daemon)
+                .getAsJsonObject()
+                .get("pid")
+                .getAsLong();
         return pid > 0 && pid != before;
     }
 
@@ -171,7 +192,11 @@
     }
 
     private static void signal(String name, long pid) throws Exception {
-        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + pid)
+                        .start()
+                        .waitFor());
     }
 
     @Test
@@ -206,7 +231,9 @@
         command("stop");
         assertEquals(0, second.waitFor());
         for (long pid : before) {
-            await(() -> ProcessHandle.of(pid).map(p -> !p.isAlive() || p.info().command().isEmpty()).orElse(true));
+            await(() -> ProcessHandle.of(pid)
+                    .map(p -> !p.isAlive() || p.info().command().isEmpty())
+                    .orElse(true));
         }
     }
 
@@ -256,8 +283,10 @@
     /** Living processes that read this test's sender file. */
     private long daemonsOf() {
         String file = folder.resolve("amberroute.toml").toString();
-        return ProcessHandle.allProcesses().filter(p -> p.info().arguments()
-                .map(a -> List.of(a).contains(file)).orElse(false)).count();
+        return ProcessHandle.allProcesses()
+                .filter(p ->
+                        p.info().arguments().map(a -> List.of(a).contains(file)).orElse(false))
+                .count();
     }
 
     /** At whatever step of a rolling restart it dies: no daemon is lost by it, and the next one can roll to the end. */
@@ -290,18 +319,23 @@
         long before = descriptors();
         for (int i = 0; i < 100; i++) {
             try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(definition.control()))) {
-                channel.write(ByteBuffer.wrap((i % 2 == 0 ? "{\"do\":" : "{\"do\":\"status\"}\n").getBytes(StandardCharsets.UTF_8)));
+                channel.write(ByteBuffer.wrap(
+                        (i % 2 == 0 ? "{\"do\":" : "{\"do\":\"status\"}\n").getBytes(StandardCharsets.UTF_8)));
             }
             if (i % 8 == 0) {
                 await(() -> status() != null);
             }
         }
-        for (String bad : List.of("nonsense", "{}", "{\"do\":\"dance\"}", "{\"do\":\"restart\",\"names\":[\"nobody\"]}")) {
+        for (String bad :
+                List.of("nonsense", "{}", "{\"do\":\"dance\"}", "{\"do\":\"restart\",\"names\":[\"nobody\"]}")) {
             try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(definition.control()))) {
                 channel.write(ByteBuffer.wrap((bad + "\n").getBytes(StandardCharsets.UTF_8)));
                 ByteBuffer answer = ByteBuffer.allocate(4_096);
                 channel.read(answer);
-                assertTrue(new String(answer.array(), 0, answer.position(), StandardCharsets.UTF_8).startsWith("{\"ok\":false"), bad);
+                assertTrue(
+                        new String(answer.array(), 0, answer.position(), StandardCharsets.UTF_8)
+                                .startsWith("{\"ok\":false"),
+                        bad);
             }
         }
         await(() -> descriptors() <= before + 2);
@@ -328,7 +362,8 @@
         await(this::allReady);
         // A message that is held, and a platform that is gone when its end is to be told.
         try (java.net.Socket client = new java.net.Socket(InetAddress.getLoopbackAddress(), port)) {
-            client.getOutputStream().write(RespRequest.of("SUBMIT", "0000000000000000", "left", "c=quote-status,d=5000,dest=1", ""));
+            client.getOutputStream()
+                    .write(RespRequest.of("SUBMIT", "0000000000000000", "left", "c=quote-status,d=5000,dest=1", ""));
             assertEquals('+', client.getInputStream().read());
         }
         stage.run(stage.platform()::shut);
@@ -351,19 +386,23 @@
         await(this::allReady);
         List<Long> before = pids();
         try (java.net.Socket client = new java.net.Socket(InetAddress.getLoopbackAddress(), port)) {
-            client.getOutputStream().write(RespRequest.of("SUBMIT", "0000000000000000", "moves", "c=quote-status,d=5900,dest=1", ""));
+            client.getOutputStream()
+                    .write(RespRequest.of("SUBMIT", "0000000000000000", "moves", "c=quote-status,d=5900,dest=1", ""));
             assertEquals('+', client.getInputStream().read());
         }
         first.destroyForcibly().waitFor();
         Definition old = definition;
-        String moved = "[[instance]]\nname = \"sender-1\"\nlisten = \"127.0.0.1:" + (port + 2) + "\"\nstate = \"elsewhere\"\n";
-        definition = Definition.read(stage.fleetFile(folder, 2, port, Home.daemonJar(), QUICK + moved), Home.daemonJar());
+        String moved =
+                "[[instance]]\nname = \"sender-1\"\nlisten = \"127.0.0.1:" + (port + 2) + "\"\nstate = \"elsewhere\"\n";
+        definition =
+                Definition.read(stage.fleetFile(folder, 2, port, Home.daemonJar(), QUICK + moved), Home.daemonJar());
         up();
         await(() -> replaced(0, before.get(0)));
         assertEquals(before.get(1), pids().get(1));
         stage.become(1, Partner.Mode.UP);
         // Called, or told as over where the machine took longer for the restart than the message had.
-        await(() -> stage.partners().get(0).calls() > 0 || stage.on(() -> stage.platform().noticeLines()) > 0);
+        await(() -> stage.partners().get(0).calls() > 0
+                || stage.on(() -> stage.platform().noticeLines()) > 0);
         try (java.net.Socket client = new java.net.Socket(InetAddress.getLoopbackAddress(), port + 2)) {
             client.getOutputStream().write(RespRequest.of("PING"));
             assertEquals('+', client.getInputStream().read());
@@ -467,7 +506,8 @@
         builder.environment().put("GW_NAME", instance.name());
         builder.environment().put("GW_LISTEN", instance.listen());
         builder.environment().put("GW_STATE", instance.state().toString());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve("hand.log").toFile());
+        builder.redirectErrorStream(true)
+                .redirectOutput(folder.resolve("hand.log").toFile());
         Process hand = builder.start();
         await(() -> Files.readString(folder.resolve("hand.log")).contains("ready at"));
         up();
--- a/cli/src/test/java/amberroute/cli/KnownRedTest.java
+++ b/cli/src/test/java/amberroute/cli/KnownRedTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -23,14 +22,17 @@
     @BeforeEach
     void tests() throws IOException {
         Path folder = Files.createDirectories(root.resolve("part/src/test/java"));
-        Files.writeString(folder.resolve("OneTest.java"), "class OneTest {\n    void first() { }\n    void second() { }\n}\n");
+        Files.writeString(
+                folder.resolve("OneTest.java"), "class OneTest {\n    void first() { }\n    void second() { }\n}\n");
     }
 
-    private record Outcome(int code, String text) { }
+    private record Outcome(int code, String text) {}
 
     private Outcome play(String what, String list) throws Exception {
         Path file = Files.writeString(root.resolve("list"), list);
-        Process process = new ProcessBuilder(SCRIPT.toString(), what, file.toString(), root.toString()).redirectErrorStream(true).start();
+        Process process = new ProcessBuilder(SCRIPT.toString(), what, file.toString(), root.toString())
+                .redirectErrorStream(true)
+                .start();
         String text = new String(process.getInputStream().readAllBytes());
         return new Outcome(process.waitFor(), text);
     }
@@ -46,13 +48,21 @@
     void justTheListedArePassedOver() throws Exception {
         String list = "OneTest#first | a gate is late | 37\nOneTest#second | another cause | 38\n";
         assertEquals(new Outcome(0, ""), play("check", list));
-        assertEquals("!OneTest#first,!OneTest#second", play("exclude", list).text().strip());
+        assertEquals(
+                "!OneTest#first,!OneTest#second", play("exclude", list).text().strip());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"OneTest#first | | 37", "OneTest#first | a cause |", "OneTest#first", "OneTest | a cause | 37",
-        "OneTest#third | a cause | 37", "TwoTest#first | a cause | 37",
-        "OneTest#first | a | 1\nOneTest#second | b | 2\nOneTest#first | c | 3\nOneTest#second | d | 4"})
+    @ValueSource(
+            strings = {
+                "OneTest#first | | 37",
+                "OneTest#first | a cause |",
+                "OneTest#first",
+                "OneTest | a cause | 37",
+                "OneTest#third | a cause | 37",
+                "TwoTest#first | a cause | 37",
+                "OneTest#first | a | 1\nOneTest#second | b | 2\nOneTest#first | c | 3\nOneTest#second | d | 4"
+            })
     void whatIsNotSoIsRefused(String list) throws Exception {
         Outcome outcome = play("check", list + "\n");
         assertEquals(1, outcome.code(), outcome.text());
@@ -63,8 +73,13 @@
     @Test
     void theListOfTheProjectIsSound() throws Exception {
         Path project = SCRIPT.getParent().getParent();
-        Process process = new ProcessBuilder(SCRIPT.toString(), "check", project.resolve("KNOWN-RED.txt").toString(), project.toString())
-                .inheritIO().start();
+        Process process = new ProcessBuilder(
+                        SCRIPT.toString(),
+                        "check",
+                        project.resolve("KNOWN-RED.txt").toString(),
+                        project.toString())
+                .inheritIO()
+                .start();
         assertEquals(0, process.waitFor());
     }
 }
--- a/cli/src/test/java/amberroute/cli/MainTest.java
+++ b/cli/src/test/java/amberroute/cli/MainTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -17,10 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,19 +31,24 @@
     @TempDir
     Path folder;
 
-    private record Run(int code, String out, String err) { }
+    private record Run(int code, String out, String err) {}
 
     private Run run(String main, Map<String, String> environment, String... args) throws Exception {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), main));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                main));
         command.addAll(List.of(args));
         ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
         builder.environment().keySet().removeIf(k -> k.startsWith("GW_"));
         builder.environment().putAll(environment);
         Process process = builder.redirectOutput(folder.resolve("out").toFile())
-                .redirectError(folder.resolve("err").toFile()).start();
+                .redirectError(folder.resolve("err").toFile())
+                .start();
         assertTrue(process.waitFor(60, TimeUnit.SECONDS), "does not end");
-        return new Run(process.exitValue(), Files.readString(folder.resolve("out")), Files.readString(folder.resolve("err")));
+        return new Run(
+                process.exitValue(), Files.readString(folder.resolve("out")), Files.readString(folder.resolve("err")));
     }
 
     private Run run(String... args) throws Exception {
@@ -53,18 +56,21 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "2 | '' | a command is needed",
-        "2 | dance | Unmatched argument",
-        "2 | demo --seconds ten | Invalid value for option '--seconds'",
-        "1 | demo --seconds 3 | seconds is 10 to 3600",
-        "2 | submit --to 127.0.0.1:1 | Missing required options",
-        "1 | submit --to localhost:1 --class c --dest 1 | not an address in figures",
-        "1 | submit --to 127.0.0.1:1 --class c --dest 1 | refused",
-        "1 | check none.toml | none.toml: cannot be read",
-        "1 | fleet status -f none.toml | none.toml: cannot be read",
-        "1 | journal show nowhere | no journal in nowhere",
-        "2 | rig dance | Unmatched argument"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "2 | '' | a command is needed",
+                "2 | dance | Unmatched argument",
+                "2 | demo --seconds ten | Invalid value for option '--seconds'",
+                "1 | demo --seconds 3 | seconds is 10 to 3600",
+                "2 | submit --to 127.0.0.1:1 | Missing required options",
+                "1 | submit --to localhost:1 --class c --dest 1 | not an address in figures",
+                "1 | submit --to 127.0.0.1:1 --class c --dest 1 | refused",
+                "1 | check none.toml | none.toml: cannot be read",
+                "1 | fleet status -f none.toml | none.toml: cannot be read",
+                "1 | journal show nowhere | no journal in nowhere",
+                "2 | rig dance | Unmatched argument"
+            })
     void whatCannotBeIsOneLineAndACode(int code, String args, String says) throws Exception {
         Run run = run(args.isEmpty() ? new String[0] : args.split(" "));
         assertEquals(code, run.code(), run.toString());
@@ -75,8 +81,21 @@
 
     @Test
     void everyCommandHasHelp() throws Exception {
-        for (String command : List.of("", "serve", "fleet", "fleet up", "fleet status", "fleet restart", "fleet reload",
-                "fleet stop", "demo", "check", "submit", "journal show", "rig rolling-restart", "rig start")) {
+        for (String command : List.of(
+                "",
+                "serve",
+                "fleet",
+                "fleet up",
+                "fleet status",
+                "fleet restart",
+                "fleet reload",
+                "fleet stop",
+                "demo",
+                "check",
+                "submit",
+                "journal show",
+                "rig rolling-restart",
+                "rig start")) {
             // In this process: the exit code is all that is asked.
             assertEquals(0, Main.execute((command + " --help").strip().split(" ")), command);
         }
@@ -97,7 +116,8 @@
     /** A definition whose daemons' own file is broken is found before anything is started. */
     @Test
     void checksWhatADefinitionsDaemonsWouldRead() throws Exception {
-        Files.writeString(folder.resolve("fleet.toml"), "sender = \"s.toml\"\ncount = 2\nlisten = \"127.0.0.1:7000\"\n");
+        Files.writeString(
+                folder.resolve("fleet.toml"), "sender = \"s.toml\"\ncount = 2\nlisten = \"127.0.0.1:7000\"\n");
         Files.writeString(folder.resolve("s.toml"), "discovery = \"127.0.0.1:1\"\n");
         Run run = run("check", "fleet.toml");
         assertEquals(1, run.code());
@@ -124,8 +144,8 @@
             Thread thread = new Thread(() -> {
                 for (String answer : List.of("+OK", "-BUSY 700")) {
                     try (Socket socket = server.accept()) {
-                        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                                StandardCharsets.UTF_8));
+                        BufferedReader in = new BufferedReader(
+                                new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
                         for (int i = 0; i < 11; i++) {
                             seen.add(in.readLine());
                         }
@@ -137,13 +157,41 @@
             });
             thread.start();
             String to = "127.0.0.1:" + server.getLocalPort();
-            Run taken = run("submit", "--to", to, "--class", "quote-status", "--dest", "7", "--id", "m1", "--key", "ff",
-                    "--within", "1500ms", "--idempotency-key", "k1", "--body", "señal");
+            Run taken = run(
+                    "submit",
+                    "--to",
+                    to,
+                    "--class",
+                    "quote-status",
+                    "--dest",
+                    "7",
+                    "--id",
+                    "m1",
+                    "--key",
+                    "ff",
+                    "--within",
+                    "1500ms",
+                    "--idempotency-key",
+                    "k1",
+                    "--body",
+                    "señal");
             assertEquals(0, taken.code(), taken.toString());
             assertEquals("m1 +OK\n", taken.out());
             String options = "c=quote-status,d=1500,dest=7,k=k1";
-            assertEquals(List.of("*5", "$6", "SUBMIT", "$16", "00000000000000ff", "$2", "m1", "$" + options.length(), options,
-                    "$6", "señal"), List.copyOf(seen));
+            assertEquals(
+                    List.of(
+                            "*5",
+                            "$6",
+                            "SUBMIT",
+                            "$16",
+                            "00000000000000ff",
+                            "$2",
+                            "m1",
+                            "$" + options.length(),
+                            options,
+                            "$6",
+                            "señal"),
+                    List.copyOf(seen));
             Run refused = run("submit", "--to", to, "--class", "c", "--dest", "1");
             thread.join();
             assertEquals(3, refused.code());
@@ -159,8 +207,12 @@
         assertEquals(1, run.out().lines().count(), run.out());
         JsonObject books = JsonParser.parseString(run.out()).getAsJsonObject();
         assertTrue(books.get("ok").getAsBoolean());
-        assertEquals(books.get("taken").getAsLong(), books.get("delivered").getAsLong() + books.get("returned").getAsLong()
-                + books.get("failed").getAsLong() + books.get("open").getAsLong());
+        assertEquals(
+                books.get("taken").getAsLong(),
+                books.get("delivered").getAsLong()
+                        + books.get("returned").getAsLong()
+                        + books.get("failed").getAsLong()
+                        + books.get("open").getAsLong());
         for (String zero : List.of("open", "lost", "doubled", "out_of_order")) {
             assertEquals(0, books.get(zero).getAsLong(), zero);
         }
--- a/cli/src/test/java/amberroute/cli/SurvivorsRigTest.java
+++ b/cli/src/test/java/amberroute/cli/SurvivorsRigTest.java
@@ -7,8 +7,21 @@
 /** The short forms of the rig that loses daemons; its books come from stand-in partners and clients. */
 class SurvivorsRigTest {
     private static void play(String script) {
-        assertEquals(0, Main.execute("rig", "survivors", "--daemons", "4", "--rounds", "1", "--per-second", "60", "--seed", "5",
-                "--script", script));
+        assertEquals(
+                0,
+                Main.execute(
+                        "rig",
+                        "survivors",
+                        "--daemons",
+                        "4",
+                        "--rounds",
+                        "1",
+                        "--per-second",
+                        "60",
+                        "--seed",
+                        "5",
+                        "--script",
+                        script));
     }
 
     @Test
--- a/cli/src/test/java/amberroute/cli/WideRigTest.java
+++ b/cli/src/test/java/amberroute/cli/WideRigTest.java
@@ -8,6 +8,20 @@
 class WideRigTest {
     @Test
     void aDaemonNeedsNoMoreThreadsAndLittleMoreMemoryForManyEndpoints() {
-        assertEquals(0, Main.execute("rig", "wide", "--daemons", "2", "--small", "2", "--destinations", "60", "--seconds", "3", "--rate", "20"));
+        assertEquals(
+                0,
+                Main.execute(
+                        "rig",
+                        "wide",
+                        "--daemons",
+                        "2",
+                        "--small",
+                        "2",
+                        "--destinations",
+                        "60",
+                        "--seconds",
+                        "3",
+                        "--rate",
+                        "20"));
     }
 }
--- a/config/src/main/java/amberroute/config/Schema.java
+++ b/config/src/main/java/amberroute/config/Schema.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
@@ -25,11 +24,30 @@
     private static final int FAR = 3;
 
     /** What a key's value has to be. */
-    enum Type { TEXT, CHOICE, WHOLE, REAL, FLAG, DURATION, SIZE, ADDRESS, LIST, TABLES }
+    enum Type {
+        TEXT,
+        CHOICE,
+        WHOLE,
+        REAL,
+        FLAG,
+        DURATION,
+        SIZE,
+        ADDRESS,
+        LIST,
+        TABLES
+    }
 
     /** One key; {@code least} and {@code most} bound figures in the type's unit (microseconds, bytes). */
-    record Key(String path, Type type, boolean needed, Object fallback, double least, double most,
-            List<String> choices, Schema rows, String meaning) { }
+    record Key(
+            String path,
+            Type type,
+            boolean needed,
+            Object fallback,
+            double least,
+            double most,
+            List<String> choices,
+            Schema rows,
+            String meaning) {}
 
     private final Map<String, Key> keys = new LinkedHashMap<>();
 
@@ -68,14 +86,30 @@
      * null default makes it needed.
      */
     public Schema duration(String path, String fallback, String least, String most, String meaning) {
-        return add(new Key(path, Type.DURATION, fallback == null, fallback == null ? null : Units.micros(fallback),
-                Units.micros(least), Units.micros(most), List.of(), null, meaning));
+        return add(new Key(
+                path,
+                Type.DURATION,
+                fallback == null,
+                fallback == null ? null : Units.micros(fallback),
+                Units.micros(least),
+                Units.micros(most),
+                List.of(),
+                null,
+                meaning));
     }
 
     /** A number of bytes, written as a text with its unit: B, KB, MB, GB, KiB, MiB or GiB. */
     public Schema size(String path, String fallback, String least, String most, String meaning) {
-        return add(new Key(path, Type.SIZE, fallback == null, fallback == null ? null : Units.bytes(fallback),
-                Units.bytes(least), Units.bytes(most), List.of(), null, meaning));
+        return add(new Key(
+                path,
+                Type.SIZE,
+                fallback == null,
+                fallback == null ? null : Units.bytes(fallback),
+                Units.bytes(least),
+                Units.bytes(most),
+                List.of(),
+                null,
+                meaning));
     }
 
     /** An address in figures with a port; names are never looked up. Absent where the file does not have it. */
@@ -116,16 +150,22 @@
     public List<String> describe() {
         List<String> out = new ArrayList<>();
         for (Key key : keys.values()) {
-            String bounds = switch (key.type()) {
-                case WHOLE, REAL -> " " + Units.plain(key.least()) + " to " + Units.plain(key.most());
-                case DURATION -> " " + Units.span((long) key.least()) + " to " + Units.span((long) key.most());
-                case CHOICE -> " " + String.join(" | ", key.choices());
-                default -> "";
-            };
-            String standard = key.needed() ? "needed" : key.fallback() == null ? "none"
-                    : key.type() == Type.DURATION ? Units.span((Long) key.fallback()) : key.fallback().toString();
-            out.add(key.path() + " (" + key.type().name().toLowerCase(java.util.Locale.ROOT) + bounds + "; "
-                    + standard + "): " + key.meaning());
+            String bounds =
+                    switch (key.type()) {
+                        case WHOLE, REAL -> " " + Units.plain(key.least()) + " to " + Units.plain(key.most());
+                        case DURATION -> " " + Units.span((long) key.least()) + " to " + Units.span((long) key.most());
+                        case CHOICE -> " " + String.join(" | ", key.choices());
+                        default -> "";
+                    };
+            String standard = key.needed()
+                    ? "needed"
+                    : key.fallback() == null
+                            ? "none"
+                            : key.type() == Type.DURATION
+                                    ? Units.span((Long) key.fallback())
+                                    : key.fallback().toString();
+            out.add(key.path() + " (" + key.type().name().toLowerCase(java.util.Locale.ROOT) + bounds + "; " + standard
+                    + "): " + key.meaning());
             if (key.rows() != null) {
                 key.rows().describe().forEach(line -> out.add("  " + key.path() + "." + line));
             }
@@ -187,8 +227,8 @@
             case CHOICE -> {
                 String word = text(raw, where);
                 if (!key.choices().contains(word)) {
-                    throw new ConfigException(where + " is " + quote(word) + ", not one of "
-                            + String.join(", ", key.choices()));
+                    throw new ConfigException(
+                            where + " is " + quote(word) + ", not one of " + String.join(", ", key.choices()));
                 }
                 yield word;
             }
@@ -252,7 +292,9 @@
     }
 
     private static String text(Object raw, String where) {
-        if (!(raw instanceof String text) || text.length() > 4_096 || text.chars().anyMatch(Character::isISOControl)) {
+        if (!(raw instanceof String text)
+                || text.length() > 4_096
+                || text.chars().anyMatch(Character::isISOControl)) {
             throw new ConfigException(where + " has to be a text on one line");
         }
         return text;
@@ -272,8 +314,8 @@
         try {
             return time ? Units.micros(text(raw, where)) : Units.bytes(text(raw, where));
         } catch (IllegalArgumentException e) {
-            throw new ConfigException(where + " has to be a text such as " + (time ? "\"1500ms\"" : "\"64MB\"")
-                    + ", with its unit");
+            throw new ConfigException(
+                    where + " has to be a text such as " + (time ? "\"1500ms\"" : "\"64MB\"") + ", with its unit");
         }
     }
 
@@ -293,7 +335,8 @@
             }
             String near = nearest(full);
             throw new ConfigException(where(table.inputPositionOf(List.of(name)), file) + "unknown key " + prefix
-                    + full.replaceAll("\\p{Cntrl}", "?") + (near == null ? "" : "; did you mean " + prefix + near + "?"));
+                    + full.replaceAll("\\p{Cntrl}", "?")
+                    + (near == null ? "" : "; did you mean " + prefix + near + "?"));
         }
     }
 
--- a/config/src/main/java/amberroute/config/Units.java
+++ b/config/src/main/java/amberroute/config/Units.java
@@ -10,13 +10,25 @@
 /** Spans, sizes and addresses as people write them. */
 public final class Units {
     private static final Pattern FIGURE = Pattern.compile("([0-9]{1,15}(?:\\.[0-9]{1,6})?) ?([A-Za-z]{1,3})");
-    private static final Map<String, Double> SPANS = Map.of("us", 1.0, "ms", 1e3, "s", 1e6, "m", 6e7, "h", 3.6e9,
-            "d", 8.64e10);
-    private static final Map<String, Double> SIZES = Map.of("B", 1.0, "KB", 1e3, "MB", 1e6, "GB", 1e9,
-            "KiB", 1024.0, "MiB", 1024.0 * 1024, "GiB", 1024.0 * 1024 * 1024);
+    private static final Map<String, Double> SPANS =
+            Map.of("us", 1.0, "ms", 1e3, "s", 1e6, "m", 6e7, "h", 3.6e9, "d", 8.64e10);
+    private static final Map<String, Double> SIZES = Map.of(
+            "B",
+            1.0,
+            "KB",
+            1e3,
+            "MB",
+            1e6,
+            "GB",
+            1e9,
+            "KiB",
+            1024.0,
+            "MiB",
+            1024.0 * 1024,
+            "GiB",
+            1024.0 * 1024 * 1024);
 
-    private Units() {
-    }
+    private Units() {}
 
     /** A span in microseconds; IllegalArgumentException where it cannot be read. */
     public static long micros(String text) {
@@ -49,26 +61,29 @@
         if (micros % 3_600_000_000L == 0 && micros != 0) {
             return micros / 3_600_000_000L + "h";
         }
-        return micros % 1_000_000 == 0 ? micros / 1_000_000 + "s" : micros % 1_000 == 0 ? micros / 1_000 + "ms"
-                : micros + "us";
+        return micros % 1_000_000 == 0
+                ? micros / 1_000_000 + "s"
+                : micros % 1_000 == 0 ? micros / 1_000 + "ms" : micros + "us";
     }
 
     /** A number without a fraction where it has none. */
     static String plain(double value) {
-        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
+        return value == Math.rint(value) && Math.abs(value) < 1e15
+                ? Long.toString((long) value)
                 : Double.toString(value);
     }
 
     /** An address in figures and a port; IllegalArgumentException for anything else, names too. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon < 0 || !text.substring(0, colon).matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]{2,45}\\]")
+        if (colon < 0
+                || !text.substring(0, colon).matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]{2,45}\\]")
                 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
             throw new IllegalArgumentException("not an address in figures with a port: " + text);
         }
         try {
-            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
-                    Integer.parseInt(text.substring(colon + 1)));
+            return new InetSocketAddress(
+                    InetAddress.getByName(text.substring(0, colon)), Integer.parseInt(text.substring(colon + 1)));
         } catch (UnknownHostException | IllegalArgumentException e) {
             throw new IllegalArgumentException("not an address in figures with a port: " + text);
         }
--- a/decisions/src/main/java/amberroute/Hold.java
+++ b/decisions/src/main/java/amberroute/Hold.java
@@ -1,11 +1,5 @@
 package amberroute;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.List;
-import java.util.TreeMap;
-
 import amberroute.State.Bucket;
 import amberroute.State.Destination;
 import amberroute.State.Message;
@@ -13,6 +7,11 @@
 import amberroute.order.IndexShape;
 import amberroute.order.TimeQueue;
 import amberroute.order.TopQueue;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeMap;
 
 /**
  * The books of the messages that wait to be sent: which bucket each is in, which are ready, when the next one is to be looked
@@ -27,6 +26,7 @@
     private static final int SOME = 16;
     /** The epoch of what fades moves on after so many spans: doubles reach some 700. */
     private static final int EPOCH = 50;
+
     private static final double LN_2 = Math.log(2);
 
     /** All messages of one worth: their service times where those are known, and how many there are where they are not. */
@@ -59,6 +59,7 @@
     private static final double NEAR = 1e-9;
     /** Times worked out from rates are rounded: a sleep is over so many microseconds before it has to be. */
     private static final long EARLY = 10;
+
     private final double fadeSpan;
     private final Ends ends;
     private final Shapes shapes;
@@ -68,9 +69,11 @@
     final List<Bucket> buckets = new ArrayList<>();
     /** Those with something to send stand in arrays, so that a choice goes over numbers that lie side by side. */
     private Bucket[] awake = new Bucket[64];
+
     private double[] gains = new double[64];
     /** What of the service time fades, as a share of what does not and as of {@link #epoch}. */
     private double[] fades = new double[64];
+
     private long[] firsts = new long[64];
     private long epoch;
     private int awakes;
@@ -82,17 +85,20 @@
     private double rest;
     /** Ends that come, pauses and rests that are over, times up to which messages may be repeated, sleeps that are over. */
     private final TimeQueue<Bucket> endsDue = new TimeQueue<>();
+
     private final TimeQueue<Message> pauses = new TimeQueue<>();
     private final TimeQueue<Message> lapses = new TimeQueue<>();
     private final TimeQueue<Destination> opens = new TimeQueue<>();
     /** Those that may have had all attempts: to be looked at in the next turn. */
     final List<Message> exhausted = new ArrayList<>();
+
     private final List<Message> over = new ArrayList<>();
     int waiting;
     /** Usual latency over all destinations: what one that never answered is taken to need. */
     double usualLatency;
     /** The same, as ends were queued with. */
     private double queuedUsual;
+
     private int changes;
 
     /** {@code fadeSpan}: what was learned of a service time falls to 1/e of its excess in so many microseconds. */
@@ -126,7 +132,8 @@
         if (m == null || !m.waits) {
             return;
         }
-        long rests = m.turn == null || m.turn.first == m && m.turn.restsAfter == m ? now
+        long rests = m.turn == null || m.turn.first == m && m.turn.restsAfter == m
+                ? now
                 : m.turn.first == m ? m.turn.restUntil : Long.MAX_VALUE;
         long again = rests > now ? rests : m.notBefore;
         mark(m, rests <= now, again <= now, again <= now ? Long.MAX_VALUE : again);
@@ -134,10 +141,10 @@
 
     /** Pauses, rests and sleeps that are over by now. */
     void advance(long now) {
-        for (TimeQueue.Entry<Message> next; (next = pauses.poll(now)) != null;) {
+        for (TimeQueue.Entry<Message> next; (next = pauses.poll(now)) != null; ) {
             look(now, next.of());
         }
-        for (TimeQueue.Entry<Destination> next; (next = opens.poll(now)) != null;) {
+        for (TimeQueue.Entry<Destination> next; (next = opens.poll(now)) != null; ) {
             wake(next.of());
         }
     }
@@ -153,7 +160,9 @@
 
     /** When a pause, a rest or a sleep is over next, MAX_VALUE for never. */
     long nextLook() {
-        return Math.min(at(pauses.peek()), opens.peek() == null ? Long.MAX_VALUE : opens.peek().at() + EARLY);
+        return Math.min(
+                at(pauses.peek()),
+                opens.peek() == null ? Long.MAX_VALUE : opens.peek().at() + EARLY);
     }
 
     private static long at(TimeQueue.Entry<?> entry) {
@@ -169,7 +178,7 @@
             }
         }
         exhausted.clear();
-        for (TimeQueue.Entry<Message> next; (next = lapses.poll(now)) != null;) {
+        for (TimeQueue.Entry<Message> next; (next = lapses.poll(now)) != null; ) {
             over.add(next.of());
         }
         if (usualLatency > queuedUsual && anyUnknown()) {
@@ -180,7 +189,7 @@
             }
         }
         queuedUsual = usualLatency;
-        for (TimeQueue.Entry<Bucket> next; (next = endsDue.poll(now)) != null;) {
+        for (TimeQueue.Entry<Bucket> next; (next = endsDue.poll(now)) != null; ) {
             Bucket b = next.of();
             Message m = b.tree.first();
             while (m != null && ends.end(now, b, m.due) <= now) {
@@ -428,7 +437,8 @@
 
     /** No message of the bucket that is due then or later has a higher index; {@code k}: the span of pressure. */
     double bound(long now, Bucket b, long due, double k) {
-        double gain = b.destination.measured ? b.gain
+        double gain = b.destination.measured
+                ? b.gain
                 : Math.log(b.worth * b.destination.odds / serviceTime(now, b.destination, b.type));
         return gain - Math.max(due - now, 0) / k + NEAR;
     }
@@ -533,7 +543,8 @@
 
     /** How many of a bucket have an index that is no less. */
     int ahead(long now, Bucket b, double index, double k) {
-        return b.tree.size() == 0 || bound(now, b, b.first, k) < index ? 0
+        return b.tree.size() == 0 || bound(now, b, b.first, k) < index
+                ? 0
                 : shapes.shape(now, b, shape).atLeast(b.tree, index);
     }
 
@@ -555,7 +566,8 @@
         double lowest = 0;
         for (Bucket b : buckets) {
             double slowest = Math.max(b.destination.p, serviceTime(now, b.destination, b.type));
-            double floor = Math.log(b.worth * b.destination.odds * Math.min(1, b.type.lateShare()) / slowest) - NEAR
+            double floor = Math.log(b.worth * b.destination.odds * Math.min(1, b.type.lateShare()) / slowest)
+                    - NEAR
                     - Math.max(b.last - now, 0) / k;
             if (least == null || floor <= lowest) {
                 Message m = shapes.shape(now, b, shape).least(b.tree);
@@ -583,7 +595,8 @@
                     load.unknown -= b.counted;
                     load.aims -= b.counted * (double) b.type.aim();
                 } else {
-                    load.known.add(now, -b.counted * b.steady, -b.counted * b.fading * load.known.factor(b.countedAt, now));
+                    load.known.add(
+                            now, -b.counted * b.steady, -b.counted * b.fading * load.known.factor(b.countedAt, now));
                 }
             }
             b.counted = b.tree.size();
--- a/decisions/src/main/java/amberroute/Policy.java
+++ b/decisions/src/main/java/amberroute/Policy.java
@@ -1,5 +1,7 @@
 package amberroute;
 
+import amberroute.State.*;
+import amberroute.order.IndexShape;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -13,9 +15,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
-import amberroute.State.*;
-import amberroute.order.IndexShape;
-
 /**
  * All decisions of one sender. Its interface (settings, events, actions) is {@code Relay.java}.
  *
@@ -46,16 +45,19 @@
     /** A repeatable attempt is given up after so many expected latencies, doubled with each time-out, and not
      * before this span, as connecting is part of a call, nor this share of the time left. */
     private static final double GIVE_UP = 8;
+
     private static final long GIVE_UP_LEAST = 2_000_000;
     private static final double GIVE_UP_SHARE = 0.25;
     /** A call is silent after so many usual latencies, and after this share of the longest class's time, as
      * connecting is part of it: a fixed span holds all slots where times are short. Harm: slow connecting. */
     private static final double SILENT = 6;
+
     private static final double SILENT_SHARE = 1 / 16.0;
     /** A message with less than so many service times left may run out of time before a slow answer. */
     private static final double AMPLE = 3;
     /** Share of the slots that silent calls may hold while messages wait, and how much longer unsafe ones. */
     private static final double SILENT_SLOTS = 0.2;
+
     private static final double PATIENCE = 2.5;
     /** Transit allowed for when the life of a key runs out. */
     private static final long KEY_MARGIN = 300_000;
@@ -65,6 +67,7 @@
     private static final long OUTAGE_LEAST = 2_500_000;
     /** First pause at a door shared by all: a turn for each sender, or some of a told limit, and a base. */
     private static final long TURN = 80_000;
+
     private static final double TURNS = 3.2;
     private static final long BACKOFF = 240_000;
     /** Share of recent calls that ran and failed above which a destination is in doubt: two in a row. */
@@ -77,12 +80,14 @@
     private static final long TRIAL_LONGEST = 700_000;
     /** AIMD: a refusal cuts the pace to this share of what was sent; each answer adds a share. */
     private static final double CUT = 0.8;
+
     private static final double RAISE = 0.05;
     /** Least pace of all senders together in calls a second, so that a limit is noticed when it lifts. */
     private static final double LEAST_PACE = 1.2;
     /** A told limit paces from its first report: at first so many even parts, as not all ask for theirs; cuts
      * leave so much of one, as all stay under it at that; with ENOUGH left it gains so much a second. */
     private static final double PART = 1.2;
+
     private static final double PART_KEPT = 0.85;
     private static final double PART_GAIN = 0.25;
     private static final double ENOUGH = 0.5;
@@ -101,6 +106,7 @@
     private static final double TOLD = 0.75;
     /** Spans over which sent and served rates are averaged. */
     private static final double SENT_SPAN = 2_000_000;
+
     private static final double SERVED_SPAN = 8_000_000;
     /** Weight of a call in shares over all destinations: about the last thirty calls count. */
     private static final double FAST_POOLED = 0.03;
@@ -115,10 +121,12 @@
     /** Part of the trusted idle time from which a gap shows that a table's place is held to little use; it
      * falls to nothing with this share of calls without a place. Harm: a handshake for each call. */
     private static final double SELDOM = 0.5;
+
     private static final double ALL_CROWDED = 0.1;
     /** Endpoint choice, in calls in flight: fresh connection, far zone, failing endpoint, point of toll,
      * the one that failed this message last. Equals are taken in a random order of listing. */
     private static final double COLD_CONNECTION = 0.6;
+
     private static final double FAR = 0.8;
     private static final double FAILING = 4;
     private static final double TOLL = 20;
@@ -134,6 +142,7 @@
 
     /** Pauses double no more often than this. */
     private static final int MOST_DOUBLINGS = 3;
+
     private static final long NEVER = Long.MAX_VALUE;
     private static final double SECOND = 1e6;
 
@@ -148,6 +157,7 @@
     private final IndexShape shape = new IndexShape();
     /** Messages are numbered in their order, and choices. */
     private long lastNumber;
+
     private long choice;
     private int mostDestinations = DESTINATIONS;
     private final Map<Integer, Destination> destinations = new TreeMap<>();
@@ -156,9 +166,11 @@
     private final Set<Scope> busy = new LinkedHashSet<>();
     /** Scopes whose breaker has turned since the last step. */
     private final Set<Scope> turned = new LinkedHashSet<>();
+
     private final Map<Long, KeyTurn> turns = new HashMap<>();
     /** Answered messages whose key's turn waits for the answer to be concluded. */
     private final Map<Long, Message> concluding = new HashMap<>();
+
     private final Deque<KeyTurn> resting = new ArrayDeque<>();
     private final List<TokenBucket> shares = new ArrayList<>();
     private int slotsUsed;
@@ -168,9 +180,11 @@
     private double unconnected;
     /** How long an idle connection is trusted, and shares of calls lost on fresh and on idle ones. */
     private double trustedIdle;
+
     private double toldTrust;
     /** The caller knows each connection's idle time and keeps to {@code trustedIdle} by itself. */
     private boolean idleTold;
+
     private double freshLost;
     private double idleLost;
     private long stopsAt = NEVER;
@@ -246,8 +260,10 @@
 
     @Override
     public int avoided() {
-        return (int) endpoints.values().stream().filter(point -> point.state == Listed.READY
-                && (point.scope.breaker == Breaker.OPEN || point.failures + point.lost >= STREAK)).count();
+        return (int) endpoints.values().stream()
+                .filter(point -> point.state == Listed.READY
+                        && (point.scope.breaker == Breaker.OPEN || point.failures + point.lost >= STREAK))
+                .count();
     }
 
     private void onArrival(long now, Event.Arrival e) {
@@ -268,7 +284,8 @@
         Message m = new Message();
         m.id = id;
         m.number = ++lastNumber;
-        m.type = settings.classes().get(Math.min(messageClass, settings.classes().size() - 1));
+        m.type =
+                settings.classes().get(Math.min(messageClass, settings.classes().size() - 1));
         m.destination = destination(destination);
         m.destination.held++;
         m.due = now + Math.min(m.type.deadline(), timeLeft);
@@ -348,8 +365,10 @@
 
     private void onUnderway(long now, Event.Underway e, Actions actions) {
         Endpoint point = endpoints.get(e.endpoint());
-        List<Message> load = e.ids().stream().map(messages::get)
-                .filter(m -> m != null && m.out == null).toList();
+        List<Message> load = e.ids().stream()
+                .map(messages::get)
+                .filter(m -> m != null && m.out == null)
+                .toList();
         if (point != null && !load.isEmpty()) {
             Call call = startCall(now, point, actions);
             call.sentAt = now - e.sentAgo();
@@ -369,13 +388,19 @@
 
     @Override
     public List<Rest> rests(long now) {
-        return turns.values().stream().filter(t -> t.restUntil > now).map(t -> new Rest(t.key,
-                t.restUntil - now, t.restsAfter == null ? 0 : t.restsAfter.id)).toList();
+        return turns.values().stream()
+                .filter(t -> t.restUntil > now)
+                .map(t -> new Rest(t.key, t.restUntil - now, t.restsAfter == null ? 0 : t.restsAfter.id))
+                .toList();
     }
 
     @Override
     public List<Learned> learned(long now) {
-        return endpoints.values().stream().map(p -> p.scope).distinct().map(s -> s.learned(now)).toList();
+        return endpoints.values().stream()
+                .map(p -> p.scope)
+                .distinct()
+                .map(s -> s.learned(now))
+                .toList();
     }
 
     private void onTakenOver(long now, Learned l) {
@@ -404,8 +429,7 @@
     }
 
     private Destination destination(int number) {
-        return destinations.computeIfAbsent(number,
-                n -> new Destination(new Scope(n, 0, SENT_SPAN, SERVED_SPAN)));
+        return destinations.computeIfAbsent(number, n -> new Destination(new Scope(n, 0, SENT_SPAN, SERVED_SPAN)));
     }
 
     /** A sender sees only its own part of a tenant's traffic and takes an even part of its share. */
@@ -536,9 +560,12 @@
             point = new Endpoint();
             point.id = entry.endpoint();
             point.destination = destination(entry.destination());
-            Kind kind = settings.kinds().isEmpty() ? new Kind(false, 1)
-                    : settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
-            point.scope = !kind.routesApart() ? point.destination.shared
+            Kind kind = settings.kinds().isEmpty()
+                    ? new Kind(false, 1)
+                    : settings.kinds()
+                            .get(Math.min(entry.kind(), settings.kinds().size() - 1));
+            point.scope = !kind.routesApart()
+                    ? point.destination.shared
                     : new Scope(entry.destination(), point.id, SENT_SPAN, SERVED_SPAN);
             point.messagesPerCall = Math.max(1, kind.messagesPerCall());
             endpoints.put(point.id, point);
@@ -567,25 +594,30 @@
 
     /** Whether all endpoints of its destination would know its key again, where that matters. */
     private static boolean remembersAll(Message m) {
-        return m.doubtSince == NEVER || m.type.effect() == Effect.SAFE
-                || m.type.keyScope() == KeyScope.DESTINATION;
+        return m.doubtSince == NEVER || m.type.effect() == Effect.SAFE || m.type.keyScope() == KeyScope.DESTINATION;
     }
 
     private static boolean remembered(Message m, Endpoint point) {
-        return remembersAll(m) || m.doubtAt != null
-                && (m.type.keyScope() == KeyScope.ZONE ? m.doubtAt.zone == point.zone : m.doubtAt == point);
+        return remembersAll(m)
+                || m.doubtAt != null
+                        && (m.type.keyScope() == KeyScope.ZONE ? m.doubtAt.zone == point.zone : m.doubtAt == point);
     }
 
     private static boolean mayRefuse(Message m) {
-        return m.out == null && (m.type.effect() == Effect.SAFE || m.doubtSince == NEVER
-                || m.type.effect() == Effect.KEYED && m.type.keyScope() == KeyScope.DESTINATION);
+        return m.out == null
+                && (m.type.effect() == Effect.SAFE
+                        || m.doubtSince == NEVER
+                        || m.type.effect() == Effect.KEYED && m.type.keyScope() == KeyScope.DESTINATION);
     }
 
     /** The final answer: a refusal wherever that is harmless, since the client may then come again. */
     private void answer(long now, Message m, long advice, Actions actions) {
         if (mayRefuse(m)) {
-            actions.refuse(m.id, settings.limits().retryAdvice()
-                    ? Math.max(0, Math.min(advice, settings.limits().maxRetryAdvice())) : 0);
+            actions.refuse(
+                    m.id,
+                    settings.limits().retryAdvice()
+                            ? Math.max(0, Math.min(advice, settings.limits().maxRetryAdvice()))
+                            : 0);
         } else {
             actions.fail(m.id);
         }
@@ -629,7 +661,8 @@
     private long priced(Message m) {
         Event.Price price = m.destination.price;
         return m.worth < price.worth() || m.worth < price.upTo() && m.lot() >= price.share()
-                ? 1 + price.again() + random.nextLong(1 + price.again()) : 0;
+                ? 1 + price.again() + random.nextLong(1 + price.again())
+                : 0;
     }
 
     /** The arrival test binds once more messages are held unsent than there are slots. */
@@ -664,7 +697,8 @@
             here += scope.destination == m.destination.shared.destination ? hold.timeOut(now, scope) : 0;
         }
         for (Bucket b : m.destination.buckets) {
-            double n = b.worth >= m.worth ? b.tree.size() - (b == m.bucket ? 1 : 0)
+            double n = b.worth >= m.worth
+                    ? b.tree.size() - (b == m.bucket ? 1 : 0)
                     : hold.ahead(now, b, index, LOOK_AHEAD * meanP);
             here += n * hold.serviceTime(now, b.destination, b.type);
             aheadHere += n;
@@ -679,8 +713,8 @@
                 last = point.scope;
                 cap += cap(now, last);
                 // Paces count calls: what waits behind a limit or a slow start fills them.
-                pace += point.messagesPerCall * (last.breaker == Breaker.CLOSED
-                        ? last.pace : rampPace((1 + warmth(now, last)) / 2, last));
+                pace += point.messagesPerCall
+                        * (last.breaker == Breaker.CLOSED ? last.pace : rampPace((1 + warmth(now, last)) / 2, last));
                 opens = Math.min(opens, returnsAt(now, last));
             }
         }
@@ -704,10 +738,17 @@
     /** I = (w/p) exp(-max(d - t, 0) / (k p')), as a function of d in one bucket. */
     private IndexShape shape(long now, Bucket b, IndexShape into) {
         double p = hold.serviceTime(now, b.destination, b.type);
-        into.set(b.worth, b.destination.odds, p, now, LOOK_AHEAD * meanP, b.type.aim(), b.type.deadline(),
-                b.type.lateShare(), settings.lateWorth() == LateWorth.HALVING);
-        into.divide(b.first, hurryLimit(now, b.destination, b.type),
-                now + (long) (LAST_SHARE * b.type.deadline()));
+        into.set(
+                b.worth,
+                b.destination.odds,
+                p,
+                now,
+                LOOK_AHEAD * meanP,
+                b.type.aim(),
+                b.type.deadline(),
+                b.type.lateShare(),
+                settings.lateWorth() == LateWorth.HALVING);
+        into.divide(b.first, hurryLimit(now, b.destination, b.type), now + (long) (LAST_SHARE * b.type.deadline()));
         return into;
     }
 
@@ -728,8 +769,7 @@
         double k = LOOK_AHEAD * meanP;
         hold.beginChoice(now, k, settings.limits().slots() - slotsUsed);
         int open = 0;
-        for (Bucket b; (slotsUsed < settings.limits().slots() || open > 0)
-                && (b = hold.candidate(now, k)) != null;) {
+        for (Bucket b; (slotsUsed < settings.limits().slots() || open > 0) && (b = hold.candidate(now, k)) != null; ) {
             Destination d = b.destination;
             Call call = d.filled == choice && d.filling.takesMore() ? d.filling : null;
             boolean filling = call != null;
@@ -805,8 +845,7 @@
     }
 
     private long hurryLimit(long now, Destination d, MessageClass type) {
-        return now + (long) Math.max(SILENT_SHARE * settings.longestTime(),
-                AMPLE * hold.serviceTime(now, d, type));
+        return now + (long) Math.max(SILENT_SHARE * settings.longestTime(), AMPLE * hold.serviceTime(now, d, type));
     }
 
     /** Nothing is known of a scope, or only that it failed: only safe messages share a call to it. */
@@ -819,8 +858,7 @@
         double bestCost = Double.POSITIVE_INFINITY;
         long opens = NEVER;
         for (Endpoint point : m.destination.endpoints) {
-            boolean usable = point.state == Listed.READY && remembered(m, point)
-                    && mayRisk(now, m, point.scope);
+            boolean usable = point.state == Listed.READY && remembered(m, point) && mayRisk(now, m, point.scope);
             if (!usable || !endsInTime(now, m, point)) {
                 continue;
             }
@@ -850,10 +888,14 @@
                     return;
                 }
                 note(at);
-                at = scope.breaker != Breaker.RAMP || at == NEVER ? at
+                at = scope.breaker != Breaker.RAMP || at == NEVER
+                        ? at
                         : Math.min(at, scope.rampSent + (long) (SECOND / rampPace(warmth(at, scope), scope)));
-                until = Math.min(until, scope.breaker == Breaker.OPEN || Double.isInfinite(scope.pace) ? at
-                        : Math.min(at, scope.lastRefusal + PACE_LIFE + 1));
+                until = Math.min(
+                        until,
+                        scope.breaker == Breaker.OPEN || Double.isInfinite(scope.pace)
+                                ? at
+                                : Math.min(at, scope.lastRefusal + PACE_LIFE + 1));
             }
         }
         d.shut = choice;
@@ -862,19 +904,23 @@
 
     /** Before the process ends, no unsafe attempt starts whose outcome it may not see: that would lose it. */
     private boolean endsInTime(long now, Message m, Endpoint point) {
-        return stopsAt == NEVER || m.type.effect() != Effect.UNSAFE
-                || now + LAST_CALLS * Math.max(hold.serviceTime(now, m), point.scope.present(now, FAST))
-                        < stopsAt;
+        return stopsAt == NEVER
+                || m.type.effect() != Effect.UNSAFE
+                || now + LAST_CALLS * Math.max(hold.serviceTime(now, m), point.scope.present(now, FAST)) < stopsAt;
     }
 
     private double cost(long now, Message m, Endpoint point) {
         boolean warm = (point.inFlight > 0 || now - point.lastUse < trustedIdle)
-                && point.inFlight < point.connections * Math.max(1, settings.limits().callsPerConnection());
+                && point.inFlight
+                        < point.connections * Math.max(1, settings.limits().callsPerConnection());
         boolean far = settings.prices().crossZone() > 0 && point.zone != settings.zone();
         List<Double> tolls = settings.prices().zoneToll();
         double toll = point.zone < tolls.size() ? tolls.get(point.zone) : 0;
-        return point.inFlight + (warm ? 0 : COLD_CONNECTION) + (far ? FAR : 0)
-                + (point == m.failedAt ? FAILED_HERE : 0) + FAILING * (point.failing + point.lost)
+        return point.inFlight
+                + (warm ? 0 : COLD_CONNECTION)
+                + (far ? FAR : 0)
+                + (point == m.failedAt ? FAILED_HERE : 0)
+                + FAILING * (point.failing + point.lost)
                 + TOLL * toll;
     }
 
@@ -892,7 +938,8 @@
             }
             call.idleBefore = point.connections > 0 ? point.gap : 0;
         }
-        point.connections = Math.max(point.connections,
+        point.connections = Math.max(
+                point.connections,
                 1 + (point.inFlight - 1) / Math.max(1, settings.limits().callsPerConnection()));
         point.scope.calls.add(call);
         busy.add(point.scope);
@@ -903,9 +950,11 @@
     /** A call is given up with the first of its messages: those with time to wait must not fail by that. */
     private boolean mayJoin(long now, Message m, Call call) {
         Endpoint point = call.endpoint;
-        return call.hurried == hurried(now, m) && mayRisk(now, m, point.scope)
+        return call.hurried == hurried(now, m)
+                && mayRisk(now, m, point.scope)
                 && (m.type.effect() == Effect.SAFE || !probing(point.scope))
-                && remembered(m, point) && endsInTime(now, m, point);
+                && remembered(m, point)
+                && endsInTime(now, m, point);
     }
 
     private void load(long now, Message m, Call call) {
@@ -927,7 +976,8 @@
      * with it; waiting for that one instead costs more where calls hang.
      */
     private void send(long now, Call call, Actions actions) {
-        long giveUp = call.load.stream().mapToLong(m -> giveUpAt(now, m, call)).min().orElse(now);
+        long giveUp =
+                call.load.stream().mapToLong(m -> giveUpAt(now, m, call)).min().orElse(now);
         call.load.forEach(m -> actions.send(m.id, call.endpoint.id, giveUp));
     }
 
@@ -985,17 +1035,22 @@
         if (scope.calls.size() >= (scope.usual == 0 ? scope.members.size() : cap(now, scope))) {
             return NEVER;
         }
-        if (scope.breaker == Breaker.RAMP && now - scope.rampFrom >= settings.rules().coldSpan()) {
+        if (scope.breaker == Breaker.RAMP
+                && now - scope.rampFrom >= settings.rules().coldSpan()) {
             scope.breaker = Breaker.CLOSED;
         }
         if (scope.breaker == Breaker.RAMP) {
-            at = Math.max(at, Math.min(scope.rampSent + (long) (SECOND / rampPace(warmth(now, scope), scope)),
-                    scope.rampFrom + settings.rules().coldSpan()));
+            at = Math.max(
+                    at,
+                    Math.min(
+                            scope.rampSent + (long) (SECOND / rampPace(warmth(now, scope), scope)),
+                            scope.rampFrom + settings.rules().coldSpan()));
         }
         if (now - scope.lastRefusal > PACE_LIFE && scope.weight == 0) {
             scope.pace = Double.POSITIVE_INFINITY;
         }
-        return Double.isInfinite(scope.pace) ? at
+        return Double.isInfinite(scope.pace)
+                ? at
                 : Math.max(at, scope.paceNext - (long) ((PACE_BURST - 1) * SECOND / scope.pace));
     }
 
@@ -1055,15 +1110,20 @@
      */
     private void callOff(long now, Actions actions) {
         int slots = settings.limits().slots();
-        long silent = busy.stream().flatMap(scope -> scope.calls.stream()).filter(c -> c.silent).count();
-        boolean pressed = slotsUsed >= slots && silent >= SILENT_SLOTS * slots
+        long silent = busy.stream()
+                .flatMap(scope -> scope.calls.stream())
+                .filter(c -> c.silent)
+                .count();
+        boolean pressed = slotsUsed >= slots
+                && silent >= SILENT_SLOTS * slots
                 && messages.values().stream().anyMatch(m -> m.out == null && m.notBefore <= now);
         if (silent == 0 || !settings.limits().cancel()) {
             return;
         }
         List<Message> unanswered = new ArrayList<>();
-        busy.forEach(scope -> scope.calls.stream().filter(call -> call.silent).forEach(call ->
-                call.load.stream().filter(m -> m.out == call && !m.calledOff).forEach(unanswered::add)));
+        busy.forEach(scope -> scope.calls.stream().filter(call -> call.silent).forEach(call -> call.load.stream()
+                .filter(m -> m.out == call && !m.calledOff)
+                .forEach(unanswered::add)));
         unanswered.sort(Comparator.comparingLong(m -> m.number));
         for (Message m : unanswered) {
             if (!m.calledOff) {
@@ -1119,7 +1179,7 @@
         switch (e.ending()) {
             case OK -> onOk(now, call, e);
             case FULL -> onFull(now, m, call, e, wasTrial);
-            case MOOT -> { }
+            case MOOT -> {}
             case CANCELLED -> {
                 if (call.silent && call.sentAt >= call.endpoint.lastOk) {
                     onFailure(now, call, e.ending(), wasTrial);
