--- a/decisions/src/main/java/amberroute/Relay.java
+++ b/decisions/src/main/java/amberroute/Relay.java
@@ -30,17 +30,36 @@
     }
 
     /** How often an effect may happen. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** How far a destination's memory of a key reaches. */
-    enum KeyScope { DESTINATION, ZONE, ENDPOINT }
+    enum KeyScope {
+        DESTINATION,
+        ZONE,
+        ENDPOINT
+    }
 
     /** How the worth of a late message falls. */
-    enum LateWorth { EVEN, HALVING }
+    enum LateWorth {
+        EVEN,
+        HALVING
+    }
 
     /** How an attempt ended. */
     enum Ending {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, UNKNOWN;
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        RESET,
+        CANCELLED,
+        MOOT,
+        UNKNOWN;
 
         /** Whether an attempt that ended so may have had its effect. */
         public boolean mayHaveRun() {
@@ -49,35 +68,69 @@
     }
 
     /** State of a listed endpoint; it says nothing of its health. */
-    enum Listed { READY, DRAINING, GONE }
+    enum Listed {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** What kind of list an event brings. */
-    enum ListKind { DELTA, FULL, CACHED, FAILED }
+    enum ListKind {
+        DELTA,
+        FULL,
+        CACHED,
+        FAILED
+    }
 
     /** What a listed weight says. */
-    enum WeightKind { NONE, NOMINAL, ROUGH }
+    enum WeightKind {
+        NONE,
+        NOMINAL,
+        ROUGH
+    }
 
     /** A class of messages. */
-    record MessageClass(double worth, double lateShare, long aim, long deadline, Effect effect,
-            KeyScope keyScope, long keyLife, boolean inOrder) { }
+    record MessageClass(
+            double worth,
+            double lateShare,
+            long aim,
+            long deadline,
+            Effect effect,
+            KeyScope keyScope,
+            long keyLife,
+            boolean inOrder) {}
 
     /** A tenant: messages a second within its share, from all senders together. */
-    record Tenant(double quotaPerSecond) { }
+    record Tenant(double quotaPerSecond) {}
 
     /** A kind of destination. */
-    record Kind(boolean routesApart, int messagesPerCall) { }
+    record Kind(boolean routesApart, int messagesPerCall) {}
 
     /** What the deployment permits. */
-    record Limits(int slots, int openMessages, int maxAttempts, boolean parallelAttempts, boolean cancel,
-            boolean retryAdvice, long maxRetryAdvice, int callsPerConnection, long idleConnectionLife,
-            long connectTimeout) { }
+    record Limits(
+            int slots,
+            int openMessages,
+            int maxAttempts,
+            boolean parallelAttempts,
+            boolean cancel,
+            boolean retryAdvice,
+            long maxRetryAdvice,
+            int callsPerConnection,
+            long idleConnectionLife,
+            long connectTimeout) {}
 
     /** The figures of the rules. */
-    record Rules(long answerSlack, long askWithin, double startCapacity, long coldSpan, double fallMultiple,
-            long fallSpan, long settle) { }
+    record Rules(
+            long answerSlack,
+            long askWithin,
+            double startCapacity,
+            long coldSpan,
+            double fallMultiple,
+            long fallSpan,
+            long settle) {}
 
     /** Prices that guide the choice of an endpoint; tolls are by zone and may be empty. */
-    record Prices(double handshake, double crossZone, List<Double> zoneToll) { }
+    record Prices(double handshake, double crossZone, List<Double> zoneToll) {}
 
     /** Which values of a load report tell of a limit; -1 where none does. */
     record ReportFields(int allowanceLeft, int limit) {
@@ -88,9 +141,22 @@
     }
 
     /** All that a sender is told at its start. */
-    record Settings(long seed, int senders, int zone, long tick, boolean listOnRequest, double overShareWorth,
-            LateWorth lateWorth, WeightKind weights, List<MessageClass> classes, List<Tenant> tenants,
-            List<Kind> kinds, Limits limits, Rules rules, Prices prices, ReportFields reports) {
+    record Settings(
+            long seed,
+            int senders,
+            int zone,
+            long tick,
+            boolean listOnRequest,
+            double overShareWorth,
+            LateWorth lateWorth,
+            WeightKind weights,
+            List<MessageClass> classes,
+            List<Tenant> tenants,
+            List<Kind> kinds,
+            Limits limits,
+            Rules rules,
+            Prices prices,
+            ReportFields reports) {
 
         /** Ends in an IllegalArgumentException that names what is out of range. */
         void check() {
@@ -126,77 +192,116 @@
 
         /** The same with other classes. */
         public Settings withClasses(List<MessageClass> others) {
-            return new Settings(seed, senders, zone, tick, listOnRequest, overShareWorth, lateWorth, weights, others,
-                    tenants, kinds, limits, rules, prices, reports);
+            return new Settings(
+                    seed,
+                    senders,
+                    zone,
+                    tick,
+                    listOnRequest,
+                    overShareWorth,
+                    lateWorth,
+                    weights,
+                    others,
+                    tenants,
+                    kinds,
+                    limits,
+                    rules,
+                    prices,
+                    reports);
         }
     }
 
     /** A line of the list of endpoints. */
-    record Entry(long endpoint, int destination, Listed state, double weight, int zone, int kind) { }
+    record Entry(long endpoint, int destination, Listed state, double weight, int zone, int kind) {}
 
     /**
      * What has to outlast the process of one destination, or of one endpoint where {@code endpoint} is not 0: that it is
      * out, or has been and is cold, since {@code since} microseconds; the messages a second and the latency it had before.
      */
-    record Memory(int destination, long endpoint, Health health, long since, double pace, double usual) { }
+    record Memory(int destination, long endpoint, Health health, long since, double pace, double usual) {}
 
     /**
      * What is known of a place by a process that ends while another goes on at once: beside what outlasts any end, the
      * waits that bind and what was measured. Spans in microseconds from now, rates a second.
      */
-    record Learned(Memory memory, long waitLeft, long backoffLeft, double pace, long refusedAgo, long okAgo, double present,
-            double p, double odds, double sent, double served, double weight, double harm) { }
+    record Learned(
+            Memory memory,
+            long waitLeft,
+            long backoffLeft,
+            double pace,
+            long refusedAgo,
+            long okAgo,
+            double present,
+            double p,
+            double odds,
+            double sent,
+            double served,
+            double weight,
+            double harm) {}
 
     /** The messages of a key wait for so long, but for the one named by its id, 0 for none. */
-    record Rest(long key, long left, long except) { }
+    record Rest(long key, long left, long except) {}
 
     /** How a destination fares as far as a sender has seen. */
-    enum Health { WELL, OUT, COLD }
+    enum Health {
+        WELL,
+        OUT,
+        COLD
+    }
 
     /** Something that happened. */
     sealed interface Event {
         /** A new message; {@code timeLeft} is how long it may still be delivered. */
         record Arrival(long id, int messageClass, int tenant, long key, long timeLeft, int destination)
-                implements Event { }
+                implements Event {}
 
         /**
          * A message that an earlier process of this sender had taken on, in the order of acceptance.
          * {@code doubtAge} is the time since the first attempt that may have run was sent, -1 where none may
          * have; {@code cutOff} tells that the last attempt was out when that process ended.
          */
-        record Resumed(long id, int messageClass, long key, long timeLeft, int destination, int attempts,
-                long doubtAge, long doubtEndpoint, boolean cutOff) implements Event { }
+        record Resumed(
+                long id,
+                int messageClass,
+                long key,
+                long timeLeft,
+                int destination,
+                int attempts,
+                long doubtAge,
+                long doubtEndpoint,
+                boolean cutOff)
+                implements Event {}
 
         /**
          * A call that the process before this one still has out, after its messages have been resumed with one attempt
          * less: its outcome is told like any other's. It began {@code sentAgo} ago.
          */
-        record Underway(List<Long> ids, long endpoint, long sentAgo) implements Event { }
+        record Underway(List<Long> ids, long endpoint, long sentAgo) implements Event {}
 
         /** A message that an earlier process has answered, of a class that keeps its order: Concluded is still to come. */
-        record Answered(long id, long key) implements Event { }
+        record Answered(long id, long key) implements Event {}
 
         /** What the process before this one knows of a place, behind the list. */
-        record TakenOver(Learned learned) implements Event { }
+        record TakenOver(Learned learned) implements Event {}
 
         /** A key rests, as the process before this one saw it, behind the messages that are resumed. */
-        record Resting(Rest rest) implements Event { }
+        record Resting(Rest rest) implements Event {}
 
         /** What an earlier process of this sender asked to be remembered, {@code age} ago; before what is resumed. */
-        record Remembered(Memory memory, long age) implements Event { }
+        record Remembered(Memory memory, long age) implements Event {}
 
         /**
          * Other settings count from now on. A message under way keeps its class; {@code messageClass} of later events
          * is an index into these. Those that cannot be used change nothing and end in an IllegalArgumentException.
          */
-        record Configured(Settings settings) implements Event { }
+        record Configured(Settings settings) implements Event {}
 
         /**
          * This daemon's part of what all of them may give a destination from now on, in messages a second; infinite for no
          * ceiling, 0 for nothing. {@code first} is the share of the first message that is saved up already, where there was
          * no ceiling before; {@code back} tells that another daemon has just seen the destination answer after an outage.
          */
-        record Ceiling(int destination, double perSecond, double first, boolean back) implements Event { }
+        record Ceiling(int destination, double perSecond, double first, boolean back) implements Event {}
 
         /**
          * What a call to a destination costs all daemons together from now on, as worth given up elsewhere: an arrival
@@ -209,20 +314,36 @@
         }
 
         /** The process will be ended after {@code timeLeft}; what is held then resumes in the next one. */
-        record Stopping(long timeLeft) implements Event { }
+        record Stopping(long timeLeft) implements Event {}
 
         /** The final answer of a message has reached whom it was for: its key's turn passes on. */
-        record Concluded(long id) implements Event { }
+        record Concluded(long id) implements Event {}
 
         /**
          * An attempt ended; {@code toldWait} is the told wait or 0, {@code report} may be empty. {@code idle} is how
          * long its connection had lain idle before, 0 for a fresh one, -1 where the caller does not know.
          */
-        record Outcome(long id, int attempt, long endpoint, Ending ending, long took, boolean closed,
-                long toldWait, List<Double> report, long idle) implements Event {
-
-            public Outcome(long id, int attempt, long endpoint, Ending ending, long took, boolean closed,
-                    long toldWait, List<Double> report) {
+        record Outcome(
+                long id,
+                int attempt,
+                long endpoint,
+                Ending ending,
+                long took,
+                boolean closed,
+                long toldWait,
+                List<Double> report,
+                long idle)
+                implements Event {
+
+            public Outcome(
+                    long id,
+                    int attempt,
+                    long endpoint,
+                    Ending ending,
+                    long took,
+                    boolean closed,
+                    long toldWait,
+                    List<Double> report) {
                 this(id, attempt, endpoint, ending, took, closed, toldWait, report, -1);
             }
 
@@ -236,25 +357,25 @@
         }
 
         /** A streamed answer began: the attempt now belongs to the client. */
-        record StreamStarted(long id, int attempt) implements Event { }
+        record StreamStarted(long id, int attempt) implements Event {}
 
         /** Nobody wants this message any more. */
-        record Withdrawn(long id) implements Event { }
+        record Withdrawn(long id) implements Event {}
 
         /** News of the list of endpoints. */
-        record Listing(ListKind kind, List<Entry> entries) implements Event { }
+        record Listing(ListKind kind, List<Entry> entries) implements Event {}
 
         /** A timer is due. */
-        record TimerDue(long token) implements Event { }
+        record TimerDue(long token) implements Event {}
 
         /** A health check ended. */
-        record CheckEnded(long endpoint, Ending ending, long took) implements Event { }
+        record CheckEnded(long endpoint, Ending ending, long took) implements Event {}
 
         /** Another sender told something. */
-        record PeerNote(long from, byte[] data) implements Event { }
+        record PeerNote(long from, byte[] data) implements Event {}
 
         /** All events of this moment have been passed: decide. */
-        record Turn() implements Event { }
+        record Turn() implements Event {}
     }
 
     /** What a sender can do. */
@@ -281,12 +402,10 @@
          * Messages that may not be repeated are not to go over connections that have lain idle for longer; callers
          * that pool none pass over it.
          */
-        default void trustIdle(long longest) {
-        }
+        default void trustIdle(long longest) {}
 
         /** Replaces what was remembered of the same place; callers without a lasting store pass over it. */
-        default void remember(Memory memory) {
-        }
+        default void remember(Memory memory) {}
 
         /** Asks for a timer. */
         void wake(long delay, long token);
--- a/decisions/src/main/java/amberroute/State.java
+++ b/decisions/src/main/java/amberroute/State.java
@@ -1,18 +1,20 @@
 package amberroute;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import amberroute.order.DueTree;
 import amberroute.order.TimeQueue;
 import amberroute.order.Walk;
+import java.util.ArrayList;
+import java.util.List;
 
 /** What a sender remembers; every decision on it is in {@link Policy}. */
 final class State {
-    private State() {
-    }
+    private State() {}
 
-    enum Breaker { CLOSED, OPEN, RAMP }
+    enum Breaker {
+        CLOSED,
+        OPEN,
+        RAMP
+    }
 
     static final class Message extends DueTree.Node<Message> {
         long id;
@@ -22,12 +24,14 @@
         KeyTurn turn;
         /** Neighbours in the key's order. */
         Message ahead;
+
         Message behind;
         double worth;
         int attempts;
         int timeOuts;
         /** In its bucket: not out, not ended. */
         boolean waits;
+
         Call out;
         boolean calledOff;
         boolean ended;
@@ -35,11 +39,13 @@
         boolean answered;
         /** When the first attempt that may have run was sent, MAX_VALUE while none may have. */
         long doubtSince = Long.MAX_VALUE;
+
         Endpoint doubtAt;
         Endpoint failedAt;
         long notBefore;
         /** When its pause or its key's rest is over, and until when it may be sent again; null until there was one. */
         TimeQueue.Entry<Message> pause;
+
         TimeQueue.Entry<Message> lapse;
 
         /** From 0 to 1, evenly; the same for all messages of a key, at every sender. */
@@ -59,10 +65,12 @@
         final TimeQueue.Entry<Bucket> end = new TimeQueue.Entry<>(this);
         /** The earliest due date of those that are ready, the earliest and the latest of all. */
         long firstReady;
+
         long first;
         long last;
         /** What it is counted for in the sums, as of a time. */
         int counted;
+
         double steady;
         double fading;
         long countedAt;
@@ -70,9 +78,11 @@
         double gain;
         /** Places in the lists of buckets that are not empty, and of those that may have something to send; -1 for none. */
         int place = -1;
+
         int awakePlace = -1;
         /** The last choice that it was looked at in, and whether its best message has been looked for there. */
         long choice;
+
         boolean begun;
 
         Bucket(Destination destination, Relay.MessageClass type, double worth) {
@@ -94,6 +104,7 @@
         boolean unsafe;
         /** One of its messages has little time left, so that all are given up early. */
         boolean hurried;
+
         boolean calledOff;
         /** How long the connection it may have reused had lain idle, 0 for a fresh one. */
         long idleBefore;
@@ -115,6 +126,7 @@
         long lastUse = Long.MIN_VALUE / 2;
         /** Time between the last two stretches of use. */
         long gap;
+
         double failing;
         int failures;
         int lost;
@@ -126,6 +138,7 @@
         final Ceiling ceiling = new Ceiling();
         /** What a call costs the fleet; nothing where nobody tells. */
         Relay.Event.Price price = Relay.Event.Price.NONE;
+
         final Scope shared;
         double p;
         boolean measured;
@@ -135,17 +148,21 @@
         double odds = 1;
         /** The least risk of a call among the messages for it, as of one choice. */
         int leastRisk;
+
         long judged;
         final List<Bucket> buckets = new ArrayList<>(2);
         /** Messages for it, those that are out too, and calls to it. */
         int held;
+
         int calls;
         /** The call that takes more messages in one choice, and in which choice nothing more could be sent to it. */
         Call filling;
+
         long filled;
         long shut;
         /** Nothing can be sent there until this time, or until something happens there. */
         boolean asleep;
+
         final TimeQueue.Entry<Destination> opens = new TimeQueue.Entry<>(this);
 
         Destination(Scope shared) {
@@ -228,6 +245,7 @@
     static final class Scope {
         /** Whose it is: a destination's, or one endpoint's where that is not 0. */
         final int destination;
+
         final long endpoint;
         final List<Endpoint> members = new ArrayList<>();
         final List<Call> calls = new ArrayList<>();
@@ -248,6 +266,7 @@
         double left = Double.NaN;
         /** Share of recent calls that may have run and were not answered as done. */
         double harm;
+
         Breaker breaker = Breaker.CLOSED;
         int trials;
         long openedAt;
@@ -277,11 +296,12 @@
 
         /** What of it has to outlast the process. */
         Relay.Memory memory(long now) {
-            Relay.Health health = switch (breaker) {
-                case OPEN -> Relay.Health.OUT;
-                case RAMP -> Relay.Health.COLD;
-                case CLOSED -> Relay.Health.WELL;
-            };
+            Relay.Health health =
+                    switch (breaker) {
+                        case OPEN -> Relay.Health.OUT;
+                        case RAMP -> Relay.Health.COLD;
+                        case CLOSED -> Relay.Health.WELL;
+                    };
             long since = now - (health == Relay.Health.OUT ? openedAt : rampFrom);
             return new Relay.Memory(destination, endpoint, health, since, formerPace, usual);
         }
@@ -289,9 +309,20 @@
         /** What another process should know that goes on with it at once. */
         Relay.Learned learned(long now) {
             Destination d = members.get(0).destination;
-            return new Relay.Learned(memory(now), Math.max(0, waitUntil - now), Math.max(0, backoffUntil - now), pace,
-                    now - lastRefusal, now - lastOk, present, d.measured ? d.p : 0, d.odds, sent.perSecond(now),
-                    served.perSecond(now), weight, harm);
+            return new Relay.Learned(
+                    memory(now),
+                    Math.max(0, waitUntil - now),
+                    Math.max(0, backoffUntil - now),
+                    pace,
+                    now - lastRefusal,
+                    now - lastOk,
+                    present,
+                    d.measured ? d.p : 0,
+                    d.odds,
+                    sent.perSecond(now),
+                    served.perSecond(now),
+                    weight,
+                    harm);
         }
 
         void take(long now, Relay.Learned l) {
@@ -349,7 +380,9 @@
             }
             save(now);
             double missing = 1 - saved;
-            return missing <= 1e-9 ? now : perSecond == 0 ? Long.MAX_VALUE : now + (long) Math.ceil(missing * 1e6 / perSecond);
+            return missing <= 1e-9
+                    ? now
+                    : perSecond == 0 ? Long.MAX_VALUE : now + (long) Math.ceil(missing * 1e6 / perSecond);
         }
 
         /** One is sent; more than were saved up are owed. */
--- a/decisions/src/main/java/amberroute/order/DueTree.java
+++ b/decisions/src/main/java/amberroute/order/DueTree.java
@@ -12,6 +12,7 @@
     public abstract static class Node<N extends Node<N>> {
         /** Due date and number; neither may change while it stands in a tree. */
         public long due;
+
         public long number;
         private N left;
         private N right;
@@ -150,7 +151,7 @@
 
     private int below(long due) {
         int count = 0;
-        for (N at = root; at != null;) {
+        for (N at = root; at != null; ) {
             if (at.due < due) {
                 count += 1 + size(left(at));
                 at = right(at);
@@ -167,7 +168,7 @@
      */
     public long turning(long from, long to, LongPredicate holds) {
         long found = to;
-        for (N at = root; at != null;) {
+        for (N at = root; at != null; ) {
             if (at.due < from || at.due < to && holds.test(at.due)) {
                 at = right(at);
             } else {
--- a/decisions/src/main/java/amberroute/order/IndexShape.java
+++ b/decisions/src/main/java/amberroute/order/IndexShape.java
@@ -15,6 +15,7 @@
 public final class IndexShape {
     /** Steps of a stair; what lies below the last has less than 2^−60 of its worth left, and is taken for one step. */
     private static final int STEPS = 60;
+
     private double gain;
     private double p;
     private double k;
@@ -33,7 +34,15 @@
      * pressure is measured, and of their class the spans from taking on to aim and to deadline and the share that is left
      * at the deadline. All spans in microseconds and above 0.
      */
-    public void set(double worth, double odds, double serviceTime, long at, double span, long toAim, long toDeadline, double late,
+    public void set(
+            double worth,
+            double odds,
+            double serviceTime,
+            long at,
+            double span,
+            long toAim,
+            long toDeadline,
+            double late,
             boolean halves) {
         gain = worth * odds / serviceTime;
         p = serviceTime;
@@ -83,7 +92,8 @@
             piece(Long.MIN_VALUE, onTime - 1, false);
             piece(onTime - 1, onTime, false);
         } else {
-            long peak = (long) Math.ceil(Math.min(onTime, Math.max(served, k + now + p + slack - slack / (1 - lateShare))));
+            long peak =
+                    (long) Math.ceil(Math.min(onTime, Math.max(served, k + now + p + slack - slack / (1 - lateShare))));
             piece(Long.MIN_VALUE, served, false);
             piece(served, peak, true);
             piece(peak, onTime, false);
--- a/decisions/src/main/java/amberroute/order/TimeQueue.java
+++ b/decisions/src/main/java/amberroute/order/TimeQueue.java
@@ -34,6 +34,7 @@
 
     @SuppressWarnings({"unchecked", "rawtypes"})
     private Entry<T>[] heap = new Entry[16];
+
     private int size;
 
     /** It stands at this time from now on. */
--- a/decisions/src/main/java/amberroute/order/Walk.java
+++ b/decisions/src/main/java/amberroute/order/Walk.java
@@ -79,8 +79,10 @@
         at = -1;
         for (int piece = 0; piece < shape.pieces(); piece++) {
             N node = (N) next[piece];
-            if (node != null && (at < 0 || keys[piece] > keys[at]
-                    || keys[piece] == keys[at] && node.number < ((N) next[at]).number)) {
+            if (node != null
+                    && (at < 0
+                            || keys[piece] > keys[at]
+                            || keys[piece] == keys[at] && node.number < ((N) next[at]).number)) {
                 at = piece;
             }
         }
--- a/decisions/src/main/java/amberroute/settings/Facts.java
+++ b/decisions/src/main/java/amberroute/settings/Facts.java
@@ -1,5 +1,6 @@
 package amberroute.settings;
 
+import amberroute.Relay;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -7,8 +8,6 @@
 import java.util.function.Function;
 import java.util.function.IntFunction;
 
-import amberroute.Relay;
-
 /** Reads the path=value settings of an instance; the real sender flattens its JSON to the same paths. */
 public final class Facts {
     private final Map<String, String> values = new HashMap<>();
@@ -30,19 +29,28 @@
 
     /** The settings in the module's own terms. */
     public Relay.Settings settings(long seed) {
-        return new Relay.Settings(seed, whole("balancers"), whole("az", 0), micros("tick_us"),
-                text("membership_mode").equals("on_request"), real("over_share_worth", 1),
-                lateWorth(), weightKind(), items("lanes", this::messageClass),
+        return new Relay.Settings(
+                seed,
+                whole("balancers"),
+                whole("az", 0),
+                micros("tick_us"),
+                text("membership_mode").equals("on_request"),
+                real("over_share_worth", 1),
+                lateWorth(),
+                weightKind(),
+                items("lanes", this::messageClass),
                 items("parties", i -> new Relay.Tenant(real("parties." + i + ".quota_per_s"))),
-                kinds(), limits(), rules(),
-                new Relay.Prices(real("prices.handshake", 0), real("prices.cross_zone", 0),
-                        reals("family_info.toll")),
+                kinds(),
+                limits(),
+                rules(),
+                new Relay.Prices(real("prices.handshake", 0), real("prices.cross_zone", 0), reals("family_info.toll")),
                 reportFields());
     }
 
     private Relay.LateWorth lateWorth() {
         return values.getOrDefault("family_info.late", "even").equals("by_half")
-                ? Relay.LateWorth.HALVING : Relay.LateWorth.EVEN;
+                ? Relay.LateWorth.HALVING
+                : Relay.LateWorth.EVEN;
     }
 
     private Relay.WeightKind weightKind() {
@@ -55,20 +63,28 @@
 
     private Relay.MessageClass messageClass(int i) {
         String p = "lanes." + i + ".";
-        Relay.Effect effect = switch (text(p + "effect")) {
-            case "pure" -> Relay.Effect.SAFE;
-            case "token" -> Relay.Effect.KEYED;
-            case "side_effect" -> Relay.Effect.UNSAFE;
-            default -> throw bad(p + "effect");
-        };
-        Relay.KeyScope scope = switch (values.getOrDefault(p + "dedup_scope", "")) {
-            case "all" -> Relay.KeyScope.DESTINATION;
-            case "zone" -> Relay.KeyScope.ZONE;
-            default -> Relay.KeyScope.ENDPOINT;
-        };
-        return new Relay.MessageClass(real(p + "importance"), real(p + "late_share", 0),
-                micros(p + "goal_time_us"), micros(p + "deadline_us"), effect, scope,
-                effect == Relay.Effect.KEYED ? micros(p + "key_ttl_us") : 0, flag(p + "sequential"));
+        Relay.Effect effect =
+                switch (text(p + "effect")) {
+                    case "pure" -> Relay.Effect.SAFE;
+                    case "token" -> Relay.Effect.KEYED;
+                    case "side_effect" -> Relay.Effect.UNSAFE;
+                    default -> throw bad(p + "effect");
+                };
+        Relay.KeyScope scope =
+                switch (values.getOrDefault(p + "dedup_scope", "")) {
+                    case "all" -> Relay.KeyScope.DESTINATION;
+                    case "zone" -> Relay.KeyScope.ZONE;
+                    default -> Relay.KeyScope.ENDPOINT;
+                };
+        return new Relay.MessageClass(
+                real(p + "importance"),
+                real(p + "late_share", 0),
+                micros(p + "goal_time_us"),
+                micros(p + "deadline_us"),
+                effect,
+                scope,
+                effect == Relay.Effect.KEYED ? micros(p + "key_ttl_us") : 0,
+                flag(p + "sequential"));
     }
 
     private List<Relay.Kind> kinds() {
@@ -78,26 +94,35 @@
         List<Relay.Kind> out = new ArrayList<>();
         for (int i = 0; i < names.size(); i++) {
             boolean isApart = i < apart.size() && apart.get(i).equals("true");
-            int messages = i < perCall.size()
-                    ? parse("family_info.per_call", perCall.get(i), Integer::parseInt) : 1;
+            int messages = i < perCall.size() ? parse("family_info.per_call", perCall.get(i), Integer::parseInt) : 1;
             out.add(new Relay.Kind(isApart, messages));
         }
         return out;
     }
 
     private Relay.Limits limits() {
-        return new Relay.Limits(whole("family_info.calls_out"), whole("allowed.open_cap"),
-                whole("allowed.max_attempts"), flag("allowed.parallel_tries"), flag("allowed.cancel"),
-                flag("allowed.retry_after"), micros("allowed.max_retry_after_us"),
-                whole("allowed.streams_per_conn"), micros("allowed.keepalive_us"),
+        return new Relay.Limits(
+                whole("family_info.calls_out"),
+                whole("allowed.open_cap"),
+                whole("allowed.max_attempts"),
+                flag("allowed.parallel_tries"),
+                flag("allowed.cancel"),
+                flag("allowed.retry_after"),
+                micros("allowed.max_retry_after_us"),
+                whole("allowed.streams_per_conn"),
+                micros("allowed.keepalive_us"),
                 micros("allowed.connect_timeout_us"));
     }
 
     private Relay.Rules rules() {
-        return new Relay.Rules(micros("rules.answer_slack_us"), micros("rules.ask_within_us"),
-                real("rules.start_capacity"), micros("rules.cold_us"), real("rules.fall_multiple"),
-                micros("rules.fall_us"), values.containsKey("rules.settle_after_doubt_us")
-                        ? micros("rules.settle_after_doubt_us") : 0);
+        return new Relay.Rules(
+                micros("rules.answer_slack_us"),
+                micros("rules.ask_within_us"),
+                real("rules.start_capacity"),
+                micros("rules.cold_us"),
+                real("rules.fall_multiple"),
+                micros("rules.fall_us"),
+                values.containsKey("rules.settle_after_doubt_us") ? micros("rules.settle_after_doubt_us") : 0);
     }
 
     private Relay.ReportFields reportFields() {
--- a/decisions/src/test/java/amberroute/EmbeddingExampleTest.java
+++ b/decisions/src/test/java/amberroute/EmbeddingExampleTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
 import org.junit.jupiter.api.Test;
 
 /** The README's example stands here word for word, so that it compiles and runs. */
@@ -20,22 +19,56 @@
     // example begins
     /** Carries out what the relay decides; a real sender would start calls and timers here. */
     final class Printer implements Relay.Actions {
-        @Override public void send(long id, long endpoint, long giveUpAt) { done.add("send " + id); }
-        @Override public void refuse(long id, long retryAfter) { done.add("refuse " + id); }
-        @Override public void fail(long id) { done.add("fail " + id); }
-        @Override public void cancel(long id, int attempt) { done.add("cancel " + id); }
-        @Override public void closeIdle(long endpoint) { done.add("close " + endpoint); }
-        @Override public void wake(long delay, long token) { done.add("wake"); }
-        @Override public void follow() { done.add("follow"); }
-        @Override public void log(String text) { done.add(text); }
+        @Override
+        public void send(long id, long endpoint, long giveUpAt) {
+            done.add("send " + id);
+        }
+
+        @Override
+        public void refuse(long id, long retryAfter) {
+            done.add("refuse " + id);
+        }
+
+        @Override
+        public void fail(long id) {
+            done.add("fail " + id);
+        }
+
+        @Override
+        public void cancel(long id, int attempt) {
+            done.add("cancel " + id);
+        }
+
+        @Override
+        public void closeIdle(long endpoint) {
+            done.add("close " + endpoint);
+        }
+
+        @Override
+        public void wake(long delay, long token) {
+            done.add("wake");
+        }
+
+        @Override
+        public void follow() {
+            done.add("follow");
+        }
+
+        @Override
+        public void log(String text) {
+            done.add(text);
+        }
     }
 
     void sendOne(Relay.Settings settings) {
         Relay relay = new Policy(settings);
         Relay.Actions actions = new Printer();
         long now = 1_000_000;
-        relay.step(now, new Relay.Event.Listing(Relay.ListKind.FULL,
-                List.of(new Relay.Entry(42, 1, Relay.Listed.READY, 1, 0, 0))), actions);
+        relay.step(
+                now,
+                new Relay.Event.Listing(
+                        Relay.ListKind.FULL, List.of(new Relay.Entry(42, 1, Relay.Listed.READY, 1, 0, 0))),
+                actions);
         relay.step(now, new Relay.Event.Arrival(7, 0, 0, 0, 5_000_000, 1), actions);
         relay.step(now, new Relay.Event.Turn(), actions);
     }
@@ -49,8 +82,10 @@
 
     @Test
     void readmeShowsTheSame() throws IOException {
-        assertEquals(code(Files.readString(Path.of("..", "README.md")), "```java\n(.*?)```"),
-                code(Files.readString(Path.of("src/test/java/amberroute/EmbeddingExampleTest.java")),
+        assertEquals(
+                code(Files.readString(Path.of("..", "README.md")), "```java\n(.*?)```"),
+                code(
+                        Files.readString(Path.of("src/test/java/amberroute/EmbeddingExampleTest.java")),
                         "// example begins\n(.*?) *// example ends"));
     }
 
--- a/decisions/src/test/java/amberroute/FleetPlay.java
+++ b/decisions/src/test/java/amberroute/FleetPlay.java
@@ -1,11 +1,13 @@
 package amberroute;
 
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.List;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -13,9 +15,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import amberroute.Relay.Ending;
-import amberroute.Relay.Event;
-
 /**
  * Many instances of the module, each on its own, against one modelled destination with a limit, in virtual time and from a
  * seed. A sender sees only its own calls and what their answers report. Times are microseconds.
@@ -30,9 +29,11 @@
 
     /** Calls a second that the destination takes, and how many times that it can do. */
     double limit = 200;
+
     double spare = 1.3;
     /** Messages a second from all clients, as a share of the limit. */
     double load = 0.5;
+
     long outFrom = Long.MAX_VALUE;
     long outUntil = Long.MAX_VALUE;
     /** What reports say instead of the truth, x0 and x1; null for the truth. */
@@ -43,11 +44,13 @@
     int heldAtStart;
     /** Calls that may be connected at once; any further one finds no place. */
     int places = Integer.MAX_VALUE;
+
     int crowdedOut;
     /** Connections that the receiver holds, in use and idle; any further one is turned away at the door, without a word of the limit. */
     int table = Integer.MAX_VALUE;
     /** How long a connection may lie idle. */
     long idleLife = 12_000_000;
+
     private int held;
     /** Traffic of each instance falls off by this power of its place among them; 0 for even traffic. */
     double uneven;
@@ -55,20 +58,24 @@
     long learnsWithin;
     /** Instances that are started anew while the destination is cold, each at a moment of its own; they keep their memories. */
     int restarting;
+
     long restartFrom;
     long restartUntil;
     /** The largest excess over any window of the rule behind the outage, as a share of what is put down to chance: 2 x root of N + 2. */
     double excess;
     /** Of what restarts found taken on and untried: all, and what was given up with no call. */
     int untried;
+
     int givenUpUntried;
     /** The same of those alone that may not simply be repeated; every so many messages one is such, 0 for none. */
     int otherEach;
+
     int untriedOther;
     int givenUpOther;
     private final int mostHeld;
     /** Instances that stop, and when. */
     int dying;
+
     long diesAt = Long.MAX_VALUE;
 
     int calls;
@@ -79,6 +86,7 @@
     int offered;
     /** The largest load over any window of the rule behind the outage, as a share of what brings the destination down. */
     double push;
+
     final int[] answeredBy;
     final List<Long> answers = new ArrayList<>();
     final List<Long> refusals = new ArrayList<>();
@@ -127,17 +135,35 @@
     private static Relay.Settings settings(int senders, long seed, int mostHeld, Relay.MessageClass other) {
         // Slots as the platform gives them: about three times what the load keeps busy, four at the least.
         int slots = Math.max(4, 70 / senders);
-        return new Relay.Settings(seed, senders, 0, 1_000, false, 0.1, Relay.LateWorth.EVEN, Relay.WeightKind.NONE,
-                List.of(type(2, Relay.Effect.SAFE), other), List.of(), List.of(new Relay.Kind(false, 1)),
+        return new Relay.Settings(
+                seed,
+                senders,
+                0,
+                1_000,
+                false,
+                0.1,
+                Relay.LateWorth.EVEN,
+                Relay.WeightKind.NONE,
+                List.of(type(2, Relay.Effect.SAFE), other),
+                List.of(),
+                List.of(new Relay.Kind(false, 1)),
                 new Relay.Limits(slots, mostHeld, 12, false, true, true, 3_000_000, 1, 15_000_000, 1_000_000),
                 new Relay.Rules(5_000, 10_000_000, COLD_FROM, COLD, MULTIPLE, WINDOW, 100_000),
-                new Relay.Prices(0.06, 0, List.of()), new Relay.ReportFields(0, 1));
+                new Relay.Prices(0.06, 0, List.of()),
+                new Relay.ReportFields(0, 1));
     }
 
     /** A class with 12 s, repeats of which are known for 1 s where they carry a key. */
     static Relay.MessageClass type(double worth, Relay.Effect effect) {
-        return new Relay.MessageClass(worth, 0.5, 2_500_000, 12_000_000, effect, Relay.KeyScope.DESTINATION,
-                effect == Relay.Effect.KEYED ? 1_000_000 : 0, false);
+        return new Relay.MessageClass(
+                worth,
+                0.5,
+                2_500_000,
+                12_000_000,
+                effect,
+                Relay.KeyScope.DESTINATION,
+                effect == Relay.Effect.KEYED ? 1_000_000 : 0,
+                false);
     }
 
     private void at(long when, Runnable what) {
@@ -215,7 +241,8 @@
     }
 
     private double warmth() {
-        return now - start < outFrom ? 1
+        return now - start < outFrom
+                ? 1
                 : Math.min(1, COLD_FROM + (1 - COLD_FROM) * (now - start - outUntil) / (double) COLD);
     }
 
@@ -307,9 +334,11 @@
         long rememberedAt;
         /** Of which start what is still under way is: its outcomes and timers count no more behind the next. */
         int life;
+
         final Map<Long, Integer> attempts = new HashMap<>();
         /** Found by the last restart, and neither called nor ended since. */
         private final Set<Long> untried = new HashSet<>();
+
         private final Deque<Long> idleSince = new ArrayDeque<>();
         long ids;
 
@@ -336,7 +365,8 @@
                     untriedOther += type(id);
                 }
             });
-            held.forEach((id, tried) -> policy.step(now, new Event.Resumed(id, type(id), 0, 8_000_000, 1, tried, -1, 0, false), this));
+            held.forEach((id, tried) ->
+                    policy.step(now, new Event.Resumed(id, type(id), 0, 8_000_000, 1, tried, -1, 0, false), this));
             turn();
         }
 
@@ -345,9 +375,14 @@
         }
 
         void list() {
-            policy.step(now, new Event.Listing(Relay.ListKind.FULL, List.of(
-                    new Relay.Entry(1, 1, Relay.Listed.READY, 1, 0, 0),
-                    new Relay.Entry(2, 1, Relay.Listed.READY, 1, 0, 0))), this);
+            policy.step(
+                    now,
+                    new Event.Listing(
+                            Relay.ListKind.FULL,
+                            List.of(
+                                    new Relay.Entry(1, 1, Relay.Listed.READY, 1, 0, 0),
+                                    new Relay.Entry(2, 1, Relay.Listed.READY, 1, 0, 0))),
+                    this);
             turn();
         }
 
@@ -401,7 +436,8 @@
             FleetPlay.this.held -= connections;
         }
 
-        void ended(BooleanSupplier lives, long id, int attempt, Ending ending, long took, long idle, List<Double> report) {
+        void ended(
+                BooleanSupplier lives, long id, int attempt, Ending ending, long took, long idle, List<Double> report) {
             if (dead() || !lives.getAsBoolean() || !attempts.containsKey(id)) {
                 return;
             }
@@ -411,7 +447,8 @@
             if (ending == Ending.OK) {
                 attempts.remove(id);
             }
-            policy.step(now, new Event.Outcome(id, attempt, 1, ending, took, ending == Ending.OK, 0, report, idle), this);
+            policy.step(
+                    now, new Event.Outcome(id, attempt, 1, ending, took, ending == Ending.OK, 0, report, idle), this);
             turn();
         }
 
@@ -442,8 +479,7 @@
         }
 
         @Override
-        public void cancel(long id, int attempt) {
-        }
+        public void cancel(long id, int attempt) {}
 
         @Override
         public void closeIdle(long endpoint) {
@@ -469,11 +505,9 @@
         }
 
         @Override
-        public void follow() {
-        }
+        public void follow() {}
 
         @Override
-        public void log(String text) {
-        }
+        public void log(String text) {}
     }
 }
--- a/decisions/src/test/java/amberroute/FleetTest.java
+++ b/decisions/src/test/java/amberroute/FleetTest.java
@@ -6,7 +6,6 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -34,8 +33,8 @@
         for (int s = 0; s < 12; s++) {
             seen += " " + (int) play.rate((11 + s) * 1_000_000L, (12 + s) * 1_000_000L);
         }
-        System.out.println(seen + "; refused " + play.refused + " of " + play.calls + ", turned away "
-                + play.turnedAway + " of " + play.offered + ", seed " + SEED);
+        System.out.println(seen + "; refused " + play.refused + " of " + play.calls + ", turned away " + play.turnedAway
+                + " of " + play.offered + ", seed " + SEED);
         assertTrue(play.push < 1, seen);
         assertTrue(play.rate(11_000_000, 13_000_000) > 0.1 * play.limit, seen);
         assertTrue(play.rate(14_000_000, 17_000_000) > 0.4 * play.limit, seen);
@@ -57,13 +56,25 @@
      * learn of the outage one after another, get uneven parts of the traffic, and some are started anew while it is cold.
      */
     @ParameterizedTest
-    @CsvSource({"20,200,0,0,0,true", "30,200,0,0,0,true", "30,15,0,0,0,true", "20,60,1,0,0,true", "30,200,1,4000000,0,true",
-        "30,60,0.7,4000000,15,true", "20,200,0.7,0,20,true", "30,15,1,4000000,15,true", "100,280,0.7,2000000,50,true",
-        "20,15,0,0,0,false", "30,60,0.7,4000000,15,false", "30,200,0,0,30,false", "30,15,1,4000000,15,false"})
-    void theSumOfAllStaysWithinWhatIsPutDownToChance(int senders, double limit, double uneven, long learnsWithin, int restarting,
-            boolean told) {
-        StringBuilder seen = new StringBuilder(senders + " senders, limit " + limit + ", uneven " + uneven + ", learn within "
-                + learnsWithin + ", " + restarting + " restarts, limit told " + told + ": excess");
+    @CsvSource({
+        "20,200,0,0,0,true",
+        "30,200,0,0,0,true",
+        "30,15,0,0,0,true",
+        "20,60,1,0,0,true",
+        "30,200,1,4000000,0,true",
+        "30,60,0.7,4000000,15,true",
+        "20,200,0.7,0,20,true",
+        "30,15,1,4000000,15,true",
+        "100,280,0.7,2000000,50,true",
+        "20,15,0,0,0,false",
+        "30,60,0.7,4000000,15,false",
+        "30,200,0,0,30,false",
+        "30,15,1,4000000,15,false"
+    })
+    void theSumOfAllStaysWithinWhatIsPutDownToChance(
+            int senders, double limit, double uneven, long learnsWithin, int restarting, boolean told) {
+        StringBuilder seen = new StringBuilder(senders + " senders, limit " + limit + ", uneven " + uneven
+                + ", learn within " + learnsWithin + ", " + restarting + " restarts, limit told " + told + ": excess");
         double worst = Double.NEGATIVE_INFINITY;
         for (int seed = 0; seed < 8; seed++) {
             FleetPlay play = new FleetPlay(senders, SEED + seed);
@@ -79,7 +90,8 @@
             play.restartUntil = 20_000_000;
             play.run(27_000_000);
             worst = Math.max(worst, play.excess);
-            seen.append(String.format(" %.2f (push %.2f, answered %.2f)", play.excess, play.push, (double) play.answered / play.offered));
+            seen.append(String.format(
+                    " %.2f (push %.2f, answered %.2f)", play.excess, play.push, (double) play.answered / play.offered));
         }
         System.out.println(seen + ", seeds from " + SEED);
         assertTrue(worst < 1, seen.toString());
@@ -120,8 +132,8 @@
         FleetPlay play = overloaded(100, windows);
         play.limit = 280;
         play.run(30_000_000);
-        String seen = "large limit, windows " + windows + ": answered " + play.rate(10_000_000, 30_000_000) + " a second of 280, refused "
-                + play.refused + " of " + play.calls + ", seed " + SEED;
+        String seen = "large limit, windows " + windows + ": answered " + play.rate(10_000_000, 30_000_000)
+                + " a second of 280, refused " + play.refused + " of " + play.calls + ", seed " + SEED;
         System.out.println(seen);
         assertTrue(play.rate(10_000_000, 30_000_000) > 0.8 * play.limit, seen);
         assertTrue(play.refused < 0.25 * play.calls, seen);
@@ -135,9 +147,10 @@
         play.when(8_000_000, () -> play.limit = 20);
         play.when(17_000_000, () -> play.limit = 40);
         play.run(30_000_000);
-        String seen = senders + " senders, windows " + windows + ": lowered " + play.rate(10_000_000, 17_000_000) + ", back "
-                + play.rate(20_000_000, 30_000_000) + " a second, refused " + play.refused + " of " + play.calls
-                + ", seed " + SEED;
+        String seen =
+                senders + " senders, windows " + windows + ": lowered " + play.rate(10_000_000, 17_000_000) + ", back "
+                        + play.rate(20_000_000, 30_000_000) + " a second, refused " + play.refused + " of " + play.calls
+                        + ", seed " + SEED;
         System.out.println(seen);
         assertTrue(play.rate(10_000_000, 17_000_000) > (senders > 14 ? 0.4 : 0.5) * 20, seen);
         assertTrue(play.rate(20_000_000, 30_000_000) > (senders > 14 ? 0.55 : 0.75) * 40, seen);
@@ -154,7 +167,9 @@
         play.diesAt = 8_000_000;
         play.run(30_000_000);
         System.out.println(senders + " senders, half of them dead: " + play.rate(16_000_000, 30_000_000) + " a second");
-        assertTrue(play.rate(16_000_000, 30_000_000) > (senders > 14 ? 0.55 : 0.75) * play.limit, "" + play.rate(16_000_000, 30_000_000));
+        assertTrue(
+                play.rate(16_000_000, 30_000_000) > (senders > 14 ? 0.55 : 0.75) * play.limit,
+                "" + play.rate(16_000_000, 30_000_000));
     }
 
     /** Absurd reports neither starve a destination nor let it be flooded when it is back from an outage. */
@@ -196,8 +211,8 @@
         play.when(8_000_000, () -> play.limit = 20);
         play.when(17_000_000, () -> play.limit = 40);
         play.run(34_000_000);
-        String seen = "old reports: at the end " + play.rate(26_000_000, 34_000_000) + " a second, refused " + play.refused
-                + " of " + play.calls + ", seed " + SEED;
+        String seen = "old reports: at the end " + play.rate(26_000_000, 34_000_000) + " a second, refused "
+                + play.refused + " of " + play.calls + ", seed " + SEED;
         System.out.println(seen);
         assertTrue(play.rate(26_000_000, 34_000_000) > 0.4 * 40, seen);
     }
@@ -232,8 +247,9 @@
         play.table = table;
         play.idleLife = 4_000_000;
         play.run(40_000_000);
-        String seen = senders + " senders, a table of " + table + ": answered " + play.answered + " of " + play.offered + ", turned away at the"
-                + " door " + play.crowdedOut + ", in the last twenty seconds " + play.rate(20_000_000, 40_000_000) + " a second, seed " + SEED;
+        String seen = senders + " senders, a table of " + table + ": answered " + play.answered + " of " + play.offered
+                + ", turned away at the" + " door " + play.crowdedOut + ", in the last twenty seconds "
+                + play.rate(20_000_000, 40_000_000) + " a second, seed " + SEED;
         System.out.println(seen);
         assertTrue(play.answered > 0.85 * play.offered, seen);
     }
@@ -243,7 +259,14 @@
      * no more room than what is held takes, so that what comes anew presses on it.
      */
     @ParameterizedTest
-    @CsvSource({"20,1.3,false,200", "20,0.8,true,200", "20,1.3,false,12", "20,1.3,true,12", "2,1.5,false,60", "2,1.5,true,60"})
+    @CsvSource({
+        "20,1.3,false,200",
+        "20,0.8,true,200",
+        "20,1.3,false,12",
+        "20,1.3,true,12",
+        "2,1.5,false,60",
+        "2,1.5,true,60"
+    })
     void whatARestartFindsUntriedIsTried(int senders, double load, boolean outage, int mostHeld) {
         int untried = 0;
         int givenUp = 0;
@@ -253,8 +276,8 @@
             untried += play.untried;
             givenUp += play.givenUpUntried;
         }
-        String seen = senders + " senders, load " + load + ", outage " + outage + ", room for " + mostHeld + ": of " + untried
-                + " found untried " + givenUp + " were given up with no call, seeds from " + SEED;
+        String seen = senders + " senders, load " + load + ", outage " + outage + ", room for " + mostHeld + ": of "
+                + untried + " found untried " + givenUp + " were given up with no call, seeds from " + SEED;
         System.out.println(seen);
         assertTrue(untried > 20, seen);
         assertTrue(givenUp < 0.5 * untried, seen);
@@ -265,11 +288,22 @@
      * and in an outage, in which they are no trials.
      */
     @ParameterizedTest
-    @CsvSource({"20,1.3,false,200,UNSAFE,5", "20,1.3,false,200,UNSAFE,1", "20,0.8,true,200,UNSAFE,5", "20,0.8,true,200,UNSAFE,1",
-            "20,1.3,true,12,UNSAFE,1", "2,1.5,true,60,UNSAFE,5", "2,1.5,true,60,UNSAFE,1", "20,1.3,false,200,KEYED,1",
-            "20,0.8,true,200,KEYED,5", "20,0.8,true,200,KEYED,1", "20,1.3,true,12,KEYED,1", "2,1.5,true,60,KEYED,1"})
-    void whatARestartFindsUntriedAndMayNotRepeatIsTried(int senders, double load, boolean outage, int mostHeld, Relay.Effect effect,
-            double worth) {
+    @CsvSource({
+        "20,1.3,false,200,UNSAFE,5",
+        "20,1.3,false,200,UNSAFE,1",
+        "20,0.8,true,200,UNSAFE,5",
+        "20,0.8,true,200,UNSAFE,1",
+        "20,1.3,true,12,UNSAFE,1",
+        "2,1.5,true,60,UNSAFE,5",
+        "2,1.5,true,60,UNSAFE,1",
+        "20,1.3,false,200,KEYED,1",
+        "20,0.8,true,200,KEYED,5",
+        "20,0.8,true,200,KEYED,1",
+        "20,1.3,true,12,KEYED,1",
+        "2,1.5,true,60,KEYED,1"
+    })
+    void whatARestartFindsUntriedAndMayNotRepeatIsTried(
+            int senders, double load, boolean outage, int mostHeld, Relay.Effect effect, double worth) {
         int untried = 0;
         int givenUp = 0;
         for (int seed = 0; seed < 5; seed++) {
@@ -279,8 +313,9 @@
             untried += play.untriedOther;
             givenUp += play.givenUpOther;
         }
-        String seen = senders + " senders, load " + load + ", outage " + outage + ", " + effect + " worth " + worth + ": of " + untried
-                + " found untried that may not be repeated " + givenUp + " were given up with no call, seeds from " + SEED;
+        String seen = senders + " senders, load " + load + ", outage " + outage + ", " + effect + " worth " + worth
+                + ": of " + untried + " found untried that may not be repeated " + givenUp
+                + " were given up with no call, seeds from " + SEED;
         System.out.println(seen);
         assertTrue(untried > 20, seen);
         assertTrue(givenUp < 0.5 * untried, seen);
@@ -307,7 +342,8 @@
         play.load = 0.3;
         play.heldAtStart = 300 / senders;
         play.run(20_000_000);
-        String seen = senders + " senders that start together: refused in the first second " + play.refused(0, 1_000_000)
+        String seen = senders + " senders that start together: refused in the first second "
+                + play.refused(0, 1_000_000)
                 + ", then " + play.refused(1_000_000, 20_000_000) + ", answered a second up to 8 s "
                 + play.rate(0, 8_000_000) + ", of all " + play.answered + " of " + play.offered + ", seed " + SEED;
         System.out.println(seen);
--- a/decisions/src/test/java/amberroute/PolicyTest.java
+++ b/decisions/src/test/java/amberroute/PolicyTest.java
@@ -6,6 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
+import amberroute.Relay.ListKind;
+import amberroute.Relay.Listed;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,14 +17,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.Relay.Ending;
-import amberroute.Relay.Event;
-import amberroute.Relay.ListKind;
-import amberroute.Relay.Listed;
-
 class PolicyTest {
     private static Script script() {
         return new Script(Script.settings(8, false, 1));
@@ -46,7 +44,7 @@
     /** Time passes, and each call is answered after 50 ms. */
     private static void answering(Script s, long span) {
         int seen = s.sends.size();
-        for (long end = s.now + span; s.now < end;) {
+        for (long end = s.now + span; s.now < end; ) {
             s.pass(50_000);
             List<Script.Send> due = List.copyOf(s.sends.subList(seen, s.sends.size()));
             for (Script.Send send : due) {
@@ -63,7 +61,11 @@
     void whatIsWorthLessThanACallCostsIsTurnedAwayWithAdvice() {
         Script s = script().list(1, 1);
         s.with(new Event.Price(1, 2, 2.4, 1, 500_000)).turn();
-        s.arrive(1, Script.SAFE, 1).arrive(2, Script.KEYED, 1).arrive(3, Script.UNSAFE, 1).arrive(4, Script.KEYED, 2).turn();
+        s.arrive(1, Script.SAFE, 1)
+                .arrive(2, Script.KEYED, 1)
+                .arrive(3, Script.UNSAFE, 1)
+                .arrive(4, Script.KEYED, 2)
+                .turn();
         assertEquals(List.of(2L), s.refused);
         // Of what is worth just the price a share goes on, and all of a key or nothing of it.
         s.with(new Event.Price(1, 0.9, 1.1, 0.5, 500_000)).turn();
@@ -94,7 +96,9 @@
         long from = s.now;
         answering(s, 2_000_000);
         List<Script.Send> sent = s.sends.subList(before, s.sends.size());
-        assertEquals(List.of(250_000L, 750_000L, 1_250_000L, 1_750_000L), sent.stream().map(x -> x.at() - from).toList());
+        assertEquals(
+                List.of(250_000L, 750_000L, 1_250_000L, 1_750_000L),
+                sent.stream().map(x -> x.at() - from).toList());
         s.with(new Event.Ceiling(1, 0, 0, false)).turn();
         answering(s, 1_000_000);
         assertEquals(before + 4, s.sends.size());
@@ -146,9 +150,14 @@
     @Test
     void higherIndexGoesFirst() {
         Script s = warmed(1, 1);
-        s.arrive(1, Script.KEYED, 1).arrive(2, Script.UNSAFE, 1).arrive(3, Script.SAFE, 1).turn();
+        s.arrive(1, Script.KEYED, 1)
+                .arrive(2, Script.UNSAFE, 1)
+                .arrive(3, Script.SAFE, 1)
+                .turn();
         s.pass(100_000).end(2, Ending.OK).turn().end(3, Ending.OK).turn();
-        assertEquals(List.of(2L, 3L, 1L), s.sends.stream().map(Script.Send::id).filter(id -> id < 100).toList());
+        assertEquals(
+                List.of(2L, 3L, 1L),
+                s.sends.stream().map(Script.Send::id).filter(id -> id < 100).toList());
     }
 
     @Test
@@ -171,7 +180,11 @@
     @Test
     void toldWaitHoldsTheWholeDestination() {
         Script s = warmed(1, 2);
-        s.arrive(1, Script.SAFE, 1).turn().end(1, Ending.FULL, 900_000).arrive(2, Script.SAFE, 1).turn();
+        s.arrive(1, Script.SAFE, 1)
+                .turn()
+                .end(1, Ending.FULL, 900_000)
+                .arrive(2, Script.SAFE, 1)
+                .turn();
         assertFalse(s.isOut(2));
         s.pass(1_500_000);
         assertTrue(s.isOut(1) || s.isOut(2));
@@ -319,7 +332,12 @@
         s.arrive(2, Script.SAFE, 1).turn().pass(200_000).end(2, Ending.OK).turn();
         int before = s.closed.size();
         assertTrue(before > 0, "a gap longer than its life shows that it serves nobody");
-        s.pass(200_000).arrive(3, Script.SAFE, 1).turn().pass(200_000).end(3, Ending.OK).turn();
+        s.pass(200_000)
+                .arrive(3, Script.SAFE, 1)
+                .turn()
+                .pass(200_000)
+                .end(3, Ending.OK)
+                .turn();
         assertEquals(before, s.closed.size(), "calls close together keep theirs");
     }
 
@@ -361,7 +379,11 @@
     @Test
     void slowStartEndsWithoutTraffic() {
         Script s = warmed(1, 1);
-        s.arrive(1, Script.SAFE, 1).arrive(2, Script.SAFE, 1).turn().end(1, Ending.CONNECT_FAILED).turn();
+        s.arrive(1, Script.SAFE, 1)
+                .arrive(2, Script.SAFE, 1)
+                .turn()
+                .end(1, Ending.CONNECT_FAILED)
+                .turn();
         s.end(2, Ending.CONNECT_FAILED).turn().pass(1_000_000);
         for (int i = 0; i < 120; i++) {
             for (long id : List.of(1L, 2L)) {
@@ -417,8 +439,22 @@
     /** Settings of one among three hundred senders. */
     private static Relay.Settings crowd(long seed) {
         Relay.Settings few = Script.settings(4, false, 1);
-        return new Relay.Settings(seed, 300, 0, few.tick(), false, 0.1, few.lateWorth(), few.weights(),
-                few.classes(), few.tenants(), few.kinds(), few.limits(), few.rules(), few.prices(), few.reports());
+        return new Relay.Settings(
+                seed,
+                300,
+                0,
+                few.tick(),
+                false,
+                0.1,
+                few.lateWorth(),
+                few.weights(),
+                few.classes(),
+                few.tenants(),
+                few.kinds(),
+                few.limits(),
+                few.rules(),
+                few.prices(),
+                few.reports());
     }
 
     @Test
@@ -472,7 +508,10 @@
 
     private static List<Script.Send> randomDay(int seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Script s = new Script(Script.settings(4, false, 1 + seed % 3)).list(1, 2).list(2, 1).list(3, 3);
+        Script s = new Script(Script.settings(4, false, 1 + seed % 3))
+                .list(1, 2)
+                .list(2, 1)
+                .list(3, 3);
         Ending[] endings = Ending.values();
         for (int i = 0; i < 300; i++) {
             s.arrive(i, random.nextInt(4), 1 + random.nextInt(3), 1 + random.nextInt(5));
@@ -494,9 +533,14 @@
     void messagesOfOneCallAreGivenUpTogether() {
         Script s = new Script(Script.settings(1, false, 5)).list(1, 1);
         s.arrive(9, Script.SAFE, 1).turn().pass(50_000).end(9, Ending.OK).turn();
-        s.arrive(1, Script.SAFE, 1).arrive(2, Script.UNSAFE, 1).arrive(3, Script.KEYED, 1).turn();
+        s.arrive(1, Script.SAFE, 1)
+                .arrive(2, Script.UNSAFE, 1)
+                .arrive(3, Script.KEYED, 1)
+                .turn();
         assertEquals(4, s.sends.size());
-        assertEquals(1, s.sends.stream().skip(1).map(Script.Send::giveUpAt).distinct().count());
+        assertEquals(
+                1,
+                s.sends.stream().skip(1).map(Script.Send::giveUpAt).distinct().count());
         s.pass(16_100_000);
     }
 
@@ -526,8 +570,10 @@
         Relay.Actions actions = recording(sent, answered);
         Policy policy = new Policy(Script.settings(4, false, 1), true);
         long now = Script.START;
-        policy.step(now, new Relay.Event.Listing(ListKind.FULL,
-                List.of(new Relay.Entry(10, 1, Listed.READY, 1, 0, 0))), actions);
+        policy.step(
+                now,
+                new Relay.Event.Listing(ListKind.FULL, List.of(new Relay.Entry(10, 1, Listed.READY, 1, 0, 0))),
+                actions);
         policy.step(now, new Relay.Event.Arrival(1, Script.ORDERED, 0, 5, 9_000_000, 2), actions);
         policy.step(now, new Relay.Event.Arrival(2, Script.ORDERED, 0, 5, 16_000_000, 1), actions);
         policy.step(now, new Relay.Event.Turn(), actions);
@@ -547,8 +593,10 @@
         Relay.Actions actions = recording(sent, answered);
         Policy policy = new Policy(Script.settings(8, false, 1), true);
         long now = Script.START;
-        policy.step(now, new Relay.Event.Listing(ListKind.CACHED,
-                List.of(new Relay.Entry(10, 1, Listed.READY, 1, 0, 0))), actions);
+        policy.step(
+                now,
+                new Relay.Event.Listing(ListKind.CACHED, List.of(new Relay.Entry(10, 1, Listed.READY, 1, 0, 0))),
+                actions);
         resume(policy, now, 1, Script.UNSAFE, 1, 2_000_000, actions);
         resume(policy, now, 2, Script.UNSAFE, 1, -1, actions);
         resume(policy, now, 3, Script.KEYED, 1, 2_000_000, actions);
@@ -563,22 +611,45 @@
         assertEquals(List.of(1L, 4L, 6L), answered.stream().sorted().toList());
     }
 
-    private static void resume(Policy policy, long now, long id, int type, int attempts, long doubtAge,
-            Relay.Actions actions) {
-        policy.step(now, new Relay.Event.Resumed(id, type, 0, 10_000_000, 1, attempts, doubtAge, 10,
-                doubtAge >= 0), actions);
+    private static void resume(
+            Policy policy, long now, long id, int type, int attempts, long doubtAge, Relay.Actions actions) {
+        policy.step(
+                now,
+                new Relay.Event.Resumed(id, type, 0, 10_000_000, 1, attempts, doubtAge, 10, doubtAge >= 0),
+                actions);
     }
 
     private static Relay.Actions recording(List<Long> sent, List<Long> answered) {
         return new Relay.Actions() {
-            @Override public void send(long id, long endpoint, long giveUpAt) { sent.add(id); }
-            @Override public void refuse(long id, long retryAfter) { answered.add(id); }
-            @Override public void fail(long id) { answered.add(id); }
-            @Override public void cancel(long id, int attempt) { }
-            @Override public void closeIdle(long endpoint) { }
-            @Override public void wake(long delay, long token) { }
-            @Override public void follow() { }
-            @Override public void log(String text) { }
+            @Override
+            public void send(long id, long endpoint, long giveUpAt) {
+                sent.add(id);
+            }
+
+            @Override
+            public void refuse(long id, long retryAfter) {
+                answered.add(id);
+            }
+
+            @Override
+            public void fail(long id) {
+                answered.add(id);
+            }
+
+            @Override
+            public void cancel(long id, int attempt) {}
+
+            @Override
+            public void closeIdle(long endpoint) {}
+
+            @Override
+            public void wake(long delay, long token) {}
+
+            @Override
+            public void follow() {}
+
+            @Override
+            public void log(String text) {}
         };
     }
 
@@ -586,22 +657,59 @@
 
     private static Relay.Settings fewer(Relay.Settings s, int attempts, Relay.Effect effect) {
         Relay.Limits l = s.limits();
-        List<Relay.MessageClass> classes = s.classes().stream().map(c -> new Relay.MessageClass(c.worth(), c.lateShare(),
-                c.aim(), c.deadline(), effect, c.keyScope(), c.keyLife(), c.inOrder())).toList();
-        return new Relay.Settings(s.seed(), s.senders(), s.zone(), s.tick(), s.listOnRequest(), s.overShareWorth(),
-                s.lateWorth(), s.weights(), classes, s.tenants(), s.kinds(), new Relay.Limits(l.slots(), l.openMessages(),
-                attempts, l.parallelAttempts(), l.cancel(), l.retryAdvice(), l.maxRetryAdvice(), l.callsPerConnection(),
-                l.idleConnectionLife(), l.connectTimeout()), s.rules(), s.prices(), s.reports());
+        List<Relay.MessageClass> classes = s.classes().stream()
+                .map(c -> new Relay.MessageClass(
+                        c.worth(),
+                        c.lateShare(),
+                        c.aim(),
+                        c.deadline(),
+                        effect,
+                        c.keyScope(),
+                        c.keyLife(),
+                        c.inOrder()))
+                .toList();
+        return new Relay.Settings(
+                s.seed(),
+                s.senders(),
+                s.zone(),
+                s.tick(),
+                s.listOnRequest(),
+                s.overShareWorth(),
+                s.lateWorth(),
+                s.weights(),
+                classes,
+                s.tenants(),
+                s.kinds(),
+                new Relay.Limits(
+                        l.slots(),
+                        l.openMessages(),
+                        attempts,
+                        l.parallelAttempts(),
+                        l.cancel(),
+                        l.retryAdvice(),
+                        l.maxRetryAdvice(),
+                        l.callsPerConnection(),
+                        l.idleConnectionLife(),
+                        l.connectTimeout()),
+                s.rules(),
+                s.prices(),
+                s.reports());
     }
 
     @Test
     void aMessageUnderWayKeepsItsClassAndNewOnesGetTheNewOne() {
         Script s = warmed(1, 2);
         s.arrive(1, Script.SAFE, 1).turn();
-        s.with(new Event.Configured(fewer(Script.settings(8, false, 1), 12, Relay.Effect.UNSAFE))).turn();
+        s.with(new Event.Configured(fewer(Script.settings(8, false, 1), 12, Relay.Effect.UNSAFE)))
+                .turn();
         s.pass(100_000).end(1, Ending.ERROR).turn().pass(100_000);
         assertTrue(s.isOut(1), "a safe message was not sent again");
-        s.end(1, Ending.OK).arrive(2, Script.SAFE, 1).turn().pass(100_000).end(2, Ending.ERROR).turn();
+        s.end(1, Ending.OK)
+                .arrive(2, Script.SAFE, 1)
+                .turn()
+                .pass(100_000)
+                .end(2, Ending.ERROR)
+                .turn();
         assertTrue(s.failed.contains(2L), "an unsafe message may not go on");
     }
 
@@ -609,7 +717,8 @@
     void fewerAttemptsEndWhatHasHadThem() {
         Script s = warmed(1, 2);
         s.arrive(1, Script.SAFE, 1).turn().pass(100_000).end(1, Ending.ERROR);
-        s.with(new Event.Configured(fewer(Script.settings(8, false, 1), 1, Relay.Effect.SAFE))).turn();
+        s.with(new Event.Configured(fewer(Script.settings(8, false, 1), 1, Relay.Effect.SAFE)))
+                .turn();
         assertEquals(List.of(1L), s.refused);
     }
 
@@ -617,10 +726,16 @@
     void settingsThatCannotBeUsedChangeNothing() {
         Script s = warmed(1, 2);
         for (int attempts : new int[] {0, -1}) {
-            assertThrows(IllegalArgumentException.class, () -> s.configure(
-                    fewer(Script.settings(8, false, 1), attempts, Relay.Effect.UNSAFE)));
+            assertThrows(
+                    IllegalArgumentException.class,
+                    () -> s.configure(fewer(Script.settings(8, false, 1), attempts, Relay.Effect.UNSAFE)));
         }
-        s.arrive(1, Script.SAFE, 1).turn().pass(100_000).end(1, Ending.ERROR).turn().pass(100_000);
+        s.arrive(1, Script.SAFE, 1)
+                .turn()
+                .pass(100_000)
+                .end(1, Ending.ERROR)
+                .turn()
+                .pass(100_000);
         assertTrue(s.isOut(1), "the class had changed");
     }
 
@@ -647,7 +762,9 @@
     @Test
     void aCallOfTheOtherProcessHoldsItsSlotAndIsNotMadeAgain() {
         Script s = new Script(Script.settings(1, false, 1)).list(1, 1);
-        s.with(resumed(1, Script.UNSAFE, 0)).with(new Event.Underway(List.of(1L), 10, 50_000)).turn();
+        s.with(resumed(1, Script.UNSAFE, 0))
+                .with(new Event.Underway(List.of(1L), 10, 50_000))
+                .turn();
         s.arrive(2, Script.SAFE, 1).turn().pass(50_000);
         assertEquals(List.of(), s.sends);
         s.with(ended(1, Ending.OK)).turn();
@@ -659,10 +776,18 @@
     @Test
     void severalMessagesOfOneCallShareItsSlot() {
         Script s = new Script(Script.settings(2, false, 2)).list(1, 1).list(2, 2);
-        s.with(resumed(1, Script.UNSAFE, 0)).with(resumed(2, Script.UNSAFE, 0))
-                .with(new Event.Underway(List.of(1L, 2L), 10, 50_000)).turn();
+        s.with(resumed(1, Script.UNSAFE, 0))
+                .with(resumed(2, Script.UNSAFE, 0))
+                .with(new Event.Underway(List.of(1L, 2L), 10, 50_000))
+                .turn();
         s.arrive(3, Script.SAFE, 2).arrive(4, Script.SAFE, 2).turn();
-        assertEquals(1, s.sends.stream().filter(send -> s.isOut(send.id())).map(Script.Send::endpoint).distinct().count());
+        assertEquals(
+                1,
+                s.sends.stream()
+                        .filter(send -> s.isOut(send.id()))
+                        .map(Script.Send::endpoint)
+                        .distinct()
+                        .count());
         s.with(ended(1, Ending.OK)).turn().with(ended(2, Ending.OK)).turn();
         s.arrive(5, Script.SAFE, 1).turn();
         assertTrue(s.isOut(5), "the slot did not come back");
@@ -671,7 +796,9 @@
     @Test
     void aCallOfTheOtherProcessHoldsItsKeysTurn() {
         Script s = script().list(1, 2);
-        s.with(resumed(1, Script.ORDERED, 5)).with(new Event.Underway(List.of(1L), 10, 0)).turn();
+        s.with(resumed(1, Script.ORDERED, 5))
+                .with(new Event.Underway(List.of(1L), 10, 0))
+                .turn();
         s.arrive(2, Script.ORDERED, 1, 5).turn().pass(100_000);
         assertFalse(s.isOut(2));
         s.with(ended(1, Ending.OK)).turn();
@@ -681,7 +808,9 @@
     @Test
     void aKeyRestsOnAndWaitsForANoticeThatIsOwed() {
         Script s = script().list(1, 2);
-        s.with(new Event.Resting(new Relay.Rest(5, 80_000, 0))).with(new Event.Answered(9, 6)).turn();
+        s.with(new Event.Resting(new Relay.Rest(5, 80_000, 0)))
+                .with(new Event.Answered(9, 6))
+                .turn();
         assertEquals(List.of(new Relay.Rest(5, 80_000, 0)), s.rests());
         s.arrive(1, Script.ORDERED, 1, 5).arrive(2, Script.ORDERED, 1, 6).turn().pass(70_000);
         assertFalse(s.isOut(1) || s.isOut(2));
@@ -704,22 +833,42 @@
         assertFalse(after.isOut(2), "the told wait is not kept");
         after.pass(900_000);
         assertTrue(after.isOut(2));
-        List<Relay.Learned> again = script().list(1, 2).with(new Event.TakenOver(learned.get(0))).turn().learned();
+        List<Relay.Learned> again = script().list(1, 2)
+                .with(new Event.TakenOver(learned.get(0)))
+                .turn()
+                .learned();
         // How long a place has been well is not kept: nothing depends on it.
-        assertEquals(learned.stream().map(PolicyTest::sinceEver).toList(), again.stream().map(PolicyTest::sinceEver).toList());
+        assertEquals(
+                learned.stream().map(PolicyTest::sinceEver).toList(),
+                again.stream().map(PolicyTest::sinceEver).toList());
     }
 
     private static Relay.Learned sinceEver(Relay.Learned l) {
         Relay.Memory m = l.memory();
-        return new Relay.Learned(new Relay.Memory(m.destination(), m.endpoint(), m.health(), 0, m.pace(), m.usual()),
-                l.waitLeft(), l.backoffLeft(), l.pace(), l.refusedAgo(), l.okAgo(), l.present(), l.p(), l.odds(), l.sent(),
-                l.served(), l.weight(), l.harm());
+        return new Relay.Learned(
+                new Relay.Memory(m.destination(), m.endpoint(), m.health(), 0, m.pace(), m.usual()),
+                l.waitLeft(),
+                l.backoffLeft(),
+                l.pace(),
+                l.refusedAgo(),
+                l.okAgo(),
+                l.present(),
+                l.p(),
+                l.odds(),
+                l.sent(),
+                l.served(),
+                l.weight(),
+                l.harm());
     }
 
     @Test
     void anOutagePassesOn() {
         Script before = warmed(1, 1);
-        before.arrive(1, Script.SAFE, 1).turn().end(1, Ending.CONNECT_FAILED).turn().pass(600_000);
+        before.arrive(1, Script.SAFE, 1)
+                .turn()
+                .end(1, Ending.CONNECT_FAILED)
+                .turn()
+                .pass(600_000);
         while (before.avoided() == 0) {
             before.end(1, Ending.CONNECT_FAILED).turn().pass(600_000);
         }
--- a/decisions/src/test/java/amberroute/Script.java
+++ b/decisions/src/test/java/amberroute/Script.java
@@ -5,17 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeSet;
-
 import amberroute.Relay.Ending;
 import amberroute.Relay.Entry;
 import amberroute.Relay.Event;
 import amberroute.Relay.ListKind;
 import amberroute.Relay.Listed;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
 
 /** Plays scripted events against a policy and asserts the rules on every action. */
 final class Script implements Relay.Actions {
@@ -25,7 +24,7 @@
     static final int UNSAFE = 2;
     static final int ORDERED = 3;
 
-    record Send(long at, long id, int attempt, long endpoint, long giveUpAt) { }
+    record Send(long at, long id, int attempt, long endpoint, long giveUpAt) {}
 
     private static final class Told {
         int type;
@@ -64,16 +63,27 @@
         List<Relay.MessageClass> classes = List.of(
                 type(3, Relay.Effect.SAFE, false), type(1, Relay.Effect.KEYED, false),
                 type(4, Relay.Effect.UNSAFE, false), type(1, Relay.Effect.KEYED, true));
-        return new Relay.Settings(7, 2, 0, 5_000, onRequest, 0.1, Relay.LateWorth.EVEN, Relay.WeightKind.NONE,
-                classes, List.of(), List.of(new Relay.Kind(false, perCall)),
+        return new Relay.Settings(
+                7,
+                2,
+                0,
+                5_000,
+                onRequest,
+                0.1,
+                Relay.LateWorth.EVEN,
+                Relay.WeightKind.NONE,
+                classes,
+                List.of(),
+                List.of(new Relay.Kind(false, perCall)),
                 new Relay.Limits(slots, 60, 8, false, true, true, 2_000_000, 1, 5_000_000, 1_000_000),
                 new Relay.Rules(20_000, 10_000_000, 0.2, 10_000_000, 2, 3_000_000, 100_000),
-                new Relay.Prices(0.02, 0, List.of()), new Relay.ReportFields(-1, -1));
+                new Relay.Prices(0.02, 0, List.of()),
+                new Relay.ReportFields(-1, -1));
     }
 
     private static Relay.MessageClass type(double worth, Relay.Effect effect, boolean inOrder) {
-        return new Relay.MessageClass(worth, 0.5, 2_000_000, 16_000_000, effect, Relay.KeyScope.DESTINATION,
-                6_000_000, inOrder);
+        return new Relay.MessageClass(
+                worth, 0.5, 2_000_000, 16_000_000, effect, Relay.KeyScope.DESTINATION, 6_000_000, inOrder);
     }
 
     /** Lists endpoints that are ready; their numbers are destination times ten and up. */
@@ -87,7 +97,8 @@
 
     Script change(int destination, int index, Listed state) {
         mayNotUse.put(destination * 10L + index, now);
-        return with(new Event.Listing(ListKind.DELTA, List.of(entry(destination, index, state)))).turn();
+        return with(new Event.Listing(ListKind.DELTA, List.of(entry(destination, index, state))))
+                .turn();
     }
 
     private Entry entry(int destination, int index, Listed state) {
@@ -123,8 +134,8 @@
         if (wait > 0) {
             waits.merge(destinationOf.get(send.endpoint()), now + wait, Math::max);
         }
-        return with(new Event.Outcome(id, send.attempt(), send.endpoint(), ending, now - send.at(),
-                told.ended, wait, List.of()));
+        return with(new Event.Outcome(
+                id, send.attempt(), send.endpoint(), ending, now - send.at(), told.ended, wait, List.of()));
     }
 
     Script end(long id, Ending ending) {
@@ -182,7 +193,8 @@
             if (due || !batch.isEmpty()) {
                 turn();
             }
-            messages.forEach((id, told) -> assertTrue(told.ended || now <= told.due + 20_000,
+            messages.forEach((id, told) -> assertTrue(
+                    told.ended || now <= told.due + 20_000,
                     "no final answer in time for " + id + (told.out ? ", out" : ", held")));
         }
         return this;
@@ -198,7 +210,8 @@
     }
 
     long sendsTo(int destination, long since) {
-        return sends.stream().filter(s -> s.at() >= since && destinationOf.get(s.endpoint()) == destination)
+        return sends.stream()
+                .filter(s -> s.at() >= since && destinationOf.get(s.endpoint()) == destination)
                 .count();
     }
 
@@ -220,8 +233,9 @@
         assertFalse(mayNotUse.containsKey(endpoint), "sent to a draining or gone endpoint: " + id);
         assertTrue(giveUpAt <= told.due, "runs past the client's time: " + id);
         if (told.type == ORDERED && told.key != 0) {
-            messages.forEach((other, t) -> assertTrue(t == told || t.type != ORDERED || t.key != told.key
-                    || other > id || t.ended && !t.out, "out of turn: " + id));
+            messages.forEach((other, t) -> assertTrue(
+                    t == told || t.type != ORDERED || t.key != told.key || other > id || t.ended && !t.out,
+                    "out of turn: " + id));
         }
         told.out = true;
         sends.add(new Send(now, id, told.attempts++, endpoint, giveUpAt));
--- a/decisions/src/test/java/amberroute/oracle/Duel.java
+++ b/decisions/src/test/java/amberroute/oracle/Duel.java
@@ -1,20 +1,18 @@
 package amberroute.oracle;
 
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 import amberroute.Policy;
 import amberroute.Relay;
 import amberroute.Relay.Event;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /** The present module beside the one of before in one random world, in which things go as the older one has them go. */
 final class Duel {
     /** Microseconds by which times may differ: what fades is not looked at in each turn any more, and rounds otherwise. */
     private static final long TIMER = 5;
 
-    private Duel() {
-    }
+    private Duel() {}
 
     static final List<RandomWorld.Plan> PLANS = List.of(
             new RandomWorld.Plan(4, 2, 8, 60, 60, 6, false),
@@ -30,8 +28,11 @@
             String b = did.get(i);
             int end = a.lastIndexOf(' ') + 1;
             boolean timed = a.startsWith("refuse ") || a.startsWith("send ");
-            if (!a.equals(b) && !(timed && b.startsWith(a.substring(0, end))
-                    && Math.abs(Long.parseLong(a.substring(end)) - Long.parseLong(b.substring(end))) <= TIMER)) {
+            if (!a.equals(b)
+                    && !(timed
+                            && b.startsWith(a.substring(0, end))
+                            && Math.abs(Long.parseLong(a.substring(end)) - Long.parseLong(b.substring(end)))
+                                    <= TIMER)) {
                 return false;
             }
         }
@@ -58,7 +59,8 @@
                     throw new AssertionError(at + "\nbefore:\n" + String.join("\n", wanted.acts()) + "\nnow:\n"
                             + String.join("\n", did.acts()));
                 }
-                timer = did.wake >= 0 ? world.now() + did.wake
+                timer = did.wake >= 0
+                        ? world.now() + did.wake
                         : one instanceof Event.TimerDue && timer <= world.now() ? Long.MAX_VALUE : timer;
                 // It may be due earlier, as it is set for a destination and not for each of its messages.
                 if (one instanceof Event.Turn && timer - TIMER > Math.max(world.now() + 1, old.wakeAt())) {
@@ -68,8 +70,8 @@
                 wanted.lines.forEach(line -> seen.merge(line.split(" ")[0], 1, Integer::sum));
             }
             if (old.avoided() != fresh.avoided()) {
-                throw new AssertionError("seed " + seed + ", step " + step + ": " + old.avoided() + " avoided, now "
-                        + fresh.avoided());
+                throw new AssertionError(
+                        "seed " + seed + ", step " + step + ": " + old.avoided() + " avoided, now " + fresh.avoided());
             }
             event = world.next();
         }
--- a/decisions/src/test/java/amberroute/oracle/HardCasesTest.java
+++ b/decisions/src/test/java/amberroute/oracle/HardCasesTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.Policy;
+import amberroute.Relay;
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,14 +14,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.Policy;
-import amberroute.Relay;
-import amberroute.Relay.Ending;
-import amberroute.Relay.Event;
-
 /** What is hard for structures that order by time and sum up: each beside the module of before, which walks all messages. */
 class HardCasesTest {
     private static final long LONG = 40_000_000;
@@ -33,6 +31,7 @@
         long ids;
         /** Not where the old module's index has run out of digits, and messages tied. */
         boolean compared = true;
+
         int sends;
         int refused;
         int failed;
@@ -49,8 +48,10 @@
                 old.step(now, event, wanted);
             }
             fresh.step(now, event, did);
-            assertTrue(!compared || Duel.same(wanted.acts(), did.acts()), () -> "at " + now + " " + event + "\nbefore:\n"
-                    + String.join("\n", wanted.acts()) + "\nnow:\n" + String.join("\n", did.acts()));
+            assertTrue(
+                    !compared || Duel.same(wanted.acts(), did.acts()),
+                    () -> "at " + now + " " + event + "\nbefore:\n" + String.join("\n", wanted.acts()) + "\nnow:\n"
+                            + String.join("\n", did.acts()));
             for (long[] send : did.sends) {
                 out.put(send[0], send);
                 attempts.merge(send[0], 1, Integer::sum);
@@ -105,7 +106,7 @@
 
         /** Time passes in steps with a turn behind each. */
         void pass(long span, long step) {
-            for (long end = now + span; now < end;) {
+            for (long end = now + span; now < end; ) {
                 now += step;
                 tell(new Event.TimerDue(0));
                 turn();
@@ -114,14 +115,26 @@
     }
 
     private static Relay.Settings settings(int slots, int open, Relay.LateWorth late, Relay.MessageClass... classes) {
-        return new Relay.Settings(3, 1, 0, 5_000, false, 0.3, late, Relay.WeightKind.NONE, List.of(classes), List.of(),
-                List.of(new Relay.Kind(false, 1)), new Relay.Limits(slots, open, 6, false, true, true, 3_000_000, 1, 15_000_000,
-                        1_000_000),
+        return new Relay.Settings(
+                3,
+                1,
+                0,
+                5_000,
+                false,
+                0.3,
+                late,
+                Relay.WeightKind.NONE,
+                List.of(classes),
+                List.of(),
+                List.of(new Relay.Kind(false, 1)),
+                new Relay.Limits(slots, open, 6, false, true, true, 3_000_000, 1, 15_000_000, 1_000_000),
                 new Relay.Rules(300_000, 6_000_000, 0.15, 12_000_000, 2.5, 1_500_000, 100_000),
-                new Relay.Prices(0, 0, List.of()), new Relay.ReportFields(-1, -1));
+                new Relay.Prices(0, 0, List.of()),
+                new Relay.ReportFields(-1, -1));
     }
 
-    private static Relay.MessageClass type(double worth, double late, long aim, long deadline, Relay.Effect effect, boolean order) {
+    private static Relay.MessageClass type(
+            double worth, double late, long aim, long deadline, Relay.Effect effect, boolean order) {
         return new Relay.MessageClass(worth, late, aim, deadline, effect, Relay.KeyScope.DESTINATION, deadline, order);
     }
 
@@ -260,8 +273,16 @@
         for (int i = 0; i < 2_500; i++) {
             a.attempts.put(++a.ids, i % 2);
             boolean doubt = i % 2 == 1 && i % 3 != 0;
-            a.tell(new Event.Resumed(a.ids, i % 3, 1 + i % 90, LONG - 300L * (i * 37 % 2_500), i % 30, i % 2,
-                    doubt ? 100_000 : -1, doubt ? 1 + i % 60 : 0, doubt && i % 4 == 1));
+            a.tell(new Event.Resumed(
+                    a.ids,
+                    i % 3,
+                    1 + i % 90,
+                    LONG - 300L * (i * 37 % 2_500),
+                    i % 30,
+                    i % 2,
+                    doubt ? 100_000 : -1,
+                    doubt ? 1 + i % 60 : 0,
+                    doubt && i % 4 == 1));
         }
         a.turn();
         a.run(400, 6_000, Ending.OK);
@@ -272,7 +293,10 @@
     @Test
     void extremeClassesAndTimes() {
         for (Relay.LateWorth late : Relay.LateWorth.values()) {
-            Arena a = new Arena(settings(3, 400, late,
+            Arena a = new Arena(settings(
+                    3,
+                    400,
+                    late,
                     type(0, 0, 1, 1, Relay.Effect.SAFE, false),
                     type(0, 0, 1, 400_000_000_000L, Relay.Effect.KEYED, true),
                     type(1e9, 1, 90_000_000_000L, 90_000_000_000L, Relay.Effect.UNSAFE, false),
@@ -282,7 +306,11 @@
             SplittableRandom random = new SplittableRandom(9);
             for (int round = 0; round < 60; round++) {
                 for (int i = 0; i < 6; i++) {
-                    a.arrive(random.nextInt(4), random.nextInt(4), random.nextInt(3) == 0 ? 1 : 500_000_000_000L, random.nextInt(5));
+                    a.arrive(
+                            random.nextInt(4),
+                            random.nextInt(4),
+                            random.nextInt(3) == 0 ? 1 : 500_000_000_000L,
+                            random.nextInt(5));
                 }
                 a.turn();
                 a.run(2, random.nextBoolean() ? 0 : 1 + random.nextLong(3), Ending.OK);
--- a/decisions/src/test/java/amberroute/oracle/OldPolicy.java
+++ b/decisions/src/test/java/amberroute/oracle/OldPolicy.java
@@ -1,5 +1,7 @@
 package amberroute.oracle;
 
+import amberroute.Relay;
+import amberroute.oracle.OldState.*;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -14,9 +16,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
-import amberroute.Relay;
-import amberroute.oracle.OldState.*;
-
 /**
  * All decisions of one sender. Its interface (settings, events, actions) is {@code Relay.java}.
  *
@@ -46,16 +45,19 @@
     /** A repeatable attempt is given up after so many expected latencies, doubled with each time-out, and not
      * before this span, as connecting is part of a call, nor this share of the time left. */
     private static final double GIVE_UP = 8;
+
     private static final long GIVE_UP_LEAST = 2_000_000;
     private static final double GIVE_UP_SHARE = 0.25;
     /** A call is silent after so many usual latencies, and after this share of the longest class's time, as
      * connecting is part of it: a fixed span holds all slots where times are short. Harm: slow connecting. */
     private static final double SILENT = 6;
+
     private static final double SILENT_SHARE = 1 / 16.0;
     /** A message with less than so many service times left may run out of time before a slow answer. */
     private static final double AMPLE = 3;
     /** Share of the slots that silent calls may hold while messages wait, and how much longer unsafe ones. */
     private static final double SILENT_SLOTS = 0.2;
+
     private static final double PATIENCE = 2.5;
     /** Transit allowed for when the life of a key runs out. */
     private static final long KEY_MARGIN = 300_000;
@@ -65,6 +67,7 @@
     private static final long OUTAGE_LEAST = 2_500_000;
     /** First pause at a door shared by all: a turn for each sender, and a base where no wait was told. */
     private static final long TURN = 80_000;
+
     private static final double TURNS = 3.2;
     private static final long BACKOFF = 240_000;
     /** Share of recent calls that ran and failed above which a destination is in doubt: two in a row. */
@@ -77,12 +80,14 @@
     private static final long TRIAL_LONGEST = 700_000;
     /** AIMD: a refusal cuts the pace to this share of what was sent; each answer adds a share. */
     private static final double CUT = 0.8;
+
     private static final double PART = 1.2;
     private static final double PART_KEPT = 0.85;
     private static final double PART_GAIN = 0.25;
     private static final double ENOUGH = 0.5;
     /** A told limit counts up to so many times what all would send if they sent as much as this one. */
     private static final double MOST_TOLD = 8;
+
     private static final double RAISE = 0.05;
     /** Least pace of all senders together in calls a second, so that a limit is noticed when it lifts. */
     private static final double LEAST_PACE = 1.2;
@@ -96,6 +101,7 @@
     private static final double RAMP_SAFETY = 0.9;
     /** Spans over which sent and served rates are averaged. */
     private static final double SENT_SPAN = 2_000_000;
+
     private static final double SERVED_SPAN = 8_000_000;
     /** Weight of a call in shares over all destinations: about the last thirty calls count. */
     private static final double FAST_POOLED = 0.03;
@@ -112,6 +118,7 @@
     /** Endpoint choice, in calls in flight: fresh connection, far zone, failing endpoint, point of toll,
      * the one that failed this message last. Equals are taken in a random order of listing. */
     private static final double COLD_CONNECTION = 0.6;
+
     private static final double FAR = 0.8;
     private static final double FAILING = 4;
     private static final double TOLL = 20;
@@ -128,6 +135,7 @@
 
     /** Pauses double no more often than this. */
     private static final int MOST_DOUBLINGS = 3;
+
     private static final long NEVER = Long.MAX_VALUE;
     private static final double SECOND = 1e6;
     private static final Set<Ending> NEVER_RAN = EnumSet.of(Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT);
@@ -145,9 +153,11 @@
     private final Set<Scope> busy = new LinkedHashSet<>();
     /** Scopes whose breaker has turned since the last step. */
     private final Set<Scope> turned = new LinkedHashSet<>();
+
     private final Map<Long, KeyTurn> turns = new HashMap<>();
     /** Answered messages whose key's turn waits for the answer to be concluded. */
     private final Map<Long, Message> concluding = new HashMap<>();
+
     private final Deque<KeyTurn> resting = new ArrayDeque<>();
     private final List<TokenBucket> shares = new ArrayList<>();
     private long longestTime;
@@ -157,12 +167,15 @@
     private double meanP;
     /** Usual latency over all destinations: what a scope that never answered is taken to need. */
     private double usualLatency;
+
     private double unconnected;
     /** How long an idle connection is trusted, and shares of calls lost on fresh and on idle ones. */
     private double trustedIdle;
+
     private double toldTrust;
     /** The caller knows each connection's idle time and keeps to {@code trustedIdle} by itself. */
     private boolean idleTold;
+
     private double freshLost;
     private double idleLost;
     private long stopsAt = NEVER;
@@ -194,7 +207,8 @@
         require(rules.startCapacity() > 0 && rules.coldSpan() >= 0 && rules.fallMultiple() > 0, "rules");
         require(fresh.classes().stream().allMatch(c -> c.deadline() > 0 && c.aim() > 0), "classes");
         settings = fresh;
-        longestTime = fresh.classes().stream().mapToLong(MessageClass::deadline).max().orElse(0);
+        longestTime =
+                fresh.classes().stream().mapToLong(MessageClass::deadline).max().orElse(0);
     }
 
     private static void require(boolean holds, String setting) {
@@ -247,8 +261,10 @@
 
     @Override
     public int avoided() {
-        return (int) endpoints.values().stream().filter(point -> point.state == Listed.READY
-                && (point.scope.breaker == Breaker.OPEN || point.failures + point.lost >= STREAK)).count();
+        return (int) endpoints.values().stream()
+                .filter(point -> point.state == Listed.READY
+                        && (point.scope.breaker == Breaker.OPEN || point.failures + point.lost >= STREAK))
+                .count();
     }
 
     private void onArrival(long now, Event.Arrival e) {
@@ -256,8 +272,10 @@
             return;
         }
         if (destinations.size() > DESTINATIONS) {
-            destinations.values().removeIf(d -> d.endpoints.isEmpty()
-                    && messages.values().stream().noneMatch(m -> m.destination == d));
+            destinations
+                    .values()
+                    .removeIf(d ->
+                            d.endpoints.isEmpty() && messages.values().stream().noneMatch(m -> m.destination == d));
         }
         Message m = take(now, e.id(), e.messageClass(), e.key(), e.timeLeft(), e.destination());
         m.worth *= withinShare(now, e.tenant()) ? 1 : settings.overShareWorth();
@@ -267,7 +285,8 @@
     private Message take(long now, long id, int messageClass, long key, long timeLeft, int destination) {
         Message m = new Message();
         m.id = id;
-        m.type = settings.classes().get(Math.min(messageClass, settings.classes().size() - 1));
+        m.type =
+                settings.classes().get(Math.min(messageClass, settings.classes().size() - 1));
         m.destination = destination(destination);
         m.due = now + Math.min(m.type.deadline(), timeLeft);
         m.aim = m.due - m.type.deadline() + m.type.aim();
@@ -338,11 +357,12 @@
     }
 
     private static Memory memory(long now, Scope scope) {
-        Health health = switch (scope.breaker) {
-            case OPEN -> Health.OUT;
-            case RAMP -> Health.COLD;
-            case CLOSED -> Health.WELL;
-        };
+        Health health =
+                switch (scope.breaker) {
+                    case OPEN -> Health.OUT;
+                    case RAMP -> Health.COLD;
+                    case CLOSED -> Health.WELL;
+                };
         long since = now - (health == Health.OUT ? scope.openedAt : scope.rampFrom);
         return new Memory(scope.destination, scope.endpoint, health, since, scope.formerPace, scope.usual);
     }
@@ -351,8 +371,10 @@
 
     private void onUnderway(long now, Event.Underway e, Actions actions) {
         Endpoint point = endpoints.get(e.endpoint());
-        List<Message> load = e.ids().stream().map(messages::get)
-                .filter(m -> m != null && m.out == null).toList();
+        List<Message> load = e.ids().stream()
+                .map(messages::get)
+                .filter(m -> m != null && m.out == null)
+                .toList();
         if (point != null && !load.isEmpty()) {
             Call call = startCall(now, point, actions);
             call.sentAt = now - e.sentAgo();
@@ -371,19 +393,35 @@
 
     @Override
     public List<Rest> rests(long now) {
-        return turns.values().stream().filter(t -> t.restUntil > now).map(t -> new Rest(t.key,
-                t.restUntil - now, t.restsAfter == null ? 0 : t.restsAfter.id)).toList();
+        return turns.values().stream()
+                .filter(t -> t.restUntil > now)
+                .map(t -> new Rest(t.key, t.restUntil - now, t.restsAfter == null ? 0 : t.restsAfter.id))
+                .toList();
     }
 
     @Override
     public List<Learned> learned(long now) {
-        return endpoints.values().stream().map(point -> point.scope).distinct().map(s -> {
-            Destination d = s.members.get(0).destination;
-            return new Learned(memory(now, s), Math.max(0, s.waitUntil - now),
-                    Math.max(0, s.backoffUntil - now), s.pace, now - s.lastRefusal, now - s.lastOk, s.present,
-                    d.measured ? d.p : 0, d.odds, s.sent.perSecond(now), s.served.perSecond(now), s.weight,
-                    s.harm);
-        }).toList();
+        return endpoints.values().stream()
+                .map(point -> point.scope)
+                .distinct()
+                .map(s -> {
+                    Destination d = s.members.get(0).destination;
+                    return new Learned(
+                            memory(now, s),
+                            Math.max(0, s.waitUntil - now),
+                            Math.max(0, s.backoffUntil - now),
+                            s.pace,
+                            now - s.lastRefusal,
+                            now - s.lastOk,
+                            s.present,
+                            d.measured ? d.p : 0,
+                            d.odds,
+                            s.sent.perSecond(now),
+                            s.served.perSecond(now),
+                            s.weight,
+                            s.harm);
+                })
+                .toList();
     }
 
     private void onTakenOver(long now, Learned l) {
@@ -427,8 +465,7 @@
     }
 
     private Destination destination(int number) {
-        return destinations.computeIfAbsent(number, 
-                n -> new Destination(new Scope(n, 0, SENT_SPAN, SERVED_SPAN)));
+        return destinations.computeIfAbsent(number, n -> new Destination(new Scope(n, 0, SENT_SPAN, SERVED_SPAN)));
     }
 
     /** A sender sees only its own part of a tenant's traffic and takes an even part of its share. */
@@ -481,7 +518,8 @@
         m.failedAt = call.endpoint;
         Scope scope = call.endpoint.scope;
         if (m.attempts >= Math.max(2, m.destination.endpoints.size())) {
-            m.notBefore = now + pause(e.noPlace(settings.reports()) ? 0 : turn(scope), 0, m.type.deadline(), m.attempts - 1);
+            m.notBefore =
+                    now + pause(e.noPlace(settings.reports()) ? 0 : turn(scope), 0, m.type.deadline(), m.attempts - 1);
         }
         if (e.toldWait() > 0) {
             scope.waitUntil = Math.max(scope.waitUntil, now + e.toldWait() + 1);
@@ -550,9 +588,12 @@
             point = new Endpoint();
             point.id = entry.endpoint();
             point.destination = destination(entry.destination());
-            Kind kind = settings.kinds().isEmpty() ? new Kind(false, 1)
-                    : settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
-            point.scope = !kind.routesApart() ? point.destination.shared
+            Kind kind = settings.kinds().isEmpty()
+                    ? new Kind(false, 1)
+                    : settings.kinds()
+                            .get(Math.min(entry.kind(), settings.kinds().size() - 1));
+            point.scope = !kind.routesApart()
+                    ? point.destination.shared
                     : new Scope(entry.destination(), point.id, SENT_SPAN, SERVED_SPAN);
             point.messagesPerCall = Math.max(1, kind.messagesPerCall());
             endpoints.put(point.id, point);
@@ -572,7 +613,10 @@
     // ---- Effects: each send and each answer goes through these. ----
 
     private boolean maySend(long now, Message m) {
-        return !m.ended && m.out == null && m.attempts < settings.limits().maxAttempts() && now < m.due
+        return !m.ended
+                && m.out == null
+                && m.attempts < settings.limits().maxAttempts()
+                && now < m.due
                 && now < repeatableUntil(m);
     }
 
@@ -596,15 +640,20 @@
     }
 
     private static boolean mayRefuse(Message m) {
-        return m.out == null && (m.type.effect() == Effect.SAFE || m.doubtSince == NEVER
-                || m.type.effect() == Effect.KEYED && m.type.keyScope() == KeyScope.DESTINATION);
+        return m.out == null
+                && (m.type.effect() == Effect.SAFE
+                        || m.doubtSince == NEVER
+                        || m.type.effect() == Effect.KEYED && m.type.keyScope() == KeyScope.DESTINATION);
     }
 
     /** The final answer: a refusal wherever that is harmless, since the client may then come again. */
     private void answer(long now, Message m, long advice, Actions actions) {
         if (mayRefuse(m)) {
-            actions.refuse(m.id, settings.limits().retryAdvice()
-                    ? Math.max(0, Math.min(advice, settings.limits().maxRetryAdvice())) : 0);
+            actions.refuse(
+                    m.id,
+                    settings.limits().retryAdvice()
+                            ? Math.max(0, Math.min(advice, settings.limits().maxRetryAdvice()))
+                            : 0);
         } else {
             actions.fail(m.id);
         }
@@ -636,7 +685,8 @@
     }
 
     private void settleDue(long now, Actions actions) {
-        // The first of what differs from the module of before: advice for what ends now counts what is ahead by the index of
+        // The first of what differs from the module of before: advice for what ends now counts what is ahead by the
+        // index of
         // this moment, not of the last turn (docs/decisions.md, "What differs").
         messages.values().forEach(m -> {
             if (m.out == null && !m.ended) {
@@ -652,7 +702,8 @@
             }
             fade(now, m.destination);
             long end = m.due - Math.max(END_MARGIN, (long) serviceTime(m));
-            if (now >= Math.min(end, repeatableUntil(m)) || m.attempts >= settings.limits().maxAttempts()) {
+            if (now >= Math.min(end, repeatableUntil(m))
+                    || m.attempts >= settings.limits().maxAttempts()) {
                 answer(now, m, predictedWait(now, m), actions);
             } else {
                 note(Math.min(end, repeatableUntil(m)));
@@ -699,8 +750,10 @@
         }
         arrivals.clear();
         while (messages.size() > ROOM * settings.limits().openMessages()) {
-            Message least = messages.values().stream().filter(m -> m.out == null && !m.ended)
-                    .min(Comparator.comparingDouble(m -> m.index)).orElse(null);
+            Message least = messages.values().stream()
+                    .filter(m -> m.out == null && !m.ended)
+                    .min(Comparator.comparingDouble(m -> m.index))
+                    .orElse(null);
             if (least == null) {
                 return;
             }
@@ -736,8 +789,8 @@
                 last = point.scope;
                 cap += cap(now, last);
                 // Paces count calls: what waits behind a limit or a slow start fills them.
-                pace += point.messagesPerCall * (last.breaker == Breaker.CLOSED
-                        ? last.pace : rampPace((1 + warmth(now, last)) / 2, last));
+                pace += point.messagesPerCall
+                        * (last.breaker == Breaker.CLOSED ? last.pace : rampPace((1 + warmth(now, last)) / 2, last));
                 opens = Math.min(opens, returnsAt(now, last));
             }
         }
@@ -800,8 +853,11 @@
         for (Message m : ready) {
             Call open = filling.get(m.destination);
             boolean free = m.destination.ceiling.opensAt(now) <= now;
-            boolean joins = open != null && free && open.messages < open.endpoint.messagesPerCall
-                    && mayRisk(now, m, open.endpoint.scope) && sharesFate(now, m, open)
+            boolean joins = open != null
+                    && free
+                    && open.messages < open.endpoint.messagesPerCall
+                    && mayRisk(now, m, open.endpoint.scope)
+                    && sharesFate(now, m, open)
                     && (m.type.effect() == Effect.SAFE || !probing(open.endpoint.scope));
             if (joins && remembered(m, open.endpoint) && endsInTime(now, m, open.endpoint)) {
                 load(now, m, open);
@@ -841,8 +897,7 @@
      */
     private boolean mayRisk(long now, Message m, Scope scope) {
         boolean late = m.due - now < LAST_SHARE * m.type.deadline();
-        return risk(now, m) <= m.destination.leastRisk
-                || !probing(scope) && (scope.harm < DOUBT || late);
+        return risk(now, m) <= m.destination.leastRisk || !probing(scope) && (scope.harm < DOUBT || late);
     }
 
     private int risk(long now, Message m) {
@@ -873,8 +928,7 @@
         double bestCost = Double.POSITIVE_INFINITY;
         long opens = NEVER;
         for (Endpoint point : m.destination.endpoints) {
-            boolean usable = point.state == Listed.READY && remembered(m, point)
-                    && mayRisk(now, m, point.scope);
+            boolean usable = point.state == Listed.READY && remembered(m, point) && mayRisk(now, m, point.scope);
             if (!usable || !endsInTime(now, m, point)) {
                 continue;
             }
@@ -894,18 +948,23 @@
 
     /** Before the process ends, no unsafe attempt starts whose outcome it may not see: that would lose it. */
     private boolean endsInTime(long now, Message m, Endpoint point) {
-        return stopsAt == NEVER || m.type.effect() != Effect.UNSAFE
+        return stopsAt == NEVER
+                || m.type.effect() != Effect.UNSAFE
                 || now + LAST_CALLS * Math.max(serviceTime(m), present(now, point.scope)) < stopsAt;
     }
 
     private double cost(long now, Message m, Endpoint point) {
         boolean warm = (point.inFlight > 0 || now - point.lastUse < trustedIdle)
-                && point.inFlight < point.connections * Math.max(1, settings.limits().callsPerConnection());
+                && point.inFlight
+                        < point.connections * Math.max(1, settings.limits().callsPerConnection());
         boolean far = settings.prices().crossZone() > 0 && point.zone != settings.zone();
         List<Double> tolls = settings.prices().zoneToll();
         double toll = point.zone < tolls.size() ? tolls.get(point.zone) : 0;
-        return point.inFlight + (warm ? 0 : COLD_CONNECTION) + (far ? FAR : 0)
-                + (point == m.failedAt ? FAILED_HERE : 0) + FAILING * (point.failing + point.lost)
+        return point.inFlight
+                + (warm ? 0 : COLD_CONNECTION)
+                + (far ? FAR : 0)
+                + (point == m.failedAt ? FAILED_HERE : 0)
+                + FAILING * (point.failing + point.lost)
                 + TOLL * toll;
     }
 
@@ -921,7 +980,8 @@
             }
             call.idleBefore = point.connections > 0 ? point.gap : 0;
         }
-        point.connections = Math.max(point.connections,
+        point.connections = Math.max(
+                point.connections,
                 1 + (point.inFlight - 1) / Math.max(1, settings.limits().callsPerConnection()));
         point.scope.calls.add(call);
         busy.add(point.scope);
@@ -951,7 +1011,8 @@
      * with it; waiting for that one instead costs more where calls hang.
      */
     private void send(long now, Call call, Actions actions) {
-        long giveUp = call.load.stream().mapToLong(m -> giveUpAt(now, m, call)).min().orElse(now);
+        long giveUp =
+                call.load.stream().mapToLong(m -> giveUpAt(now, m, call)).min().orElse(now);
         call.load.forEach(m -> actions.send(m.id, call.endpoint.id, giveUp));
     }
 
@@ -1009,17 +1070,22 @@
         if (scope.calls.size() >= (scope.usual == 0 ? scope.members.size() : cap(now, scope))) {
             return NEVER;
         }
-        if (scope.breaker == Breaker.RAMP && now - scope.rampFrom >= settings.rules().coldSpan()) {
+        if (scope.breaker == Breaker.RAMP
+                && now - scope.rampFrom >= settings.rules().coldSpan()) {
             scope.breaker = Breaker.CLOSED;
         }
         if (scope.breaker == Breaker.RAMP) {
-            at = Math.max(at, Math.min(scope.rampSent + (long) (SECOND / rampPace(warmth(now, scope), scope)),
-                    scope.rampFrom + settings.rules().coldSpan()));
+            at = Math.max(
+                    at,
+                    Math.min(
+                            scope.rampSent + (long) (SECOND / rampPace(warmth(now, scope), scope)),
+                            scope.rampFrom + settings.rules().coldSpan()));
         }
         if (now - scope.lastRefusal > PACE_LIFE && scope.weight == 0) {
             scope.pace = Double.POSITIVE_INFINITY;
         }
-        return Double.isInfinite(scope.pace) ? at
+        return Double.isInfinite(scope.pace)
+                ? at
                 : Math.max(at, scope.paceNext - (long) ((PACE_BURST - 1) * SECOND / scope.pace));
     }
 
@@ -1091,11 +1157,18 @@
      */
     private void callOff(long now, Actions actions) {
         int slots = settings.limits().slots();
-        long silent = busy.stream().flatMap(scope -> scope.calls.stream()).filter(c -> c.silent).count();
-        boolean pressed = slotsUsed >= slots && silent >= SILENT_SLOTS * slots
+        long silent = busy.stream()
+                .flatMap(scope -> scope.calls.stream())
+                .filter(c -> c.silent)
+                .count();
+        boolean pressed = slotsUsed >= slots
+                && silent >= SILENT_SLOTS * slots
                 && messages.values().stream().anyMatch(m -> m.out == null && m.notBefore <= now);
         for (Message m : messages.values()) {
-            if (m.out != null && m.out.silent && !m.calledOff && settings.limits().cancel()) {
+            if (m.out != null
+                    && m.out.silent
+                    && !m.calledOff
+                    && settings.limits().cancel()) {
                 Call call = m.out;
                 Scope scope = call.endpoint.scope;
                 boolean due = pressed && now - call.sentAt > (call.unsafe ? PATIENCE : 1) * silence(scope)
@@ -1141,7 +1214,8 @@
         if (!call.silent) {
             judgeConnection(call, e.ending() == Ending.RESET || e.ending() == Ending.TIMEOUT, told);
         }
-        unconnected += FAST_POOLED * ((e.ending() == Ending.CONNECT_FAILED || e.noPlace(settings.reports()) ? 1 : 0) - unconnected);
+        unconnected += FAST_POOLED
+                * ((e.ending() == Ending.CONNECT_FAILED || e.noPlace(settings.reports()) ? 1 : 0) - unconnected);
         m.destination.odds += FAST * ((e.ending() == Ending.OK ? 1 : 0) - m.destination.odds);
         if (!NEVER_RAN.contains(e.ending())) {
             scope.harm += FAST * ((e.ending() == Ending.OK ? 0 : 1) - scope.harm);
@@ -1149,7 +1223,7 @@
         switch (e.ending()) {
             case OK -> onOk(now, call, e);
             case FULL -> onFull(now, m, call, e, wasTrial);
-            case MOOT -> { }
+            case MOOT -> {}
             case CANCELLED -> {
                 if (call.silent && call.sentAt >= call.endpoint.lastOk) {
                     onFailure(now, call, e.ending(), wasTrial);
@@ -1209,8 +1283,10 @@
     /** A reported allowance that runs low cuts the pace before refusals do. */
     private void readReport(long now, Scope scope, List<Double> report) {
         ReportFields fields = settings.reports();
-        if (Math.max(fields.allowanceLeft(), fields.limit()) >= report.size() || fields.allowanceLeft() < 0
-                || fields.limit() < 0 || !(report.get(fields.limit()) >= LEAST_PACE)) {
+        if (Math.max(fields.allowanceLeft(), fields.limit()) >= report.size()
+                || fields.allowanceLeft() < 0
+                || fields.limit() < 0
+                || !(report.get(fields.limit()) >= LEAST_PACE)) {
             return;
         }
         double most = MOST_TOLD * Math.max(LEAST_PACE, settings.senders() * scope.sent.perSecond(now));
@@ -1242,7 +1318,11 @@
         scope.refusals += fresh ? 1 : 0;
         scope.lastRefusal = now;
         if (fresh || wait > 0) {
-            long pause = pause(e.noPlace(settings.reports()) ? 0 : turn(scope), wait > 0 ? 0 : BACKOFF, m.type.deadline(), scope.refusals);
+            long pause = pause(
+                    e.noPlace(settings.reports()) ? 0 : turn(scope),
+                    wait > 0 ? 0 : BACKOFF,
+                    m.type.deadline(),
+                    scope.refusals);
             scope.backoffUntil = Math.max(scope.backoffUntil, now + wait + pause);
         }
         if (wasTrial || wait > OUTAGE_LEAST && scope.breaker != Breaker.OPEN) {
--- a/decisions/src/test/java/amberroute/oracle/OldState.java
+++ b/decisions/src/test/java/amberroute/oracle/OldState.java
@@ -1,7 +1,6 @@
 package amberroute.oracle;
 
 import amberroute.Relay;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -9,10 +8,13 @@
 
 /** What a sender remembers; every decision on it is in {@link OldPolicy}. */
 final class OldState {
-    private OldState() {
-    }
+    private OldState() {}
 
-    enum Breaker { CLOSED, OPEN, RAMP }
+    enum Breaker {
+        CLOSED,
+        OPEN,
+        RAMP
+    }
 
     static final class Message {
         long id;
@@ -31,6 +33,7 @@
         boolean answered;
         /** When the first attempt that may have run was sent, MAX_VALUE while none may have. */
         long doubtSince = Long.MAX_VALUE;
+
         Endpoint doubtAt;
         Endpoint failedAt;
         long notBefore;
@@ -49,6 +52,7 @@
         boolean unsafe;
         /** One of its messages has little time left, so that all are given up early. */
         boolean hurried;
+
         boolean calledOff;
         /** How long the connection it may have reused had lain idle, 0 for a fresh one. */
         long idleBefore;
@@ -66,6 +70,7 @@
         long lastUse = Long.MIN_VALUE / 2;
         /** Time between the last two stretches of use. */
         long gap;
+
         double failing;
         int failures;
         int lost;
@@ -125,6 +130,7 @@
     static final class Scope {
         /** Whose it is: a destination's, or one endpoint's where that is not 0. */
         final int destination;
+
         final long endpoint;
         final List<Endpoint> members = new ArrayList<>();
         final List<Call> calls = new ArrayList<>();
@@ -144,6 +150,7 @@
         double left = Double.NaN;
         /** Share of recent calls that may have run and were not answered as done. */
         double harm;
+
         Breaker breaker = Breaker.CLOSED;
         int trials;
         long openedAt;
@@ -195,7 +202,9 @@
             }
             save(now);
             double missing = 1 - saved;
-            return missing <= 1e-9 ? now : perSecond == 0 ? Long.MAX_VALUE : now + (long) Math.ceil(missing * 1e6 / perSecond);
+            return missing <= 1e-9
+                    ? now
+                    : perSecond == 0 ? Long.MAX_VALUE : now + (long) Math.ceil(missing * 1e6 / perSecond);
         }
 
         /** One is sent; more than were saved up are owed. */
--- a/decisions/src/test/java/amberroute/oracle/OracleRig.java
+++ b/decisions/src/test/java/amberroute/oracle/OracleRig.java
@@ -6,8 +6,7 @@
 
 /** The long form of {@link OracleTest}: {@code bin/rig decisions-oracle [--rounds N] [--steps N] [--seed N]}. */
 final class OracleRig {
-    private OracleRig() {
-    }
+    private OracleRig() {}
 
     public static void main(String[] args) {
         Map<String, Long> options = new HashMap<>(Map.of("--rounds", 400L, "--steps", 10_000L, "--seed", 1L));
@@ -17,7 +16,8 @@
                     throw new NumberFormatException();
                 }
             } catch (NumberFormatException e) {
-                System.err.println("decisions-oracle: " + args[i] + " is not one of --rounds, --steps and --seed with a number");
+                System.err.println(
+                        "decisions-oracle: " + args[i] + " is not one of --rounds, --steps and --seed with a number");
                 System.exit(2);
             }
         }
@@ -37,7 +37,8 @@
             }
         }
         StringBuilder counts = new StringBuilder();
-        seen.forEach((kind, count) -> counts.append(",\"").append(kind).append("\":").append(count));
+        seen.forEach(
+                (kind, count) -> counts.append(",\"").append(kind).append("\":").append(count));
         System.out.println("{\"ok\":" + ok + ",\"seed\":" + seed + ",\"steps\":" + steps + counts + "}");
         System.exit(ok ? 0 : 1);
     }
--- a/decisions/src/test/java/amberroute/oracle/RandomWorld.java
+++ b/decisions/src/test/java/amberroute/oracle/RandomWorld.java
@@ -1,5 +1,8 @@
 package amberroute.oracle;
 
+import amberroute.Relay;
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -8,10 +11,6 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
-import amberroute.Relay;
-import amberroute.Relay.Ending;
-import amberroute.Relay.Event;
-
 /**
  * A world of random events round one module: clients, destinations that are well, slow, away or full, told waits, keys, changes
  * of the list, restarts of what is held, changes of settings. It follows what the module does, so calls end as a world would
@@ -88,17 +87,30 @@
     }
 
     /** How large and how bad a world is. */
-    record Plan(int destinations, int endpointsEach, int slots, int openMessages, double perSecond, int keys, boolean concludes) { }
+    record Plan(
+            int destinations,
+            int endpointsEach,
+            int slots,
+            int openMessages,
+            double perSecond,
+            int keys,
+            boolean concludes) {}
 
     /** A call's end that is due. */
-    private record Due(long at, long id, int attempt, long endpoint, Ending ending, long took, long toldWait) { }
+    private record Due(long at, long id, int attempt, long endpoint, Ending ending, long took, long toldWait) {}
 
-    enum Mood { WELL, SLOW, AWAY, FULL, ERRORS }
+    enum Mood {
+        WELL,
+        SLOW,
+        AWAY,
+        FULL,
+        ERRORS
+    }
 
     private final SplittableRandom random;
     private final Plan plan;
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
-            : Long.compare(a.id(), b.id()));
+    private final PriorityQueue<Due> due = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.id(), b.id()));
     private final Map<Long, Integer> attempts = new HashMap<>();
     private final Map<Long, Due> out = new LinkedHashMap<>();
     private final Map<Long, Boolean> held = new LinkedHashMap<>();
@@ -122,19 +134,52 @@
     static Relay.Settings settings(long seed, Plan plan) {
         SplittableRandom random = new SplittableRandom(seed * 31 + 7);
         List<Relay.MessageClass> classes = List.of(
-                new Relay.MessageClass(2, 0.5, 1_500_000, 12_000_000, Relay.Effect.SAFE, Relay.KeyScope.DESTINATION, 0, false),
-                new Relay.MessageClass(1, 0.5, 1_000_000, 10_000_000, Relay.Effect.KEYED,
-                        Relay.KeyScope.values()[random.nextInt(3)], 4_000_000 + random.nextInt(8_000_000), true),
-                new Relay.MessageClass(4, random.nextDouble(), 2_000_000, 8_000_000, Relay.Effect.UNSAFE,
-                        Relay.KeyScope.DESTINATION, 0, random.nextBoolean()));
-        return new Relay.Settings(seed, 1 + random.nextInt(3), 0, 5_000, random.nextBoolean(), 0.3,
-                random.nextBoolean() ? Relay.LateWorth.EVEN : Relay.LateWorth.HALVING, Relay.WeightKind.NONE, classes,
+                new Relay.MessageClass(
+                        2, 0.5, 1_500_000, 12_000_000, Relay.Effect.SAFE, Relay.KeyScope.DESTINATION, 0, false),
+                new Relay.MessageClass(
+                        1,
+                        0.5,
+                        1_000_000,
+                        10_000_000,
+                        Relay.Effect.KEYED,
+                        Relay.KeyScope.values()[random.nextInt(3)],
+                        4_000_000 + random.nextInt(8_000_000),
+                        true),
+                new Relay.MessageClass(
+                        4,
+                        random.nextDouble(),
+                        2_000_000,
+                        8_000_000,
+                        Relay.Effect.UNSAFE,
+                        Relay.KeyScope.DESTINATION,
+                        0,
+                        random.nextBoolean()));
+        return new Relay.Settings(
+                seed,
+                1 + random.nextInt(3),
+                0,
+                5_000,
+                random.nextBoolean(),
+                0.3,
+                random.nextBoolean() ? Relay.LateWorth.EVEN : Relay.LateWorth.HALVING,
+                Relay.WeightKind.NONE,
+                classes,
                 random.nextBoolean() ? List.of() : List.of(new Relay.Tenant(20), new Relay.Tenant(100)),
                 List.of(new Relay.Kind(random.nextBoolean(), 1), new Relay.Kind(false, 5)),
-                new Relay.Limits(plan.slots(), plan.openMessages(), 3 + random.nextInt(10), false, true, true, 3_000_000, 1,
-                        15_000_000, 1_000_000),
+                new Relay.Limits(
+                        plan.slots(),
+                        plan.openMessages(),
+                        3 + random.nextInt(10),
+                        false,
+                        true,
+                        true,
+                        3_000_000,
+                        1,
+                        15_000_000,
+                        1_000_000),
                 new Relay.Rules(300_000, 6_000_000, 0.15, 12_000_000, 2.5, 1_500_000, 100_000),
-                new Relay.Prices(0.06, random.nextInt(2) * 0.1, List.of()), new Relay.ReportFields(0, 1));
+                new Relay.Prices(0.06, random.nextInt(2) * 0.1, List.of()),
+                new Relay.ReportFields(0, 1));
     }
 
     private long endpoint(int destination, int i) {
@@ -172,9 +217,17 @@
             int at = random.nextInt(listed.length);
             listed[at] = !listed[at];
             int d = at / plan.endpointsEach();
-            return new Event.Listing(Relay.ListKind.DELTA, List.of(new Relay.Entry(at + 1, d,
-                    listed[at] ? Relay.Listed.READY : random.nextBoolean() ? Relay.Listed.GONE : Relay.Listed.DRAINING, 0,
-                    at % plan.endpointsEach() % 2, d % 2)));
+            return new Event.Listing(
+                    Relay.ListKind.DELTA,
+                    List.of(new Relay.Entry(
+                            at + 1,
+                            d,
+                            listed[at]
+                                    ? Relay.Listed.READY
+                                    : random.nextBoolean() ? Relay.Listed.GONE : Relay.Listed.DRAINING,
+                            0,
+                            at % plan.endpointsEach() % 2,
+                            d % 2)));
         } else if (what < 6) {
             return resumed();
         } else if (what < 8 && !held.isEmpty()) {
@@ -184,7 +237,9 @@
         } else if (what < 9) {
             return new Event.Ceiling(random.nextInt(plan.destinations()), random.nextInt(30), 1, random.nextBoolean());
         }
-        long soonest = Math.min(Math.min(wakeAt, nextArrival), due.isEmpty() ? Long.MAX_VALUE : due.peek().at());
+        long soonest = Math.min(
+                Math.min(wakeAt, nextArrival),
+                due.isEmpty() ? Long.MAX_VALUE : due.peek().at());
         now = Math.max(now, soonest);
         if (!due.isEmpty() && due.peek().at() <= now) {
             return ended(due.poll());
@@ -193,7 +248,8 @@
             wakeAt = Long.MAX_VALUE;
             return new Event.TimerDue(0);
         }
-        nextArrival = now + (random.nextInt(200) == 0 ? 0 : (long) (-Math.log(1 - random.nextDouble()) / plan.perSecond() * 1e6));
+        nextArrival = now
+                + (random.nextInt(200) == 0 ? 0 : (long) (-Math.log(1 - random.nextDouble()) / plan.perSecond() * 1e6));
         return arrival();
     }
 
@@ -203,8 +259,13 @@
         held.put(id, true);
         attempts.put(id, 0);
         long full = type == 0 ? 12_000_000 : type == 1 ? 10_000_000 : 8_000_000;
-        return new Event.Arrival(id, type, random.nextInt(3) - 1, key(), random.nextInt(4) == 0
-                ? 100_000 + random.nextLong(full) : full, random.nextInt(plan.destinations()));
+        return new Event.Arrival(
+                id,
+                type,
+                random.nextInt(3) - 1,
+                key(),
+                random.nextInt(4) == 0 ? 100_000 + random.nextLong(full) : full,
+                random.nextInt(plan.destinations()));
     }
 
     private long key() {
@@ -218,8 +279,15 @@
         attempts.put(id, tried);
         boolean doubt = tried > 0 && random.nextBoolean();
         int d = random.nextInt(plan.destinations());
-        return new Event.Resumed(id, random.nextInt(3), key(), 100_000 + random.nextLong(8_000_000), d, tried,
-                doubt ? random.nextLong(3_000_000) : -1, doubt ? endpoint(d, random.nextInt(plan.endpointsEach())) : 0,
+        return new Event.Resumed(
+                id,
+                random.nextInt(3),
+                key(),
+                100_000 + random.nextLong(8_000_000),
+                d,
+                tried,
+                doubt ? random.nextLong(3_000_000) : -1,
+                doubt ? endpoint(d, random.nextInt(plan.endpointsEach())) : 0,
                 doubt && random.nextBoolean());
     }
 
@@ -233,7 +301,14 @@
                 conclude.remove(call.id());
             }
         }
-        return new Event.Outcome(call.id(), call.attempt(), call.endpoint(), call.ending(), call.took(), closed, call.toldWait(),
+        return new Event.Outcome(
+                call.id(),
+                call.attempt(),
+                call.endpoint(),
+                call.ending(),
+                call.took(),
+                closed,
+                call.toldWait(),
                 random.nextInt(20) == 0 ? List.of(random.nextDouble(), 10 + random.nextDouble() * 50) : List.of(),
                 random.nextBoolean() ? -1 : random.nextLong(5_000_000));
     }
@@ -255,8 +330,9 @@
                     ending = random.nextInt(4) == 0 ? Ending.OK : Ending.FULL;
                     wait = ending == Ending.FULL && random.nextInt(3) == 0 ? random.nextLong(4_000_000) : 0;
                 }
-                case ERRORS -> ending = random.nextBoolean() ? Ending.ERROR : random.nextBoolean() ? Ending.RESET : Ending.OK;
-                default -> { }
+                case ERRORS -> ending =
+                        random.nextBoolean() ? Ending.ERROR : random.nextBoolean() ? Ending.RESET : Ending.OK;
+                default -> {}
             }
             long end = took == Long.MAX_VALUE ? send[2] : Math.min(send[2], now + took);
             if (end == send[2] && ending != Ending.CONNECT_FAILED) {
@@ -271,7 +347,8 @@
             Due call = out.remove(cancel[0]);
             if (call != null) {
                 due.remove(call);
-                Due early = new Due(now + 1_000, call.id(), call.attempt(), call.endpoint(), Ending.CANCELLED, 1_000, 0);
+                Due early =
+                        new Due(now + 1_000, call.id(), call.attempt(), call.endpoint(), Ending.CANCELLED, 1_000, 0);
                 out.put(call.id(), early);
                 due.add(early);
             }
--- a/decisions/src/test/java/amberroute/order/OrderTest.java
+++ b/decisions/src/test/java/amberroute/order/OrderTest.java
@@ -13,7 +13,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-
 import org.junit.jupiter.api.Test;
 
 /** Each structure beside the plainest thing that does the same, on random operations with printed seeds. */
@@ -33,7 +32,8 @@
         }
     }
 
-    private static final Comparator<Item> ORDER = Comparator.<Item>comparingLong(i -> i.due).thenComparingLong(i -> i.number);
+    private static final Comparator<Item> ORDER =
+            Comparator.<Item>comparingLong(i -> i.due).thenComparingLong(i -> i.number);
 
     private static Item first(TreeSet<Item> model, Predicate<Item> wanted) {
         return model.stream().filter(wanted).findFirst().orElse(null);
@@ -74,16 +74,35 @@
                 assertEquals(model.stream().filter(i -> i.isReady).count(), tree.readies(), at);
                 assertEquals(model.stream().filter(i -> i.hasTurn).count(), tree.turns(), at);
                 assertSame(first(model, i -> true), tree.first(), at);
-                assertSame(first(model, i -> counts.test(i) && i.due >= from && i.due < to), tree.from(from, to, ready), at);
+                assertSame(
+                        first(model, i -> counts.test(i) && i.due >= from && i.due < to),
+                        tree.from(from, to, ready),
+                        at);
                 long number = random.nextInt(step + 1);
-                assertSame(first(model, i -> counts.test(i) && i.due < to && (i.due > from || i.due == from && i.number > number)),
-                        tree.after(from, number, to, ready), at);
-                long lastDue = model.stream().filter(i -> counts.test(i) && i.due >= from && i.due < to).mapToLong(i -> i.due)
-                        .max().orElse(-9);
+                assertSame(
+                        first(
+                                model,
+                                i -> counts.test(i)
+                                        && i.due < to
+                                        && (i.due > from || i.due == from && i.number > number)),
+                        tree.after(from, number, to, ready),
+                        at);
+                long lastDue = model.stream()
+                        .filter(i -> counts.test(i) && i.due >= from && i.due < to)
+                        .mapToLong(i -> i.due)
+                        .max()
+                        .orElse(-9);
                 assertSame(first(model, i -> counts.test(i) && i.due == lastDue), tree.last(from, to, ready), at);
-                assertEquals(model.stream().filter(i -> i.hasTurn).mapToLong(i -> i.due).max().orElse(Long.MIN_VALUE),
-                        tree.lastTurn(), at);
-                assertEquals(model.stream().filter(i -> i.due >= from && i.due < to).count(), tree.count(from, to), at);
+                assertEquals(
+                        model.stream()
+                                .filter(i -> i.hasTurn)
+                                .mapToLong(i -> i.due)
+                                .max()
+                                .orElse(Long.MIN_VALUE),
+                        tree.lastTurn(),
+                        at);
+                assertEquals(
+                        model.stream().filter(i -> i.due >= from && i.due < to).count(), tree.count(from, to), at);
                 long until = random.nextInt(dues + 1);
                 Item turn = first(model, i -> i.due >= from && i.due < to && i.due >= until);
                 if (from <= to) {
@@ -117,7 +136,8 @@
                     default -> {
                         long now = random.nextInt(50);
                         TimeQueue.Entry<Integer> polled = queue.poll(now);
-                        long least = in.stream().mapToLong(TimeQueue.Entry::at).min().orElse(Long.MAX_VALUE);
+                        long least =
+                                in.stream().mapToLong(TimeQueue.Entry::at).min().orElse(Long.MAX_VALUE);
                         assertEquals(least <= now, polled != null, "seed " + seed + ", step " + step);
                         if (polled != null) {
                             assertEquals(least, polled.at());
@@ -127,8 +147,10 @@
                 }
                 assertEquals(in.size(), queue.size());
                 assertEquals(in.contains(any), any.queued());
-                assertEquals(in.stream().mapToLong(TimeQueue.Entry::at).min().orElse(-1),
-                        queue.peek() == null ? -1 : queue.peek().at(), "seed " + seed + ", step " + step);
+                assertEquals(
+                        in.stream().mapToLong(TimeQueue.Entry::at).min().orElse(-1),
+                        queue.peek() == null ? -1 : queue.peek().at(),
+                        "seed " + seed + ", step " + step);
             }
         }
     }
@@ -149,7 +171,8 @@
                         queue.push(item, item.due, item.number);
                     }
                 } else if (!model.isEmpty()) {
-                    Item best = model.stream().max(Comparator.<Item>comparingLong(i -> i.due).thenComparing(i -> -i.number))
+                    Item best = model.stream()
+                            .max(Comparator.<Item>comparingLong(i -> i.due).thenComparing(i -> -i.number))
                             .orElseThrow();
                     assertEquals(best.due, queue.key(), "seed " + seed + ", step " + step);
                     assertSame(best, queue.pop(), "seed " + seed + ", step " + step);
@@ -214,8 +237,16 @@
             boolean halves = random.nextBoolean();
             // Of a stair without end only the first sixty steps are told apart.
             double[] lates = {halves ? 0.5 : 0, 0.5, 1, random.nextDouble() + 1e-6, 0.001};
-            shape.set(random.nextDouble() * 4, random.nextDouble(), p, now, 25 * Math.pow(10, random.nextDouble() * 7), aim,
-                    deadline, lates[random.nextInt(lates.length)], halves);
+            shape.set(
+                    random.nextDouble() * 4,
+                    random.nextDouble(),
+                    p,
+                    now,
+                    25 * Math.pow(10, random.nextDouble() * 7),
+                    aim,
+                    deadline,
+                    lates[random.nextInt(lates.length)],
+                    halves);
             int n = 1 + random.nextInt(120);
             long grain = random.nextBoolean() ? 1 : 100_000;
             for (int i = 0; i < n; i++) {
@@ -236,7 +267,7 @@
             Scene scene = new Scene(seed);
             List<Item> walked = new ArrayList<>();
             boolean take = scene.random.nextBoolean();
-            for (boolean more = scene.walk.begin(); more;) {
+            for (boolean more = scene.walk.begin(); more; ) {
                 Item here = scene.walk.here();
                 assertEquals(scene.shape.index(here.due), scene.walk.index());
                 walked.add(here);
@@ -245,15 +276,18 @@
                 }
                 more = scene.walk.advance();
             }
-            List<Item> wanted = new ArrayList<>(scene.items.stream().filter(i -> i.isReady).toList());
+            List<Item> wanted =
+                    new ArrayList<>(scene.items.stream().filter(i -> i.isReady).toList());
             assertEquals(wanted.size(), walked.size(), "seed " + seed);
             assertEquals(new HashSet<>(wanted), new HashSet<>(walked), "seed " + seed);
             for (int i = 1; i < walked.size(); i++) {
                 double before = scene.shape.index(walked.get(i - 1).due);
                 double after = scene.shape.index(walked.get(i).due);
                 // Where the index is flat to the last digit its neighbours may change places.
-                assertTrue(before >= after || Math.abs(before - after) <= 1e-9 * Math.max(1, Math.abs(after)),
-                        "seed " + seed + ": " + walked.get(i - 1) + " has " + before + ", " + walked.get(i) + " " + after);
+                assertTrue(
+                        before >= after || Math.abs(before - after) <= 1e-9 * Math.max(1, Math.abs(after)),
+                        "seed " + seed + ": " + walked.get(i - 1) + " has " + before + ", " + walked.get(i) + " "
+                                + after);
                 if (walked.get(i - 1).due == walked.get(i).due) {
                     assertTrue(walked.get(i - 1).number < walked.get(i).number, "seed " + seed);
                 }
@@ -269,14 +303,26 @@
                 double index = scene.shape.index(scene.items.get(scene.random.nextInt(scene.items.size())).due);
                 double sure = index == Double.NEGATIVE_INFINITY ? index : index + 1e-9 * Math.max(1, Math.abs(index));
                 double near = index == Double.NEGATIVE_INFINITY ? index : index - 1e-9 * Math.max(1, Math.abs(index));
-                long least = scene.items.stream().filter(item -> scene.shape.index(item.due) >= sure).count();
-                long most = scene.items.stream().filter(item -> scene.shape.index(item.due) >= near).count();
+                long least = scene.items.stream()
+                        .filter(item -> scene.shape.index(item.due) >= sure)
+                        .count();
+                long most = scene.items.stream()
+                        .filter(item -> scene.shape.index(item.due) >= near)
+                        .count();
                 int counted = scene.shape.atLeast(scene.tree, index);
-                assertTrue(counted >= least && counted <= most, "seed " + seed + ": " + counted + " of " + least + " to " + most);
+                assertTrue(
+                        counted >= least && counted <= most,
+                        "seed " + seed + ": " + counted + " of " + least + " to " + most);
             }
-            double lowest = scene.items.stream().mapToDouble(item -> scene.shape.index(item.due)).min().orElseThrow();
-            assertEquals(lowest, scene.shape.index(scene.shape.least(scene.tree).due),
-                    lowest == Double.NEGATIVE_INFINITY ? 0 : 1e-9 * Math.max(1, Math.abs(lowest)), "seed " + seed);
+            double lowest = scene.items.stream()
+                    .mapToDouble(item -> scene.shape.index(item.due))
+                    .min()
+                    .orElseThrow();
+            assertEquals(
+                    lowest,
+                    scene.shape.index(scene.shape.least(scene.tree).due),
+                    lowest == Double.NEGATIVE_INFINITY ? 0 : 1e-9 * Math.max(1, Math.abs(lowest)),
+                    "seed " + seed);
             assertNull(scene.shape.least(new DueTree<Item>()));
         }
     }
@@ -286,7 +332,8 @@
     void skippingPassesOverOneStretchOnly() {
         for (long seed = 1; seed <= 500; seed++) {
             Scene scene = new Scene(seed);
-            Set<Item> left = new HashSet<>(scene.items.stream().filter(i -> i.isReady).toList());
+            Set<Item> left =
+                    new HashSet<>(scene.items.stream().filter(i -> i.isReady).toList());
             boolean more = scene.walk.begin();
             if (more) {
                 Item first = scene.walk.here();
--- a/fleet/src/main/java/amberroute/fleet/DaemonLink.java
+++ b/fleet/src/main/java/amberroute/fleet/DaemonLink.java
@@ -1,5 +1,7 @@
 package amberroute.fleet;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
@@ -7,9 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
 /**
  * The supervisor's end of one daemon's control socket. Never waits: a daemon that hangs keeps nobody from the others.
  * What the daemon last said of itself is kept; a connection that fails is opened anew at the next look.
--- a/fleet/src/main/java/amberroute/fleet/Definition.java
+++ b/fleet/src/main/java/amberroute/fleet/Definition.java
@@ -1,5 +1,8 @@
 package amberroute.fleet;
 
+import amberroute.config.Schema;
+import amberroute.config.Settings;
+import amberroute.config.Units;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -10,22 +13,32 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-import amberroute.config.Schema;
-import amberroute.config.Settings;
-import amberroute.config.Units;
-
 /**
  * A service definition: how many daemons, what each is called, where it listens and keeps its state, and the rules by
  * which they are started, stopped and started again. Spans are milliseconds.
  */
-public record Definition(Path file, String name, Path folder, List<Instance> instances, Policy policy, long logBytes, int count, boolean gentle) {
+public record Definition(
+        Path file,
+        String name,
+        Path folder,
+        List<Instance> instances,
+        Policy policy,
+        long logBytes,
+        int count,
+        boolean gentle) {
 
     /**
      * One daemon. {@code listen} has its address in figures with a port, {@code sender} is the file it reads,
      * {@code command} what starts it. {@code handOver} is where it listens for its peers, null where daemons do not speak with
      * one another; {@code adopt} names folders that it takes over.
      */
-    public record Instance(String name, String listen, Path state, Path sender, List<String> command, String handOver,
+    public record Instance(
+            String name,
+            String listen,
+            Path state,
+            Path sender,
+            List<String> command,
+            String handOver,
             List<Path> adopt) {
         /** Its control socket, where the daemon puts it if its file does not say otherwise. */
         public Path control() {
@@ -40,9 +53,19 @@
      * {@code deathSpan} are a crash loop. A rolling restart has {@code rollAtOnce} daemons down at a time and leaves
      * {@code rollPause} between one that is ready and the next; with {@code rollMove} each hands over what it holds.
      */
-    public record Policy(int startAtOnce, long readyWithin, long stopWithin, long stopGrace, long pause,
-            long longestPause, int mostDeaths, long deathSpan, int rollAtOnce, long rollPause, long steadyAfter,
-            boolean rollMove) { }
+    public record Policy(
+            int startAtOnce,
+            long readyWithin,
+            long stopWithin,
+            long stopGrace,
+            long pause,
+            long longestPause,
+            int mostDeaths,
+            long deathSpan,
+            int rollAtOnce,
+            long rollPause,
+            long steadyAfter,
+            boolean rollMove) {}
 
     private static final int LONGEST_SOCKET_PATH = 107;
 
@@ -66,7 +89,10 @@
             .address("listen", true, "where the first listens; each further one has the next port")
             .size("heap", "40MB", "24MB", "64GB", "each daemon's heap, where java is not told")
             .list("java", "the command that starts the JVM, with its flags; lean flags for a small heap if not told")
-            .flag("archive", true, "starts from the class-data archive beside the jar, where there is one and java is not told")
+            .flag(
+                    "archive",
+                    true,
+                    "starts from the class-data archive beside the jar, where there is one and java is not told")
             .text("jar", null, "the daemon's jar; the one beside this program if not told")
             .whole("start.at_once", 4L, 1, 4_096, "daemons that may be starting at a time")
             .duration("start.ready_within", "30s", "100ms", "1h", "one that is not ready by then has failed")
@@ -74,21 +100,46 @@
             .duration("stop.grace", "2s", "0s", "10m", "it is killed when it has not ended so long after that")
             .duration("restart.pause", "300ms", "0s", "10m", "before one that died is started again; doubles each time")
             .duration("restart.longest", "30s", "0s", "1h", "the longest such pause")
-            .whole("restart.deaths", 5L, 1, 1_000, "so many deaths within the span below are a crash loop, and it is left alone")
+            .whole(
+                    "restart.deaths",
+                    5L,
+                    1,
+                    1_000,
+                    "so many deaths within the span below are a crash loop, and it is left alone")
             .duration("restart.span", "2m", "1s", "1d", "the span in which they count")
-            .duration("restart.steady", "20s", "0s", "1h", "one that has been ready for so long starts over with short pauses")
+            .duration(
+                    "restart.steady",
+                    "20s",
+                    "0s",
+                    "1h",
+                    "one that has been ready for so long starts over with short pauses")
             .whole("rolling.at_once", 1L, 1, 4_096, "daemons that a rolling restart has down at a time")
             .duration("rolling.pause", "500ms", "0s", "1h", "between one that is ready again and the next")
             .flag("rolling.move", false, "daemons hand over what they hold before they restart; needs handover.listen")
-            .address("handover.listen", false, "where the first listens for its peers; each further one has the next port; daemons do not speak with one another if not told")
-            .flag("handover.gentle", false, "daemons agree on what they give a partner that is cold; needs handover.listen")
+            .address(
+                    "handover.listen",
+                    false,
+                    "where the first listens for its peers; each further one has the next port; daemons do not speak with one another if not told")
+            .flag(
+                    "handover.gentle",
+                    false,
+                    "daemons agree on what they give a partner that is cold; needs handover.listen")
             .size("logs.size", "4MB", "16KB", "1GB", "a daemon's log file, which is kept once more when it is full")
             .tables("instance", INSTANCE, 0, "what differs for one daemon");
 
-    private static final List<String> LEAN = List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-            "-XX:-UsePerfData", "-Xss512k", "-XX:MaxMetaspaceSize=48m",
-            "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=16m", "-XX:+ExitOnOutOfMemoryError",
-            "-Djdk.nio.maxCachedBufferSize=65536", "-Dio.netty.allocator.type=unpooled",
+    private static final List<String> LEAN = List.of(
+            "java",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xshare:auto",
+            "-XX:-UsePerfData",
+            "-Xss512k",
+            "-XX:MaxMetaspaceSize=48m",
+            "-XX:ReservedCodeCacheSize=16m",
+            "-XX:MaxDirectMemorySize=16m",
+            "-XX:+ExitOnOutOfMemoryError",
+            "-Djdk.nio.maxCachedBufferSize=65536",
+            "-Dio.netty.allocator.type=unpooled",
             "-Dio.netty.noPreferDirect=true");
 
     /** Reads and checks a definition; {@code jar} is the daemon's, where the file names none. */
@@ -101,12 +152,27 @@
         if (s.micros("restart.longest") < s.micros("restart.pause")) {
             throw s.bad("restart.longest", "is shorter than restart.pause");
         }
-        Definition definition = new Definition(file, s.text("name"), folder, instances,
-                new Policy(s.whole("start.at_once"), s.millis("start.ready_within"), s.millis("stop.within"),
-                        s.millis("stop.grace"), s.millis("restart.pause"), s.millis("restart.longest"),
-                        s.whole("restart.deaths"), s.millis("restart.span"), s.whole("rolling.at_once"),
-                        s.millis("rolling.pause"), s.millis("restart.steady"), s.flag("rolling.move")),
-                s.bytes("logs.size"), s.whole("count"), s.flag("handover.gentle"));
+        Definition definition = new Definition(
+                file,
+                s.text("name"),
+                folder,
+                instances,
+                new Policy(
+                        s.whole("start.at_once"),
+                        s.millis("start.ready_within"),
+                        s.millis("stop.within"),
+                        s.millis("stop.grace"),
+                        s.millis("restart.pause"),
+                        s.millis("restart.longest"),
+                        s.whole("restart.deaths"),
+                        s.millis("restart.span"),
+                        s.whole("rolling.at_once"),
+                        s.millis("rolling.pause"),
+                        s.millis("restart.steady"),
+                        s.flag("rolling.move")),
+                s.bytes("logs.size"),
+                s.whole("count"),
+                s.flag("handover.gentle"));
         fits(s, definition.control());
         for (String key : List.of("rolling.move", "handover.gentle")) {
             if (s.flag(key) && !s.has("handover.listen")) {
@@ -124,7 +190,10 @@
         }
         Path archive = daemon.resolveSibling(daemon.getFileName().toString().replaceAll("\\.jar$", "") + ".jsa");
         if (s.list("java").isEmpty() && s.flag("archive") && Files.isRegularFile(archive)) {
-            command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:disable", "-Xlog:all=error:stderr",
+            command.addAll(List.of(
+                    "-XX:SharedArchiveFile=" + archive,
+                    "-Xlog:disable",
+                    "-Xlog:all=error:stderr",
                     "-Xlog:cds=off:stderr"));
         }
         command.addAll(List.of("-jar", daemon.toString(), "serve", "--config", sender.toString()));
@@ -159,16 +228,29 @@
                 throw s.bad("names", "makes no plain word: " + name);
             }
             Settings row = special.remove(name);
-            String listen = text(row != null && row.has("listen") ? row.address("listen")
-                    : new InetSocketAddress(first.getAddress(), first.getPort() + i));
-            Path state = row != null && row.has("state") ? base.resolve(row.text("state")).normalize()
+            String listen = text(
+                    row != null && row.has("listen")
+                            ? row.address("listen")
+                            : new InetSocketAddress(first.getAddress(), first.getPort() + i));
+            Path state = row != null && row.has("state")
+                    ? base.resolve(row.text("state")).normalize()
                     : folder.resolve(name);
-            Path sender = base.resolve(row != null && row.has("sender") ? row.text("sender") : s.text("sender")).normalize();
+            Path sender = base.resolve(row != null && row.has("sender") ? row.text("sender") : s.text("sender"))
+                    .normalize();
             long heap = row != null && row.bytes("heap") > 0 ? row.bytes("heap") : s.bytes("heap");
-            String handOver = peers == null ? null : text(row != null && row.has("handover") ? row.address("handover")
-                    : new InetSocketAddress(peers.getAddress(), peers.getPort() + i));
-            List<Path> adopt = row == null ? List.of() : row.list("adopt").stream().map(f -> base.resolve(f).normalize()).toList();
-            Instance instance = new Instance(name, listen, state, sender, command(s, daemon, sender, heap), handOver, adopt);
+            String handOver = peers == null
+                    ? null
+                    : text(
+                            row != null && row.has("handover")
+                                    ? row.address("handover")
+                                    : new InetSocketAddress(peers.getAddress(), peers.getPort() + i));
+            List<Path> adopt = row == null
+                    ? List.of()
+                    : row.list("adopt").stream()
+                            .map(f -> base.resolve(f).normalize())
+                            .toList();
+            Instance instance =
+                    new Instance(name, listen, state, sender, command(s, daemon, sender, heap), handOver, adopt);
             if (handOver != null) {
                 claim(s, taken, "handover.listen", "address " + handOver, name);
             }
@@ -179,7 +261,9 @@
             out.add(instance);
         }
         if (!special.isEmpty()) {
-            throw s.bad("instance.name", "is none of the daemons: " + special.keySet().iterator().next());
+            throw s.bad(
+                    "instance.name",
+                    "is none of the daemons: " + special.keySet().iterator().next());
         }
         return List.copyOf(out);
     }
@@ -192,13 +276,17 @@
     }
 
     private static String text(InetSocketAddress address) {
-        return (address.getAddress() instanceof java.net.Inet6Address ? "[" + address.getAddress().getHostAddress() + "]"
-                : address.getAddress().getHostAddress()) + ":" + address.getPort();
+        return (address.getAddress() instanceof java.net.Inet6Address
+                        ? "[" + address.getAddress().getHostAddress() + "]"
+                        : address.getAddress().getHostAddress())
+                + ":" + address.getPort();
     }
 
     /** All daemons by name with where they listen for one another, as {@code GW_PEERS} has it; empty where they do not. */
     public String peers() {
-        return instances.stream().filter(i -> i.handOver() != null).map(i -> i.name() + "=" + i.handOver())
+        return instances.stream()
+                .filter(i -> i.handOver() != null)
+                .map(i -> i.name() + "=" + i.handOver())
                 .collect(Collectors.joining(","));
     }
 
@@ -215,8 +303,10 @@
 
     /** A one-line summary for people. */
     public String summary() {
-        return name + ": " + count + (instances.size() > count ? " to " + instances.size() : "") + " daemons, " + instances.get(0).listen() + " to "
-                + instances.get(instances.size() - 1).listen() + ", sender file " + instances.get(0).sender() + ", state under " + folder
+        return name + ": " + count + (instances.size() > count ? " to " + instances.size() : "") + " daemons, "
+                + instances.get(0).listen() + " to "
+                + instances.get(instances.size() - 1).listen() + ", sender file "
+                + instances.get(0).sender() + ", state under " + folder
                 + ", stop within " + Units.span(policy.stopWithin() * 1_000);
     }
 }
--- a/fleet/src/main/java/amberroute/fleet/FleetClient.java
+++ b/fleet/src/main/java/amberroute/fleet/FleetClient.java
@@ -1,5 +1,7 @@
 package amberroute.fleet;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
@@ -7,17 +9,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
 /** Asks a supervisor, or a daemon, one thing over its control socket. */
 public final class FleetClient {
     /** Some 4,096 daemons with all their figures; room grows with what comes. */
     private static final int LARGEST = 16 << 20;
+
     private static final int FIRST = 1 << 16;
 
-    private FleetClient() {
-    }
+    private FleetClient() {}
 
     /** Sends one request and waits for its answer; IOException where nobody listens. */
     public static JsonObject ask(Path socket, JsonObject request) throws IOException {
--- a/fleet/src/main/java/amberroute/fleet/LogFile.java
+++ b/fleet/src/main/java/amberroute/fleet/LogFile.java
@@ -13,8 +13,7 @@
  * and an emptied file. Used for at most twice the bound.
  */
 final class LogFile {
-    private LogFile() {
-    }
+    private LogFile() {}
 
     /** To be called now and then. */
     static void bound(Path file, long bytes) {
--- a/fleet/src/main/java/amberroute/fleet/Supervision.java
+++ b/fleet/src/main/java/amberroute/fleet/Supervision.java
@@ -1,12 +1,11 @@
 package amberroute.fleet;
 
+import amberroute.fleet.Definition.Policy;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 
-import amberroute.fleet.Definition.Policy;
-
 /**
  * All decisions of a supervisor. What it sees comes in as calls with the time, what it wants done goes out by
  * {@link Hands}; it does no I/O. Times are milliseconds on one monotonic clock.
@@ -21,10 +20,21 @@
  */
 public final class Supervision {
     /** What is known of a daemon. */
-    public enum State { DOWN, STARTING, READY, STOPPING, GIVEN_UP, OUT }
+    public enum State {
+        DOWN,
+        STARTING,
+        READY,
+        STOPPING,
+        GIVEN_UP,
+        OUT
+    }
 
     /** How a daemon is stopped: the next process goes on, with what no peer has taken, or nobody does. */
-    public enum Mode { RESTART, MOVE, FINAL }
+    public enum Mode {
+        RESTART,
+        MOVE,
+        FINAL
+    }
 
     /** What a supervisor can do; each call is carried out at once. */
     public interface Hands {
@@ -52,17 +62,21 @@
         State state = State.DOWN;
         /** Since when it has been in this state. */
         long since;
+
         long startAt;
         int deathsInRow;
         final Deque<Long> deaths = new ArrayDeque<>();
         /** A stop that was asked for, so that its end is no death. */
         boolean asked;
+
         boolean killed;
         /** The stop that was asked for is one for good. */
         boolean forGood;
+
         boolean turn;
         /** It was out and is wanted again: others may have been told that no client finds it. */
         boolean returns;
+
         long starts;
 
         Daemon(String name) {
@@ -75,6 +89,7 @@
     private final List<Daemon> daemons = new ArrayList<>();
     /** Those whose turn in the rolling restart is to come; null while none runs. */
     private Deque<Integer> rolling;
+
     private int rolled;
     private int rollSize;
     private long rollNotBefore;
@@ -204,8 +219,8 @@
         if (rolling != null) {
             return "a rolling restart runs: " + rolled + " of " + rollSize + " are done";
         }
-        if (daemons.subList(wanted, daemons.size()).stream().anyMatch(d -> d.state != State.OUT
-                && d.state != State.GIVEN_UP)) {
+        if (daemons.subList(wanted, daemons.size()).stream()
+                .anyMatch(d -> d.state != State.OUT && d.state != State.GIVEN_UP)) {
             return "the fleet is being scaled in";
         }
         Deque<Integer> queue = new ArrayDeque<>();
@@ -228,8 +243,13 @@
 
     /** Null where so many daemons may be asked for now, or why not. */
     public String mayScale(int to) {
-        return ending ? "the fleet is stopping" : rolling != null ? "a rolling restart runs"
-                : to < 1 || to > daemons.size() ? "a fleet of this definition has 1 to " + daemons.size() + " daemons" : null;
+        return ending
+                ? "the fleet is stopping"
+                : rolling != null
+                        ? "a rolling restart runs"
+                        : to < 1 || to > daemons.size()
+                                ? "a fleet of this definition has 1 to " + daemons.size() + " daemons"
+                                : null;
     }
 
     /** From now on the first so many daemons are wanted; those that leave do so one after another. */
@@ -345,8 +365,9 @@
     /** Nobody is stopped while another that is wanted is not ready, but for those whose turn it is. */
     private void roll(long now) {
         long down = daemons.stream().filter(d -> d.turn).count();
-        boolean others = daemons.subList(0, wanted).stream().anyMatch(d -> !d.turn && (d.state == State.DOWN || d.state == State.STARTING
-                || d.state == State.STOPPING));
+        boolean others = daemons.subList(0, wanted).stream()
+                .anyMatch(d ->
+                        !d.turn && (d.state == State.DOWN || d.state == State.STARTING || d.state == State.STOPPING));
         while (!rolling.isEmpty() && down < policy.rollAtOnce() && now >= rollNotBefore) {
             Daemon next = daemons.get(rolling.peekFirst());
             if (next.state == State.GIVEN_UP) {
@@ -390,8 +411,9 @@
 
     /** Whether all that was asked for is over and the supervisor may end. */
     public boolean over() {
-        return ending && daemons.stream().allMatch(d -> d.state == State.DOWN || d.state == State.GIVEN_UP
-                || d.state == State.OUT);
+        return ending
+                && daemons.stream()
+                        .allMatch(d -> d.state == State.DOWN || d.state == State.GIVEN_UP || d.state == State.OUT);
     }
 
     /** Whether a stop for good may have left something in a journal. */
--- a/fleet/src/main/java/amberroute/fleet/Supervisor.java
+++ b/fleet/src/main/java/amberroute/fleet/Supervisor.java
@@ -1,5 +1,9 @@
 package amberroute.fleet;
 
+import amberroute.config.ConfigException;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.StandardProtocolFamily;
@@ -23,12 +27,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
-import amberroute.config.ConfigException;
-
 /**
  * Carries out what {@link Supervision} decides, on one thread that looks round every {@value #LOOK_MS} ms: starts and
  * ends processes, asks daemons how they are, bounds their logs and answers the fleet's control socket.
@@ -40,6 +38,7 @@
 public final class Supervisor implements AutoCloseable {
     /** What {@link #run} answers where a stop for good could not end all that was held. */
     public static final int LEFT_OVER = 3;
+
     private static final long LOOK_MS = 20;
     private static final long STATUS_MS = 100;
     private static final long LOCK_MS = 100;
@@ -76,10 +75,12 @@
         Process child;
         /** Of a process that was found: its id as the lock file tells, 0 where it tells none. */
         long foundPid;
+
         boolean found;
         long lockLooked;
         /** Where its process is, or will be from its next start on. */
         Path state;
+
         DaemonLink link;
         /** Folders that its next process takes over: those that the definition names, and one that it had before. */
         final Set<Path> adopt = new LinkedHashSet<>();
@@ -136,8 +137,11 @@
         }
         definition.instances().forEach(i -> places.add(new Place(i)));
         readPlaces();
-        supervision = new Supervision(definition.policy(), definition.instances().stream().map(Definition.Instance::name)
-                .toList(), scale(folder.resolve(SCALE)), new Carrier());
+        supervision = new Supervision(
+                definition.policy(),
+                definition.instances().stream().map(Definition.Instance::name).toList(),
+                scale(folder.resolve(SCALE)),
+                new Carrier());
         Files.deleteIfExists(definition.control());
         control = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
         control.bind(UnixDomainSocketAddress.of(definition.control()));
@@ -196,7 +200,8 @@
                     }
                 }
             } catch (RuntimeException e) {
-                throw new ConfigException(file + ": cannot be read: remove it if all daemons run as the definition has them");
+                throw new ConfigException(
+                        file + ": cannot be read: remove it if all daemons run as the definition has them");
             }
         }
     }
@@ -367,8 +372,7 @@
         switch (place.link.last().get("state").getAsString()) {
             case "ready" -> supervision.ready(now, i);
             case "draining" -> supervision.draining(now, i);
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -407,8 +411,13 @@
             builder.environment().put("GW_STATE", place.instance.state().toString());
             place.adopt.remove(place.state);
             if (!place.adopt.isEmpty()) {
-                builder.environment().put("GW_ADOPT", place.adopt.stream().filter(Files::isDirectory).map(Path::toString)
-                        .collect(Collectors.joining(":")));
+                builder.environment()
+                        .put(
+                                "GW_ADOPT",
+                                place.adopt.stream()
+                                        .filter(Files::isDirectory)
+                                        .map(Path::toString)
+                                        .collect(Collectors.joining(":")));
             }
             if (place.instance.handOver() != null) {
                 builder.environment().put("GW_HANDOVER", place.instance.handOver());
@@ -419,9 +428,11 @@
             }
             builder.environment().remove("GW_CONFIG");
             builder.environment().remove("NOTIFY_SOCKET");
-            builder.redirectInput(ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()));
+            builder.redirectInput(
+                    ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()));
             builder.redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(logOf(place.instance).toFile()));
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                            logOf(place.instance).toFile()));
             try {
                 place.child = builder.start();
             } catch (IOException e) {
@@ -552,8 +563,11 @@
                 }
                 case "reload" -> supervision.reload(now());
                 case "scale" -> scaleTo(request.get("to").getAsInt());
-                case "stop" -> supervision.stop(now(), request.has("final") && request.get("final").getAsBoolean()
-                        ? Supervision.Mode.FINAL : Supervision.Mode.RESTART);
+                case "stop" -> supervision.stop(
+                        now(),
+                        request.has("final") && request.get("final").getAsBoolean()
+                                ? Supervision.Mode.FINAL
+                                : Supervision.Mode.RESTART);
                 default -> "no such command";
             };
         } catch (RuntimeException e) {
--- a/fleet/src/test/java/amberroute/fleet/DefinitionTest.java
+++ b/fleet/src/test/java/amberroute/fleet/DefinitionTest.java
@@ -4,15 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.config.ConfigException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.config.ConfigException;
-
 class DefinitionTest {
     @TempDir
     Path folder;
@@ -24,20 +22,27 @@
     }
 
     private String error(String text) {
-        return assertThrows(ConfigException.class, () -> read(text)).getMessage().replace(folder.toString(), "");
+        return assertThrows(ConfigException.class, () -> read(text))
+                .getMessage()
+                .replace(folder.toString(), "");
     }
 
     @Test
     void peersAreNamedWithTheirAddresses() throws IOException {
-        Definition d = read("count = 2\nmost = 3\nhandover.listen = \"127.0.0.1:7100\"\nhandover.gentle = true\nrolling.move = true\n"
-                + "[[instance]]\nname = \"sender-2\"\nhandover = \"127.0.0.1:7200\"\nadopt = [\"old\"]\n");
+        Definition d = read(
+                "count = 2\nmost = 3\nhandover.listen = \"127.0.0.1:7100\"\nhandover.gentle = true\nrolling.move = true\n"
+                        + "[[instance]]\nname = \"sender-2\"\nhandover = \"127.0.0.1:7200\"\nadopt = [\"old\"]\n");
         assertEquals("sender-1=127.0.0.1:7100,sender-2=127.0.0.1:7200,sender-3=127.0.0.1:7102", d.peers());
-        assertEquals(java.util.List.of(folder.resolve("old")), d.instances().get(1).adopt());
+        assertEquals(
+                java.util.List.of(folder.resolve("old")), d.instances().get(1).adopt());
         assertTrue(d.gentle() && d.policy().rollMove());
         assertEquals("", read("count = 2\n").peers());
-        assertTrue(error("count = 2\nrolling.move = true\n").contains("rolling.move needs handover.listen"), error("count = 2\nrolling.move = true\n"));
+        assertTrue(
+                error("count = 2\nrolling.move = true\n").contains("rolling.move needs handover.listen"),
+                error("count = 2\nrolling.move = true\n"));
         assertTrue(error("count = 2\nhandover.gentle = true\n").contains("handover.gentle needs"));
-        assertTrue(error("count = 2\nhandover.listen = \"127.0.0.1:7001\"\n").contains("address 127.0.0.1:7001 to both"));
+        assertTrue(
+                error("count = 2\nhandover.listen = \"127.0.0.1:7001\"\n").contains("address 127.0.0.1:7001 to both"));
     }
 
     @Test
@@ -48,7 +53,9 @@
         assertEquals("quito-30", last.name());
         assertEquals("127.0.0.1:7029", last.listen());
         assertEquals(folder.resolve("run/quito-30"), last.state());
-        assertEquals(folder.resolve("amberroute.toml").toString(), last.command().get(last.command().size() - 1));
+        assertEquals(
+                folder.resolve("amberroute.toml").toString(),
+                last.command().get(last.command().size() - 1));
         assertTrue(last.command().contains("-Xmx40000000"), last.command().toString());
         assertEquals(8_000, d.policy().stopWithin());
     }
@@ -70,14 +77,18 @@
         assertEquals(folder.resolve("x"), one.state());
         assertEquals(folder.resolve("big.toml"), one.sender());
         assertTrue(one.command().contains("-Xmx100000000"), one.command().toString());
-        assertTrue(one.command().contains(folder.resolve("big.toml").toString()), one.command().toString());
+        assertTrue(
+                one.command().contains(folder.resolve("big.toml").toString()),
+                one.command().toString());
     }
 
     @Test
     void refusesTwoDaemonsOnOneFolderAddressOrName() {
-        assertEquals("/fleet.toml: instance.state gives state folder /run/sender-1 to both sender-1 and sender-2",
+        assertEquals(
+                "/fleet.toml: instance.state gives state folder /run/sender-1 to both sender-1 and sender-2",
                 error("count = 2\n[[instance]]\nname = \"sender-2\"\nstate = \"run/../run/sender-1\"\n"));
-        assertEquals("/fleet.toml: listen gives address 127.0.0.1:7000 to both sender-1 and sender-2",
+        assertEquals(
+                "/fleet.toml: listen gives address 127.0.0.1:7000 to both sender-1 and sender-2",
                 error("count = 2\n[[instance]]\nname = \"sender-2\"\nlisten = \"127.0.0.1:7000\"\n"));
         assertTrue(error("count = 2\nnames = \"x\"\n").contains("names has no %d"));
     }
@@ -89,6 +100,7 @@
         assertTrue(error("count = 1\nnames = \"../x\"\n").contains("names makes no plain word"));
         assertTrue(error("count = 1\n[[instance]]\nname = \"sender-9\"\n").contains("is none of the daemons"));
         assertTrue(error("count = 1\nfolder = \"" + "x/".repeat(60) + "\"\n").contains("no Unix socket may have"));
-        assertTrue(error("count = 1\n[restart]\npause = \"10s\"\nlongest = \"1s\"\n").contains("restart.longest"));
+        assertTrue(error("count = 1\n[restart]\npause = \"10s\"\nlongest = \"1s\"\n")
+                .contains("restart.longest"));
     }
 }
--- a/fleet/src/test/java/amberroute/fleet/FleetClientTest.java
+++ b/fleet/src/test/java/amberroute/fleet/FleetClientTest.java
@@ -11,7 +11,6 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -36,7 +35,9 @@
             });
             supervisor.start();
             try {
-                return FleetClient.ask(path, FleetClient.request("status")).get("x").getAsString();
+                return FleetClient.ask(path, FleetClient.request("status"))
+                        .get("x")
+                        .getAsString();
             } finally {
                 supervisor.join();
                 java.nio.file.Files.delete(path);
--- a/fleet/src/test/java/amberroute/fleet/SupervisionTest.java
+++ b/fleet/src/test/java/amberroute/fleet/SupervisionTest.java
@@ -6,22 +6,20 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.fleet.Supervision.Mode;
+import amberroute.fleet.Supervision.State;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import amberroute.fleet.Supervision.Mode;
-import amberroute.fleet.Supervision.State;
-
 /** The supervisor's decisions, without processes: each history is played on a clock of the test's own. */
 class SupervisionTest {
-    private static final Definition.Policy POLICY = new Definition.Policy(2, 5_000, 4_000, 1_000, 100, 3_000, 4, 60_000, 1,
-            200, 10_000, false);
+    private static final Definition.Policy POLICY =
+            new Definition.Policy(2, 5_000, 4_000, 1_000, 100, 3_000, 4, 60_000, 1, 200, 10_000, false);
 
     private long now;
     private Fake hands = new Fake();
@@ -82,7 +80,8 @@
 
     private void fleet(int size, Definition.Policy policy) {
         hands = new Fake();
-        fleet = new Supervision(policy, IntStream.range(0, size).mapToObj(i -> "d" + i).toList(), hands);
+        fleet = new Supervision(
+                policy, IntStream.range(0, size).mapToObj(i -> "d" + i).toList(), hands);
     }
 
     private void pass(long millis) {
@@ -302,7 +301,8 @@
         assertNull(fleet.stop(now, Mode.RESTART));
         assertNotNull(fleet.stop(now, Mode.RESTART));
         assertNull(fleet.stop(now, Mode.FINAL));
-        assertEquals(List.of("stop 0 RESTART", "stop 0 FINAL"),
+        assertEquals(
+                List.of("stop 0 RESTART", "stop 0 FINAL"),
                 hands.done.stream().filter(l -> l.startsWith("stop")).toList());
     }
 
@@ -461,7 +461,9 @@
         allReady(2);
         assertNull(fleet.restart(now, List.of()));
         pass(50);
-        assertEquals(List.of("stop 0 MOVE"), hands.done.stream().filter(d -> d.startsWith("stop")).toList());
+        assertEquals(
+                List.of("stop 0 MOVE"),
+                hands.done.stream().filter(d -> d.startsWith("stop")).toList());
         // What it left is no death, and its next process is started at once.
         hands.alive[0] = false;
         fleet.ended(now, 0, true, "exit code 0");
@@ -496,8 +498,19 @@
     void keepsItsInvariantsInRandomHistories(long seed) {
         Random random = new Random(seed);
         int size = 1 + random.nextInt(12);
-        Definition.Policy policy = new Definition.Policy(1 + random.nextInt(3), 5_000, 4_000, 1_000, 100, 3_000, 6, 30_000,
-                1 + random.nextInt(3), 200, 10_000, random.nextBoolean());
+        Definition.Policy policy = new Definition.Policy(
+                1 + random.nextInt(3),
+                5_000,
+                4_000,
+                1_000,
+                100,
+                3_000,
+                6,
+                30_000,
+                1 + random.nextInt(3),
+                200,
+                10_000,
+                random.nextBoolean());
         fleet(size, policy);
         for (int step = 0; step < 20_000; step++) {
             boolean calm = step > 15_000;
@@ -508,8 +521,9 @@
             for (int i = 0; i < size; i++) {
                 starting += fleet.state(i) == State.STARTING ? 1 : 0;
                 away += hands.alive[i] && hands.stopping[i] ? 1 : 0;
-                assertEquals(hands.alive[i], fleet.state(i) != State.DOWN && fleet.state(i) != State.GIVEN_UP
-                        && fleet.state(i) != State.OUT,
+                assertEquals(
+                        hands.alive[i],
+                        fleet.state(i) != State.DOWN && fleet.state(i) != State.GIVEN_UP && fleet.state(i) != State.OUT,
                         "seed " + seed + " step " + step + ": thinks otherwise of daemon " + i);
             }
             assertTrue(starting <= policy.startAtOnce(), "seed " + seed + " step " + step);
@@ -520,8 +534,8 @@
                 if (hands.stopping[one] ? chance < 0.05 : !calm && chance < 0.0005) {
                     hands.alive[one] = false;
                     fleet.ended(now, one, hands.stopping[one] && random.nextInt(3) > 0, "an end");
-                } else if (hands.done.contains("kill " + one) && hands.done.lastIndexOf("kill " + one)
-                        > hands.done.lastIndexOf("start " + one)) {
+                } else if (hands.done.contains("kill " + one)
+                        && hands.done.lastIndexOf("kill " + one) > hands.done.lastIndexOf("start " + one)) {
                     hands.alive[one] = false;
                     fleet.ended(now, one, false, "signal 9");
                 } else if (chance > (calm ? 0.5 : 0.95) && !hands.stopping[one]) {
@@ -535,10 +549,13 @@
                 fleet.scale(now, 1 + random.nextInt(size));
             }
         }
-        assertFalse(fleet.rollingState().contains(" of ") && !fleet.rollingState().startsWith("aborted"),
+        assertFalse(
+                fleet.rollingState().contains(" of ") && !fleet.rollingState().startsWith("aborted"),
                 "seed " + seed + ": a rolling restart that never ends: " + fleet.rollingState());
         for (int i = 0; i < size; i++) {
-            assertTrue(fleet.state(i) == (i < fleet.wanted() ? State.READY : State.OUT) || fleet.state(i) == State.GIVEN_UP,
+            assertTrue(
+                    fleet.state(i) == (i < fleet.wanted() ? State.READY : State.OUT)
+                            || fleet.state(i) == State.GIVEN_UP,
                     "seed " + seed + ": daemon " + i + " is " + fleet.state(i));
         }
     }
--- a/handover/src/main/java/amberroute/handover/KeyHolds.java
+++ b/handover/src/main/java/amberroute/handover/KeyHolds.java
@@ -21,7 +21,7 @@
     public static final int MOST = 65_536;
 
     /** One origin's hold on one key, until a wall time in milliseconds. */
-    public record Hold(String origin, long key, long until) { }
+    public record Hold(String origin, long key, long until) {}
 
     private final Map<Long, Map<String, Long>> holds = new HashMap<>();
     private int size;
@@ -68,7 +68,7 @@
     /** Ends the holds whose time is up and returns the keys that nobody holds any more. */
     public List<Long> expire(long wall) {
         List<Long> free = new ArrayList<>();
-        for (Iterator<Map.Entry<Long, Map<String, Long>>> it = holds.entrySet().iterator(); it.hasNext();) {
+        for (Iterator<Map.Entry<Long, Map<String, Long>>> it = holds.entrySet().iterator(); it.hasNext(); ) {
             Map.Entry<Long, Map<String, Long>> entry = it.next();
             int before = entry.getValue().size();
             entry.getValue().values().removeIf(until -> until <= wall);
--- a/handover/src/main/java/amberroute/handover/Naming.java
+++ b/handover/src/main/java/amberroute/handover/Naming.java
@@ -28,7 +28,7 @@
     public static final long CLOCKS = 1_000;
 
     /** So many keys in one word, held until the latest of their ends. */
-    public record Batch(int number, List<Long> keys, long until) { }
+    public record Batch(int number, List<Long> keys, long until) {}
 
     private final Map<Long, Long> ends;
     private final Map<Long, Integer> batchOf = new HashMap<>();
@@ -47,7 +47,8 @@
             List<Long> keys = List.copyOf(all.subList(from, Math.min(all.size(), from + BATCH)));
             int number = batches.size();
             keys.forEach(key -> batchOf.put(key, number));
-            batches.add(new Batch(number, keys, keys.stream().mapToLong(ends::get).max().orElse(wall) + CLOCKS));
+            batches.add(new Batch(
+                    number, keys, keys.stream().mapToLong(ends::get).max().orElse(wall) + CLOCKS));
         }
         for (String peer : peers) {
             Set<Integer> numbers = new HashSet<>();
@@ -58,8 +59,11 @@
 
     /** What this peer has not answered yet, without what is done: to be said, and said again. */
     public List<Batch> unanswered(String peer) {
-        return batches.stream().filter(b -> missing.getOrDefault(peer, Set.of()).contains(b.number()))
-                .map(b -> new Batch(b.number(), b.keys().stream().filter(ends::containsKey).toList(), b.until())).toList();
+        return batches.stream()
+                .filter(b -> missing.getOrDefault(peer, Set.of()).contains(b.number()))
+                .map(b -> new Batch(
+                        b.number(), b.keys().stream().filter(ends::containsKey).toList(), b.until()))
+                .toList();
     }
 
     /** The peer has these keys on disk as held. */
--- a/handover/src/main/java/amberroute/handover/Ownership.java
+++ b/handover/src/main/java/amberroute/handover/Ownership.java
@@ -44,12 +44,14 @@
             return List.of();
         }
         Ownership next = new Ownership(generation + 1, Status.OFFERED, heir);
-        return List.of(new Effect.Write(lot, next), new Effect.Send(heir, new Word(Word.Kind.OFFER, lot, next.generation)));
+        return List.of(
+                new Effect.Write(lot, next), new Effect.Send(heir, new Word(Word.Kind.OFFER, lot, next.generation)));
     }
 
     /** Asks again for an answer that has not come, or asks to have the lot back; only the heir can tell whose it is. */
     public List<Effect> ask(String lot, boolean back) {
-        return status != Status.OFFERED ? List.of()
+        return status != Status.OFFERED
+                ? List.of()
                 : List.of(new Effect.Send(peer, new Word(back ? Word.Kind.CANCEL : Word.Kind.OFFER, lot, generation)));
     }
 
@@ -71,7 +73,8 @@
      */
     public List<Effect> end(String lot) {
         return status == Status.OWNED || status == Status.OFFERED
-                ? List.of(new Effect.Write(lot, new Ownership(generation, Status.ENDED, ""))) : List.of();
+                ? List.of(new Effect.Write(lot, new Ownership(generation, Status.ENDED, "")))
+                : List.of();
     }
 
     // ---- The heir. ----
@@ -89,7 +92,8 @@
             return List.of(status == Status.REFUSED ? no : yes);
         }
         boolean take = word.kind() == Word.Kind.OFFER && room;
-        return List.of(new Effect.Write(lot, new Ownership(word.generation(), take ? Status.OWNED : Status.REFUSED, "")),
+        return List.of(
+                new Effect.Write(lot, new Ownership(word.generation(), take ? Status.OWNED : Status.REFUSED, "")),
                 take ? yes : no);
     }
 }
--- a/handover/src/main/java/amberroute/handover/Placement.java
+++ b/handover/src/main/java/amberroute/handover/Placement.java
@@ -43,18 +43,22 @@
     public static final int MOST_OFFERS = 32;
 
     /** What moves together; {@code first} names it, {@code key} is 0 for none, {@code left} is its least time left. */
-    public record Group(long first, long key, int messages, long bytes, long left) { }
+    public record Group(long first, long key, int messages, long bytes, long left) {}
 
     /** Groups for one peer. */
-    public record Lot(String heir, List<Group> groups) { }
+    public record Lot(String heir, List<Group> groups) {}
 
     /** Why a peer refuses. */
-    public enum No { ROOM, UNFIT }
+    public enum No {
+        ROOM,
+        UNFIT
+    }
 
     private static final class Met {
         final Set<String> refusedBy = new HashSet<>();
         /** To be offered alone, as a peer could not use something in a lot with it. */
         boolean alone;
+
         int offers;
     }
 
@@ -125,7 +129,9 @@
     /** Null where it stays, for now or for good. */
     private String heir(long now, Group group) {
         Met known = met.get(group.first());
-        if (peers.isEmpty() || group.left() < LEAST_LEFT || group.bytes() > LARGEST_GROUP
+        if (peers.isEmpty()
+                || group.left() < LEAST_LEFT
+                || group.bytes() > LARGEST_GROUP
                 || known != null && known.offers >= MOST_OFFERS) {
             return null;
         }
--- a/handover/src/main/java/amberroute/handover/Word.java
+++ b/handover/src/main/java/amberroute/handover/Word.java
@@ -3,7 +3,12 @@
 /** One word between two daemons about one lot; an offer's messages travel with it. */
 public record Word(Kind kind, String lot, long generation) {
     /** OFFER and CANCEL go to the heir, YES and NO come back. */
-    public enum Kind { OFFER, CANCEL, YES, NO }
+    public enum Kind {
+        OFFER,
+        CANCEL,
+        YES,
+        NO
+    }
 
     /** Whether it is for an heir. */
     public boolean forHeir() {
--- a/handover/src/test/java/amberroute/handover/ExplorationTest.java
+++ b/handover/src/test/java/amberroute/handover/ExplorationTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.handover.Ownership.Status;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -13,11 +14,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.handover.Ownership.Status;
-
 /**
  * Every reachable state of the protocol at small sizes. A word that was ever sent may arrive at any later moment, any
  * number of times or never, which covers loss, delay, repetition and reordering at once. A process may die between any
@@ -26,7 +24,14 @@
  */
 class ExplorationTest {
     /** How the host behaves; the mutants do one thing wrong each and have to be found. */
-    enum Host { RIGHT, ANSWERS_BEFORE_WRITING, SENDS_BEFORE_FREEZING, FORGETS_REFUSALS, IGNORES_GENERATIONS, TAKES_BACK_UNASKED }
+    enum Host {
+        RIGHT,
+        ANSWERS_BEFORE_WRITING,
+        SENDS_BEFORE_FREEZING,
+        FORGETS_REFUSALS,
+        IGNORES_GENERATIONS,
+        TAKES_BACK_UNASKED
+    }
 
     private record Sent(String from, String to, Word word) implements Comparable<Sent> {
         @Override
@@ -83,8 +88,11 @@
                     }
                     cut(out, world, daemon, own.ask(lot, true));
                     if (host == Host.TAKES_BACK_UNASKED && own.status() == Status.OFFERED) {
-                        cut(out, world, daemon, List.of(new Effect.Write(lot,
-                                new Ownership(own.generation(), Status.OWNED, ""))));
+                        cut(
+                                out,
+                                world,
+                                daemon,
+                                List.of(new Effect.Write(lot, new Ownership(own.generation(), Status.OWNED, ""))));
                     }
                 }
             }
@@ -95,13 +103,17 @@
                     for (boolean room : new boolean[] {true, false}) {
                         List<Effect> effects = own.offered(word.lot(), s.from(), word, room);
                         if (host == Host.FORGETS_REFUSALS) {
-                            effects = effects.stream().filter(e -> !(e instanceof Effect.Write w
-                                    && w.ownership().status() == Status.REFUSED)).toList();
+                            effects = effects.stream()
+                                    .filter(e -> !(e instanceof Effect.Write w
+                                            && w.ownership().status() == Status.REFUSED))
+                                    .toList();
                         }
                         cut(out, world, s.to(), wrong(effects, Host.ANSWERS_BEFORE_WRITING));
                     }
                 } else {
-                    Word heard = host == Host.IGNORES_GENERATIONS ? new Word(word.kind(), word.lot(), own.generation()) : word;
+                    Word heard = host == Host.IGNORES_GENERATIONS
+                            ? new Word(word.kind(), word.lot(), own.generation())
+                            : word;
                     cut(out, world, s.to(), own.answered(word.lot(), s.from(), heard));
                 }
             }
@@ -127,20 +139,23 @@
         /** What must hold in each state; null where it does. */
         private String broken(World world) {
             for (String lot : lots) {
-                List<String> owners = daemons.stream().filter(d -> world.of(d, lot).mine()).toList();
+                List<String> owners =
+                        daemons.stream().filter(d -> world.of(d, lot).mine()).toList();
                 if (owners.size() > 1) {
                     return "two owners of lot " + lot + ": " + owners;
                 }
                 if (owners.isEmpty()) {
                     // Somebody has to be able to find out: an offer whose heir has not decided, or has taken it.
-                    boolean waits = daemons.stream().anyMatch(d -> world.of(d, lot).status() == Status.OFFERED);
+                    boolean waits =
+                            daemons.stream().anyMatch(d -> world.of(d, lot).status() == Status.OFFERED);
                     if (!waits) {
                         return "nobody owns lot " + lot;
                     }
                 }
                 for (String daemon : daemons) {
                     Ownership own = world.of(daemon, lot);
-                    if (own.status() == Status.GIVEN && world.of(own.peer(), lot).generation() < own.generation()) {
+                    if (own.status() == Status.GIVEN
+                            && world.of(own.peer(), lot).generation() < own.generation()) {
                         return daemon + " gave lot " + lot + " to " + own.peer() + ", who never took it";
                     }
                 }
--- a/handover/src/test/java/amberroute/handover/KeyOrderTest.java
+++ b/handover/src/test/java/amberroute/handover/KeyOrderTest.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-
 import org.junit.jupiter.api.Test;
 
 /**
@@ -23,7 +22,13 @@
  * out has to be in order, by whomever.
  */
 class KeyOrderTest {
-    enum Host { RIGHT, SAYS_HELD_BEFORE_WRITING, SENDS_AWAY_AT_ONCE, RELEASES_WHAT_IS_GIVEN, TAKES_BEHIND_WHAT_CAME }
+    enum Host {
+        RIGHT,
+        SAYS_HELD_BEFORE_WRITING,
+        SENDS_AWAY_AT_ONCE,
+        RELEASES_WHAT_IS_GIVEN,
+        TAKES_BEHIND_WHAT_CAME
+    }
 
     private static final List<String> PEERS = List.of("A", "B");
 
@@ -31,7 +36,13 @@
      * {@code lot} is whose the first two messages are: L, an offer to a peer, or a peer's; {@code queues} has what each
      * daemon has accepted and not carried out, {@code holds} who holds the key, {@code words} all that was ever said.
      */
-    private record World(String lot, Map<String, String> queues, Set<String> holds, Set<String> words, String done, int come,
+    private record World(
+            String lot,
+            Map<String, String> queues,
+            Set<String> holds,
+            Set<String> words,
+            String done,
+            int come,
             int refusals) {
 
         World queue(String daemon, String queue) {
@@ -68,8 +79,10 @@
             out.add(w.say("HOLD " + peer));
             if (w.words().contains("HOLD " + peer) && !w.words().contains("over " + peer)) {
                 out.add(w.hold(peer, true));
-                out.add(host == Host.SAYS_HELD_BEFORE_WRITING ? w.say("HELD " + peer)
-                        : w.hold(peer, true).say("HELD " + peer));
+                out.add(
+                        host == Host.SAYS_HELD_BEFORE_WRITING
+                                ? w.say("HELD " + peer)
+                                : w.hold(peer, true).say("HELD " + peer));
             }
             // Released: what was asked for before does not hold any more, as it comes on one connection in order.
             if (w.words().contains("RELEASE")) {
@@ -77,14 +90,22 @@
             }
         }
         // A client comes, as soon as it may.
-        boolean away = PEERS.stream().allMatch(p -> w.words().contains("HELD " + p)) || w.words().contains("RELEASE")
+        boolean away = PEERS.stream().allMatch(p -> w.words().contains("HELD " + p))
+                || w.words().contains("RELEASE")
                 || host == Host.SENDS_AWAY_AT_ONCE;
         if (away && w.come() < 4) {
             for (String peer : PEERS) {
                 // One key's client keeps to one peer while that is there.
                 if (w.come() == 2 || w.words().contains("came " + peer)) {
-                    World came = w.queue(peer, w.queues().get(peer) + (w.come() + 1)).say("came " + peer);
-                    out.add(new World(came.lot(), came.queues(), came.holds(), came.words(), came.done(), w.come() + 1,
+                    World came =
+                            w.queue(peer, w.queues().get(peer) + (w.come() + 1)).say("came " + peer);
+                    out.add(new World(
+                            came.lot(),
+                            came.queues(),
+                            came.holds(),
+                            came.words(),
+                            came.done(),
+                            w.come() + 1,
                             came.refusals()));
                 }
             }
@@ -95,12 +116,16 @@
                 out.add(w.lot("offered " + peer).say("OFFER " + peer + w.refusals()));
             }
             String offer = peer + w.refusals();
-            if (w.lot().equals("offered " + peer) && w.words().contains("OFFER " + offer)
-                    && !w.words().contains("YES " + offer) && !w.words().contains("NO " + offer)) {
+            if (w.lot().equals("offered " + peer)
+                    && w.words().contains("OFFER " + offer)
+                    && !w.words().contains("YES " + offer)
+                    && !w.words().contains("NO " + offer)) {
                 String lot = w.queues().get("L");
                 String came = w.queues().get(peer);
                 World taken = w.queue(peer, host == Host.TAKES_BEHIND_WHAT_CAME ? came + lot : lot + came)
-                        .hold(peer, false).say("YES " + offer).say("over " + peer);
+                        .hold(peer, false)
+                        .say("YES " + offer)
+                        .say("over " + peer);
                 out.add(host == Host.RELEASES_WHAT_IS_GIVEN ? taken.say("RELEASE") : taken);
                 out.add(w.say("NO " + offer));
             }
@@ -117,8 +142,14 @@
             boolean may = daemon.equals("L") ? w.lot().equals("L") : !w.holds().contains(daemon);
             if (may && !queue.isEmpty()) {
                 World carried = w.queue(daemon, queue.substring(1));
-                carried = new World(carried.lot(), carried.queues(), carried.holds(), carried.words(),
-                        w.done() + queue.charAt(0), carried.come(), carried.refusals());
+                carried = new World(
+                        carried.lot(),
+                        carried.queues(),
+                        carried.holds(),
+                        carried.words(),
+                        w.done() + queue.charAt(0),
+                        carried.come(),
+                        carried.refusals());
                 out.add(queue.charAt(0) == '2' ? carried.say("RELEASE") : carried);
             }
         }
