--- a/handover/src/test/java/amberroute/handover/NamingTest.java
+++ b/handover/src/test/java/amberroute/handover/NamingTest.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-
 import org.junit.jupiter.api.Test;
 
 class NamingTest {
@@ -70,7 +69,8 @@
                 boolean before = plain.keySet().stream().anyMatch(k -> k.endsWith(":" + key));
                 if (random.nextBoolean()) {
                     long until = now + random.nextInt(40);
-                    assertEquals(!before, holds.hold(origin, List.of(key), until).contains(key), "seed " + seed);
+                    assertEquals(
+                            !before, holds.hold(origin, List.of(key), until).contains(key), "seed " + seed);
                     plain.merge(origin + ":" + key, until, Math::max);
                 } else {
                     boolean gone = plain.remove(origin + ":" + key) != null
@@ -82,7 +82,10 @@
                 plain.values().removeIf(until -> until <= at);
                 for (long k = 0; k < 4; k++) {
                     long one = k;
-                    assertEquals(plain.keySet().stream().anyMatch(p -> p.endsWith(":" + one)), holds.held(k), "seed " + seed);
+                    assertEquals(
+                            plain.keySet().stream().anyMatch(p -> p.endsWith(":" + one)),
+                            holds.held(k),
+                            "seed " + seed);
                 }
                 assertEquals(plain.size(), holds.size(), "seed " + seed);
                 assertEquals(plain.size(), holds.all().size(), "seed " + seed);
--- a/handover/src/test/java/amberroute/handover/PlacementTest.java
+++ b/handover/src/test/java/amberroute/handover/PlacementTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.handover.Placement.Group;
+import amberroute.handover.Placement.Lot;
+import amberroute.handover.Placement.No;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -10,13 +13,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.handover.Placement.Group;
-import amberroute.handover.Placement.Lot;
-import amberroute.handover.Placement.No;
-
 class PlacementTest {
     private static Group single(long number) {
         return new Group(number, 0, 1, 1_100, 5_000);
@@ -27,7 +25,11 @@
     }
 
     private static List<Long> firsts(List<Lot> lots) {
-        return lots.stream().flatMap(l -> l.groups().stream()).map(Group::first).sorted().toList();
+        return lots.stream()
+                .flatMap(l -> l.groups().stream())
+                .map(Group::first)
+                .sorted()
+                .toList();
     }
 
     @Test
@@ -62,8 +64,15 @@
     @Test
     void whatIsTooShortOrTooLargeStays() {
         Placement placement = new Placement(List.of("a"));
-        assertEquals(List.of(3L), firsts(placement.place(0, List.of(new Group(1, 0, 1, 1_000, Placement.LEAST_LEFT - 1),
-                new Group(2, 7, 200, Placement.LARGEST_GROUP + 1, 9_000), single(3)), 8)));
+        assertEquals(
+                List.of(3L),
+                firsts(placement.place(
+                        0,
+                        List.of(
+                                new Group(1, 0, 1, 1_000, Placement.LEAST_LEFT - 1),
+                                new Group(2, 7, 200, Placement.LARGEST_GROUP + 1, 9_000),
+                                single(3)),
+                        8)));
     }
 
     /** One message that a peer cannot use costs its lot one more offer, and only that message goes elsewhere. */
@@ -94,7 +103,12 @@
         assertEquals("b", placement.place(1, List.of(keyed(1, 2, 1)), 8).get(0).heir());
         placement.refused(1, new Lot("b", lot.groups()), No.ROOM);
         assertEquals(0, placement.place(2, List.of(keyed(1, 2, 1)), 8).size());
-        assertEquals("a", placement.place(Placement.NO_ROOM, List.of(keyed(1, 2, 1)), 8).get(0).heir());
+        assertEquals(
+                "a",
+                placement
+                        .place(Placement.NO_ROOM, List.of(keyed(1, 2, 1)), 8)
+                        .get(0)
+                        .heir());
     }
 
     /** Whatever peers answer, offers end: nothing is offered without bound, and nothing twice in one round. */
--- a/membership/src/main/java/amberroute/membership/Beat.java
+++ b/membership/src/main/java/amberroute/membership/Beat.java
@@ -18,29 +18,44 @@
  *
  * All numbers are big-endian. What is not so, or has values out of range, is no beat.
  */
-public record Beat(String from, long incarnation, long number, FleetView.Phase phase, List<News> news, List<Loan> loans) {
+public record Beat(
+        String from, long incarnation, long number, FleetView.Phase phase, List<News> news, List<Loan> loans) {
     /** Below what any link carries whole. */
     public static final int MOST_BYTES = 1_400;
+
     public static final int MOST_NEWS = 24;
     public static final int MOST_LOANS = 32;
     /** The largest age that can be told, in milliseconds: some twelve days. */
     public static final int LONGEST_AGE = 1 << 30;
+
     private static final byte VERSION = 1;
     private static final int LONGEST_NAME = 64;
 
     /** How a partner fares as one daemon sees it; NEW is one that has not answered it yet. */
-    public enum Health { NEW, WELL, OUT, COLD }
+    public enum Health {
+        NEW,
+        WELL,
+        OUT,
+        COLD
+    }
 
     /**
      * Of one partner: ages in milliseconds since its outage began, since it came back, and since it last answered (-1 where
      * there is none), messages a second that it answers this daemon now, what all together were answered at their best, and
      * how many messages wait for it here.
      */
-    public record News(int destination, Health health, int outAgo, int backAgo, int okAgo, float served, float usual,
-            float waiting) { }
+    public record News(
+            int destination,
+            Health health,
+            int outAgo,
+            int backAgo,
+            int okAgo,
+            float served,
+            float usual,
+            float waiting) {}
 
     /** A request for a part of a partner's limit, or its answer under the same number. */
-    public record Loan(boolean grant, int destination, long number, float part) { }
+    public record Loan(boolean grant, int destination, long number, float part) {}
 
     /** The bytes to send, from 0 to the limit. */
     public ByteBuffer write() {
@@ -49,15 +64,29 @@
             throw new IllegalArgumentException("too much for a datagram");
         }
         ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
-        out.put((byte) 'A').put((byte) 'R').put(VERSION).put((byte) phase.ordinal()).put((byte) name.length).put(name);
+        out.put((byte) 'A')
+                .put((byte) 'R')
+                .put(VERSION)
+                .put((byte) phase.ordinal())
+                .put((byte) name.length)
+                .put(name);
         out.putLong(incarnation).putLong(number).put((byte) news.size());
         for (News n : news) {
-            out.putInt(n.destination).put((byte) n.health.ordinal()).putInt(n.outAgo).putInt(n.backAgo).putInt(n.okAgo)
-                    .putFloat(n.served).putFloat(n.usual).putFloat(n.waiting);
+            out.putInt(n.destination)
+                    .put((byte) n.health.ordinal())
+                    .putInt(n.outAgo)
+                    .putInt(n.backAgo)
+                    .putInt(n.okAgo)
+                    .putFloat(n.served)
+                    .putFloat(n.usual)
+                    .putFloat(n.waiting);
         }
         out.put((byte) loans.size());
         for (Loan l : loans) {
-            out.put((byte) (l.grant ? 1 : 0)).putInt(l.destination).putLong(l.number).putFloat(l.part);
+            out.put((byte) (l.grant ? 1 : 0))
+                    .putInt(l.destination)
+                    .putLong(l.number)
+                    .putFloat(l.part);
         }
         return out.flip();
     }
@@ -76,17 +105,30 @@
             long number = in.getLong();
             List<News> news = new ArrayList<>();
             for (int i = Ranges.within(in.get(), 0, MOST_NEWS); i > 0; i--) {
-                news.add(new News(in.getInt(), Health.values()[Ranges.within(in.get(), 0, 3)], age(in.getInt()), age(in.getInt()),
-                        age(in.getInt()), Ranges.rate(in.getFloat()), Ranges.rate(in.getFloat()), Ranges.rate(in.getFloat())));
+                news.add(new News(
+                        in.getInt(),
+                        Health.values()[Ranges.within(in.get(), 0, 3)],
+                        age(in.getInt()),
+                        age(in.getInt()),
+                        age(in.getInt()),
+                        Ranges.rate(in.getFloat()),
+                        Ranges.rate(in.getFloat()),
+                        Ranges.rate(in.getFloat())));
             }
             List<Loan> loans = new ArrayList<>();
             for (int i = Ranges.within(in.get(), 0, MOST_LOANS); i > 0; i--) {
-                loans.add(new Loan(Ranges.within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), Ranges.part(in.getFloat())));
+                loans.add(new Loan(
+                        Ranges.within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), Ranges.part(in.getFloat())));
             }
             if (in.hasRemaining() || !from.matches("[A-Za-z0-9._-]+") || number < 0 || incarnation < 0) {
                 return null;
             }
-            return new Beat(from, incarnation, number, FleetView.Phase.values()[Ranges.within(phase, 0, 2)], List.copyOf(news),
+            return new Beat(
+                    from,
+                    incarnation,
+                    number,
+                    FleetView.Phase.values()[Ranges.within(phase, 0, 2)],
+                    List.copyOf(news),
                     List.copyOf(loans));
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             return null;
--- a/membership/src/main/java/amberroute/membership/FleetView.java
+++ b/membership/src/main/java/amberroute/membership/FleetView.java
@@ -5,7 +5,11 @@
 /** Who is there of those that the settings name. What it says may be old or wrong: see the package's note. */
 public interface FleetView {
     /** What a daemon last said of itself. */
-    enum Phase { STARTING, READY, DRAINING }
+    enum Phase {
+        STARTING,
+        READY,
+        DRAINING
+    }
 
     /**
      * One peer. {@code alive} is whether it was heard of lately, {@code heardAgo} how long ago in microseconds (-1 for
--- a/membership/src/main/java/amberroute/membership/Heartbeats.java
+++ b/membership/src/main/java/amberroute/membership/Heartbeats.java
@@ -38,7 +38,8 @@
     /** Whether a beat is new and its sender known: then it counts, and so does what else it tells. */
     public boolean heard(long now, Beat beat) {
         Peer peer = peers.get(beat.from());
-        if (peer == null || beat.incarnation() < peer.incarnation
+        if (peer == null
+                || beat.incarnation() < peer.incarnation
                 || beat.incarnation() == peer.incarnation && beat.number() <= peer.number) {
             return false;
         }
--- a/membership/src/main/java/amberroute/membership/Probe.java
+++ b/membership/src/main/java/amberroute/membership/Probe.java
@@ -17,14 +17,30 @@
  * count and news: state (1), phase (1), incarnation (8), name and zone as texts
  * </pre>
  */
-public record Probe(Kind kind, long number, String from, long incarnation, FleetView.Phase phase, String zone, String target,
+public record Probe(
+        Kind kind,
+        long number,
+        String from,
+        long incarnation,
+        FleetView.Phase phase,
+        String zone,
+        String target,
         List<News> news) {
     private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9._-]*");
     /** What it wants: an answer, is one, wants the target to be asked, or says that the target did not answer. */
-    public enum Kind { PING, ACK, ASK, NACK }
+    public enum Kind {
+        PING,
+        ACK,
+        ASK,
+        NACK
+    }
 
     /** What is said of a member. */
-    public enum State { ALIVE, SUSPECT, GONE }
+    public enum State {
+        ALIVE,
+        SUSPECT,
+        GONE
+    }
 
     /** Of one member; the higher incarnation counts, and of the same one the worse state. */
     public record News(String name, State state, long incarnation, FleetView.Phase phase, String zone) {
@@ -35,6 +51,7 @@
 
     /** Room for news in one datagram, whatever the names before them. */
     static final int NEWS_BYTES = Beat.MOST_BYTES - 256;
+
     private static final byte VERSION = 2;
     private static final int LONGEST = 64;
     private static final int MOST_NEWS = 100;
@@ -42,7 +59,12 @@
     /** The bytes to send, from 0 to the limit. */
     public ByteBuffer write() {
         ByteBuffer out = ByteBuffer.allocate(Beat.MOST_BYTES);
-        out.put((byte) 'A').put((byte) 'R').put(VERSION).put((byte) kind.ordinal()).putLong(number).putLong(incarnation)
+        out.put((byte) 'A')
+                .put((byte) 'R')
+                .put(VERSION)
+                .put((byte) kind.ordinal())
+                .putLong(number)
+                .putLong(incarnation)
                 .put((byte) phase.ordinal());
         text(out, from);
         text(out, zone);
@@ -84,8 +106,12 @@
                 long of = in.getLong();
                 news.add(new News(text(in), state, of, theirs, text(in)));
             }
-            return in.hasRemaining() || from.isEmpty() || incarnation < 0 || news.stream().anyMatch(n -> n.incarnation < 0)
-                    ? null : new Probe(kind, number, from, incarnation, phase, zone, target, List.copyOf(news));
+            return in.hasRemaining()
+                            || from.isEmpty()
+                            || incarnation < 0
+                            || news.stream().anyMatch(n -> n.incarnation < 0)
+                    ? null
+                    : new Probe(kind, number, from, incarnation, phase, zone, target, List.copyOf(news));
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             return null;
         }
--- a/membership/src/main/java/amberroute/membership/Ranges.java
+++ b/membership/src/main/java/amberroute/membership/Ranges.java
@@ -4,8 +4,7 @@
 public final class Ranges {
     private static final float MOST_RATE = 1e9f;
 
-    private Ranges() {
-    }
+    private Ranges() {}
 
     public static int within(int value, int least, int most) {
         if (value < least || value > most) {
--- a/membership/src/main/java/amberroute/membership/Swim.java
+++ b/membership/src/main/java/amberroute/membership/Swim.java
@@ -28,6 +28,7 @@
     public static final long PERIOD = 200_000;
     /** An answer that has not come by then is asked for through others; the rest of the period is theirs. */
     static final long ANSWER = 80_000;
+
     static final int HELPERS = 3;
     /** A suspicion lasts so many periods for each tenfold of members, at least one tenfold; SWIM's and Lifeguard's figure is 4 to 5. */
     private static final double SUSPICION = 4;
@@ -41,7 +42,7 @@
     private static final int GONE_EVERY = 8;
 
     /** A datagram for a member. */
-    public record Out(String to, Probe probe) { }
+    public record Out(String to, Probe probe) {}
 
     private static final class Peer {
         Probe.State state = Probe.State.SUSPECT;
@@ -62,7 +63,7 @@
     }
 
     /** Asked on behalf of somebody, under the number that the asker gave. */
-    private record Asked(String by, long number, long until) { }
+    private record Asked(String by, long number, long until) {}
 
     private final String self;
     private final String zone;
@@ -81,6 +82,7 @@
     private long begunAt;
     /** Of the question that is out: whom, under which number, since when, and how far it has come. */
     private String target;
+
     private long targetNumber;
     private long targetSince;
     private int helpers;
@@ -182,8 +184,11 @@
     }
 
     private void askOthers(List<Out> out) {
-        List<String> others = new ArrayList<>(peers.entrySet().stream().filter(e -> e.getValue().state == Probe.State.ALIVE
-                && !e.getKey().equals(target)).map(Map.Entry::getKey).toList());
+        List<String> others = new ArrayList<>(peers.entrySet().stream()
+                .filter(e ->
+                        e.getValue().state == Probe.State.ALIVE && !e.getKey().equals(target))
+                .map(Map.Entry::getKey)
+                .toList());
         Collections.shuffle(others, new java.util.Random(random.nextLong()));
         for (String other : others.subList(0, Math.min(HELPERS, others.size()))) {
             helpers++;
@@ -204,7 +209,8 @@
             return false;
         }
         unwell = Math.min(MOST_UNWELL, unwell + (helpers == 0 || nacks.size() < helpers ? 1 : 0));
-        // Of a large fleet not all have been heard of when that time is over, so silence alone tells nothing: only who was asked in vain.
+        // Of a large fleet not all have been heard of when that time is over, so silence alone tells nothing: only who
+        // was asked in vain.
         boolean never = peer.incarnation < 0;
         if (peer.state != Probe.State.ALIVE && !(never && now - begunAt >= FIRST)) {
             return false;
@@ -248,7 +254,8 @@
                     }
                     out.add(new Out(probe.target(), probe(Probe.Kind.PING, own, "", probe.target())));
                     // That this helper is there is told at once; an answer of the target follows if it comes.
-                    out.add(new Out(probe.from(), probe(Probe.Kind.NACK, probe.number(), probe.target(), probe.from())));
+                    out.add(new Out(
+                            probe.from(), probe(Probe.Kind.NACK, probe.number(), probe.target(), probe.from())));
                 }
             }
             case ACK -> {
@@ -287,8 +294,10 @@
         boolean worse = news.incarnation() == peer.incarnation && news.state().compareTo(peer.state) > 0;
         boolean firstSign = peer.incarnation < 0 && news.state() != Probe.State.ALIVE;
         if (!later && !worse || firstSign && news.state() == Probe.State.SUSPECT) {
-            boolean changed = news.incarnation() == peer.incarnation && news.state() == Probe.State.ALIVE
-                    && peer.state == Probe.State.ALIVE && news.phase().compareTo(peer.phase) > 0;
+            boolean changed = news.incarnation() == peer.incarnation
+                    && news.state() == Probe.State.ALIVE
+                    && peer.state == Probe.State.ALIVE
+                    && news.phase().compareTo(peer.phase) > 0;
             if (changed) {
                 peer.phase = news.phase();
                 tell(news);
@@ -328,7 +337,7 @@
             news.add(accused);
             room -= accused.bytes();
         }
-        for (Iterator<Told> each = some.iterator(); each.hasNext() && news.size() < 60;) {
+        for (Iterator<Told> each = some.iterator(); each.hasNext() && news.size() < 60; ) {
             Told told = each.next();
             if (told.news.bytes() > room) {
                 break;
@@ -345,8 +354,12 @@
     @Override
     public List<Member> members(long now) {
         List<Member> out = new ArrayList<>();
-        peers.forEach((name, peer) -> out.add(new Member(name, peer.state != Probe.State.GONE && peer.incarnation >= 0,
-                peer.phase, peer.heardAt == Long.MIN_VALUE ? -1 : now - peer.heardAt, peer.incarnation)));
+        peers.forEach((name, peer) -> out.add(new Member(
+                name,
+                peer.state != Probe.State.GONE && peer.incarnation >= 0,
+                peer.phase,
+                peer.heardAt == Long.MIN_VALUE ? -1 : now - peer.heardAt,
+                peer.incarnation)));
         return out;
     }
 }
--- a/membership/src/test/java/amberroute/membership/HeartbeatsTest.java
+++ b/membership/src/test/java/amberroute/membership/HeartbeatsTest.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
 class HeartbeatsTest {
@@ -44,8 +43,10 @@
         for (int i = 0; i <= Beat.MOST_LOANS; i++) {
             many.add(new Beat.Loan(true, 1, 1, 0));
         }
-        assertThrows(IllegalArgumentException.class, () -> new Beat("a", 1, 1, FleetView.Phase.READY, List.of(), many).write());
-        assertThrows(IllegalArgumentException.class, () -> beat("", 1, 1, FleetView.Phase.READY).write());
+        assertThrows(IllegalArgumentException.class, () -> new Beat("a", 1, 1, FleetView.Phase.READY, List.of(), many)
+                .write());
+        assertThrows(IllegalArgumentException.class, () -> beat("", 1, 1, FleetView.Phase.READY)
+                .write());
     }
 
     /** Cut anywhere, or with any byte changed, it is read as something in range or not at all; it never throws. */
--- a/membership/src/test/java/amberroute/membership/SwimTest.java
+++ b/membership/src/test/java/amberroute/membership/SwimTest.java
@@ -13,20 +13,19 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
 /** Fleets in virtual time: every datagram goes through bytes, a way that delays and loses, and members that stop. */
 class SwimTest {
     private static final long STEP = 20_000;
 
-    private record Flying(long due, long order, String to, ByteBuffer bytes) { }
+    private record Flying(long due, long order, String to, ByteBuffer bytes) {}
 
     private static final class Fleet {
         final List<String> names = new ArrayList<>();
         final List<Swim> members = new ArrayList<>();
-        final PriorityQueue<Flying> ways = new PriorityQueue<>((a, b) -> a.due() != b.due() ? Long.compare(a.due(), b.due())
-                : Long.compare(a.order(), b.order()));
+        final PriorityQueue<Flying> ways = new PriorityQueue<>(
+                (a, b) -> a.due() != b.due() ? Long.compare(a.due(), b.due()) : Long.compare(a.order(), b.order()));
         final Set<String> stopped = new HashSet<>();
         final Set<String> slow = new HashSet<>();
         final Random random;
@@ -88,14 +87,18 @@
 
         /** Living members that some living member takes for gone. */
         long falselyGone() {
-            return names.stream().filter(n -> !stopped.contains(n)).filter(n -> {
-                for (int i = 0; i < names.size(); i++) {
-                    if (!stopped.contains(names.get(i)) && members.get(i).gone(n)) {
-                        return true;
-                    }
-                }
-                return false;
-            }).count();
+            return names.stream()
+                    .filter(n -> !stopped.contains(n))
+                    .filter(n -> {
+                        for (int i = 0; i < names.size(); i++) {
+                            if (!stopped.contains(names.get(i))
+                                    && members.get(i).gone(n)) {
+                                return true;
+                            }
+                        }
+                        return false;
+                    })
+                    .count();
         }
     }
 
@@ -116,8 +119,8 @@
             while (fleet.takenForGone("m3") < size - 1 && fleet.now - since < 20_000_000) {
                 fleet.run(100_000);
             }
-            System.out.println("size " + size + ": " + each[at - 1] + " datagrams a member a second, largest " + fleet.largest
-                    + ", known to all after ms " + (fleet.now - since) / 1_000);
+            System.out.println("size " + size + ": " + each[at - 1] + " datagrams a member a second, largest "
+                    + fleet.largest + ", known to all after ms " + (fleet.now - since) / 1_000);
             assertTrue(fleet.now - since < 6_000_000, "known to all after " + (fleet.now - since));
             assertEquals(0, fleet.falselyGone());
             assertTrue(fleet.largest <= Beat.MOST_BYTES);
@@ -139,8 +142,8 @@
         while (fleet.takenForGone("m3") < 999 && fleet.now - since < 30_000_000) {
             fleet.run(200_000);
         }
-        System.out.println("size 1000: " + each + " datagrams a member a second, largest " + fleet.largest + ", known to all after ms "
-                + (fleet.now - since) / 1_000);
+        System.out.println("size 1000: " + each + " datagrams a member a second, largest " + fleet.largest
+                + ", known to all after ms " + (fleet.now - since) / 1_000);
         assertTrue(each < 14, each + " datagrams a member a second");
         assertTrue(fleet.now - since < 30_000_000);
         assertEquals(0, fleet.falselyGone());
@@ -164,8 +167,10 @@
     }
 
     private static long names(Fleet fleet) {
-        return fleet.names.stream().filter(n -> !fleet.slow.contains(n))
-                .filter(n -> fleet.members.stream().anyMatch(m -> m.gone(n))).count();
+        return fleet.names.stream()
+                .filter(n -> !fleet.slow.contains(n))
+                .filter(n -> fleet.members.stream().anyMatch(m -> m.gone(n)))
+                .count();
     }
 
     @Test
@@ -178,15 +183,26 @@
         fleet.stopped.clear();
         fleet.run(8_000_000);
         assertEquals(0, fleet.falselyGone());
-        assertTrue(fleet.members.get(0).members(fleet.now).stream().filter(m -> m.name().equals("m2")).findFirst()
-                .orElseThrow().incarnation() > 1_000);
+        assertTrue(fleet.members.get(0).members(fleet.now).stream()
+                        .filter(m -> m.name().equals("m2"))
+                        .findFirst()
+                        .orElseThrow()
+                        .incarnation()
+                > 1_000);
         assertEquals("z2", fleet.members.get(0).zone("m2"));
     }
 
     @Test
     void whatIsNoProbeIsPassedOver() {
         Random random = new Random(5);
-        Probe probe = new Probe(Probe.Kind.ASK, 7, "m1", 9, FleetView.Phase.READY, "z", "m2",
+        Probe probe = new Probe(
+                Probe.Kind.ASK,
+                7,
+                "m1",
+                9,
+                FleetView.Phase.READY,
+                "z",
+                "m2",
                 List.of(new Probe.News("m3", Probe.State.SUSPECT, 4, FleetView.Phase.READY, "")));
         assertEquals(probe, Probe.read(probe.write()));
         byte[] good = new byte[probe.write().remaining()];
@@ -202,6 +218,9 @@
         }
         assertEquals(0, read);
         assertNull(Beat.read(probe.write()));
-        assertFalse(new Swim("a", "", List.of("a", "b"), 1, new SplittableRandom(1)).heard(0, probe).iterator().hasNext());
+        assertFalse(new Swim("a", "", List.of("a", "b"), 1, new SplittableRandom(1))
+                .heard(0, probe)
+                .iterator()
+                .hasNext());
     }
 }
--- a/overload/src/main/java/amberroute/overload/Capacity.java
+++ b/overload/src/main/java/amberroute/overload/Capacity.java
@@ -18,6 +18,7 @@
      * costs is some refusals now and then, and an estimate that was far too low is mended within seconds.
      */
     private static final double GROWTH = 0.06;
+
     private static final double MOST_GROWTH = 1;
     /** Averages over a second tell of too little before this has passed since it was first called. */
     private static final long SETTLE = 3_000_000;
@@ -26,6 +27,7 @@
      * old and more, and behind a spike they still tell of refusals when less is sent than it could do.
      */
     private static final double FALL = 1.0;
+
     private static final double MANY = 0.25;
     /** Below this share of what it can do demand is no matter, and nothing limits it. */
     private static final double EASY = 0.85;
@@ -36,18 +38,22 @@
 
     /** With less than so many seconds of its work waiting, and less than so much of what it can do done, it is idle for want of messages. */
     private static final double FEW = 0.1;
+
     private static final double IDLE = 0.95;
     /** While it is idle so much more a second is taken on than figures say, at most so many times: they are older than a spike's end. */
     private static final double LIFT = 0.75;
+
     private static final double MOST_LIFT = 4;
 
     private double perSecond = Double.POSITIVE_INFINITY;
     private final boolean held;
     /** It is known by what it refused; where calls are held to that, what waits shows that and not what it can do. */
     private boolean limit;
+
     private long calledSince = -1;
     /** When it last showed a limit. */
     private long shownAt;
+
     private double lift = 1;
     private long at;
 
--- a/overload/src/main/java/amberroute/overload/Digest.java
+++ b/overload/src/main/java/amberroute/overload/Digest.java
@@ -1,5 +1,6 @@
 package amberroute.overload;
 
+import amberroute.membership.Ranges;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -9,8 +10,6 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
-import amberroute.membership.Ranges;
-
 /**
  * One datagram in which a sender tells what it has to do with some destinations, beside the beats and probes on the same socket.
  * At most {@value #MOST_BYTES} bytes. The form is ours, all numbers big-endian:
@@ -25,18 +24,21 @@
  */
 public record Digest(String from, long incarnation, long number, Map<Integer, Load> loads, List<Loan> loans) {
     /** A request for a part of what a destination can take, or its answer under the same number. */
-    public record Loan(boolean grant, int destination, long number, float part) { }
+    public record Loan(boolean grant, int destination, long number, float part) {}
 
     /** Below what any link carries whole. */
     public static final int MOST_BYTES = 1_400;
+
     private static final byte VERSION = 1;
     private static final int LONGEST_NAME = 64;
     private static final int MOST_LOADS = 64;
     /** A load takes so much, and so much more for each step. */
     private static final int LOAD_BYTES = 17;
+
     private static final int STEP_BYTES = 5;
     /** Beside no load at all. */
     static final int MOST_LOANS = 32;
+
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]+");
 
     /** Bytes without any load. */
@@ -64,7 +66,10 @@
         out.put((byte) 'A').put((byte) 'L').put(VERSION).put((byte) name.length).put(name);
         out.putLong(incarnation).putLong(number).put((byte) loads.size());
         loads.forEach((destination, load) -> {
-            out.putInt(destination).putFloat((float) load.served()).putFloat((float) load.full()).putFloat((float) load.waiting());
+            out.putInt(destination)
+                    .putFloat((float) load.served())
+                    .putFloat((float) load.full())
+                    .putFloat((float) load.waiting());
             out.put((byte) ((bytes(load) - LOAD_BYTES) / STEP_BYTES));
             for (int step = 0; step < Worths.STEPS; step++) {
                 if (load.demand()[step] > 0) {
@@ -73,7 +78,10 @@
             }
         });
         out.put((byte) loans.size());
-        loans.forEach(l -> out.put((byte) (l.grant ? 1 : 0)).putInt(l.destination).putLong(l.number).putFloat(l.part));
+        loans.forEach(l -> out.put((byte) (l.grant ? 1 : 0))
+                .putInt(l.destination)
+                .putLong(l.number)
+                .putFloat(l.part));
         return out.flip();
     }
 
@@ -102,9 +110,11 @@
             }
             List<Loan> loans = new ArrayList<>();
             for (int i = Ranges.within(in.get(), 0, MOST_LOANS); i > 0; i--) {
-                loans.add(new Loan(Ranges.within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), Ranges.part(in.getFloat())));
+                loans.add(new Loan(
+                        Ranges.within(in.get(), 0, 1) == 1, in.getInt(), in.getLong(), Ranges.part(in.getFloat())));
             }
-            return in.hasRemaining() || !NAME.matcher(from).matches() || number < 0 || incarnation < 0 ? null
+            return in.hasRemaining() || !NAME.matcher(from).matches() || number < 0 || incarnation < 0
+                    ? null
                     : new Digest(from, incarnation, number, loads, loans);
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             return null;
--- a/overload/src/main/java/amberroute/overload/Load.java
+++ b/overload/src/main/java/amberroute/overload/Load.java
@@ -29,7 +29,10 @@
         for (int i = 0; i < cut.length; i++) {
             cut[i] *= share;
         }
-        return new Load(cut, Math.min(served, times * most.served), Math.min(full, times * most.full),
+        return new Load(
+                cut,
+                Math.min(served, times * most.served),
+                Math.min(full, times * most.full),
                 Math.min(waiting, times * most.waiting));
     }
 }
--- a/overload/src/main/java/amberroute/overload/Overload.java
+++ b/overload/src/main/java/amberroute/overload/Overload.java
@@ -1,5 +1,7 @@
 package amberroute.overload;
 
+import amberroute.shares.Lending;
+import amberroute.shares.Share;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -8,9 +10,6 @@
 import java.util.function.IntToDoubleFunction;
 import java.util.random.RandomGenerator;
 
-import amberroute.shares.Lending;
-import amberroute.shares.Share;
-
 /**
  * One sender's view of what its fleet is asked for and can do: counts what happens here, tells some peers of it, hears theirs, and
  * says what a call to each destination costs. All compute alone and from about the same, so they come to about the same
@@ -28,14 +27,21 @@
     public static final long ROUND = 200_000;
 
     /** A datagram for a peer. */
-    public record Out(String to, Digest digest) { }
+    public record Out(String to, Digest digest) {}
 
     /** The calls a second that this daemon may make from now on; infinite for any. */
-    public record Ceiling(int destination, double perSecond) { }
+    public record Ceiling(int destination, double perSecond) {}
 
     /** For operators: what all have to do with a destination, what it is taken to be able to do, and the price. */
-    public record Row(int destination, double asked, double served, double full, double waiting, double capacity, Price price,
-            double part) { }
+    public record Row(
+            int destination,
+            double asked,
+            double served,
+            double full,
+            double waiting,
+            double capacity,
+            Price price,
+            double part) {}
 
     private final String self;
     private final List<String> peers;
@@ -58,7 +64,13 @@
      * many a limit is divided where calls are {@code held} to parts of it: at least as many as can run. An earlier process may
      * have lent all that it had, so at first nothing is used of what is limited.
      */
-    public Overload(long now, String self, List<String> peers, int daemons, boolean held, long incarnation,
+    public Overload(
+            long now,
+            String self,
+            List<String> peers,
+            int daemons,
+            boolean held,
+            long incarnation,
             RandomGenerator random) {
         this.held = held;
         this.daemons = Math.max(daemons, peers.size());
@@ -125,7 +137,9 @@
                 answers.add(ours.asked(now, digest.from(), loan));
             }
         }
-        return answers.isEmpty() ? null : new Out(digest.from(), new Digest(self, incarnation, ++number, Map.of(), answers));
+        return answers.isEmpty()
+                ? null
+                : new Out(digest.from(), new Digest(self, incarnation, ++number, Map.of(), answers));
     }
 
     /** To be called behind {@link #round}: the ceilings that have changed. */
@@ -151,16 +165,24 @@
         capacities.forEach((destination, capacity) -> {
             if (Double.isFinite(capacity.limit())) {
                 Parts ours = parts(now, destination);
-                for (Lending.Request r : ours.asks(now, picture.below(now, destination, ours.owned() * capacity.perSecond()))) {
-                    to.computeIfAbsent(r.peer(), p -> new ArrayList<>()).add(new Digest.Loan(false, destination, r.number(), r.part()));
+                for (Lending.Request r :
+                        ours.asks(now, picture.below(now, destination, ours.owned() * capacity.perSecond()))) {
+                    to.computeIfAbsent(r.peer(), p -> new ArrayList<>())
+                            .add(new Digest.Loan(false, destination, r.number(), r.part()));
                 }
             }
         });
         List<Out> out = new ArrayList<>();
         to.forEach((peer, loans) -> {
             for (int from = 0; from < loans.size(); from += Digest.MOST_LOANS) {
-                out.add(new Out(peer, new Digest(self, incarnation, ++number, Map.of(),
-                        List.copyOf(loans.subList(from, Math.min(loans.size(), from + Digest.MOST_LOANS))))));
+                out.add(new Out(
+                        peer,
+                        new Digest(
+                                self,
+                                incarnation,
+                                ++number,
+                                Map.of(),
+                                List.copyOf(loans.subList(from, Math.min(loans.size(), from + Digest.MOST_LOANS))))));
             }
         });
         return out;
@@ -184,7 +206,14 @@
                 prices.put(destination, price);
                 changed.add(price);
             }
-            rows.add(new Row(destination, all.asked(), all.served(), all.full(), all.waiting(), capacity.perSecond(), price,
+            rows.add(new Row(
+                    destination,
+                    all.asked(),
+                    all.served(),
+                    all.full(),
+                    all.waiting(),
+                    capacity.perSecond(),
+                    price,
                     ours.ceiling(now)));
         });
         return changed;
--- a/overload/src/main/java/amberroute/overload/Parts.java
+++ b/overload/src/main/java/amberroute/overload/Parts.java
@@ -1,9 +1,8 @@
 package amberroute.overload;
 
-import java.util.List;
-
 import amberroute.shares.Lending;
 import amberroute.shares.Share;
+import java.util.List;
 
 /**
  * This daemon's part of the calls that a destination can take a second: an equal one that is its own, and what peers that need less
@@ -66,7 +65,8 @@
 
     /** Answers a request. */
     Digest.Loan asked(long now, String peer, Digest.Loan loan) {
-        return new Digest.Loan(true, loan.destination(), loan.number(), lending.asked(now, peer, loan.number(), loan.part(), need));
+        return new Digest.Loan(
+                true, loan.destination(), loan.number(), lending.asked(now, peer, loan.number(), loan.part(), need));
     }
 
     void granted(long now, String peer, Digest.Loan loan) {
--- a/overload/src/main/java/amberroute/overload/Picture.java
+++ b/overload/src/main/java/amberroute/overload/Picture.java
@@ -18,7 +18,7 @@
     /** A digest counts for so long, in microseconds. */
     static final long FRESH = 2_000_000;
 
-    private record Heard(long at, Load load) { }
+    private record Heard(long at, Load load) {}
 
     private static final class Peer {
         long incarnation = -1;
@@ -40,7 +40,8 @@
     /** False for one that is older than what is known, from a stranger, or of an earlier process. */
     boolean heard(long now, Digest digest) {
         Peer peer = peers.get(digest.from());
-        if (peer == null || digest.incarnation() < peer.incarnation
+        if (peer == null
+                || digest.incarnation() < peer.incarnation
                 || digest.incarnation() == peer.incarnation && digest.number() <= peer.number) {
             return false;
         }
@@ -89,7 +90,10 @@
         peers.forEach((name, peer) -> {
             Heard h = peer.loads.get(destination);
             boolean there = peer.heardAt != Long.MIN_VALUE && now - peer.heardAt < FRESH;
-            if (there && (h == null || now - h.at() >= FRESH || h.load().served() + h.load().waiting() < perSecond)) {
+            if (there
+                    && (h == null
+                            || now - h.at() >= FRESH
+                            || h.load().served() + h.load().waiting() < perSecond)) {
                 out.add(name);
             }
         });
@@ -98,6 +102,8 @@
 
     /** Peers that were heard of lately. */
     int heardOf(long now) {
-        return (int) peers.values().stream().filter(p -> p.heardAt != Long.MIN_VALUE && now - p.heardAt < FRESH).count();
+        return (int) peers.values().stream()
+                .filter(p -> p.heardAt != Long.MIN_VALUE && now - p.heardAt < FRESH)
+                .count();
     }
 }
--- a/overload/src/main/java/amberroute/overload/Price.java
+++ b/overload/src/main/java/amberroute/overload/Price.java
@@ -8,6 +8,7 @@
 public record Price(int destination, double worth, double upTo, double share, long again) {
     /** The more is asked above what can be done the later; at first when figures may be new, at last a few times that. */
     private static final double AGAIN = 5e5;
+
     private static final double MOST_AGAIN = 4;
 
     static Price none(int destination) {
@@ -23,7 +24,11 @@
                 for (double d : demand) {
                     asked += d;
                 }
-                return new Price(destination, Worths.floor(step), Worths.floor(step + 1), Math.max(0, (room - above) / demand[step]),
+                return new Price(
+                        destination,
+                        Worths.floor(step),
+                        Worths.floor(step + 1),
+                        Math.max(0, (room - above) / demand[step]),
                         (long) (AGAIN * Math.max(1, Math.min(MOST_AGAIN, asked / Math.max(1e-3, room)))));
             }
             above += demand[step];
@@ -33,6 +38,8 @@
 
     /** Whether it is about as before, so that nobody need hear of it. */
     boolean like(Price other) {
-        return worth == other.worth && Math.abs(share - other.share) < 0.03 && Math.abs(again - other.again) < AGAIN / 4;
+        return worth == other.worth
+                && Math.abs(share - other.share) < 0.03
+                && Math.abs(again - other.again) < AGAIN / 4;
     }
 }
--- a/overload/src/main/java/amberroute/overload/Tally.java
+++ b/overload/src/main/java/amberroute/overload/Tally.java
@@ -1,10 +1,9 @@
 package amberroute.overload;
 
+import amberroute.shares.Rate;
 import java.util.Map;
 import java.util.TreeMap;
 
-import amberroute.shares.Rate;
-
 /** What this sender itself has to do with one destination. */
 final class Tally {
     /** Short enough to follow a spike, long enough that some tens of messages a second are no noise. */
--- a/overload/src/main/java/amberroute/overload/Worths.java
+++ b/overload/src/main/java/amberroute/overload/Worths.java
@@ -10,8 +10,7 @@
     /** The step of a worth of 1, in the middle. */
     private static final int ONE = STEPS / 2;
 
-    private Worths() {
-    }
+    private Worths() {}
 
     static int step(double worth) {
         if (!(worth > 0)) {
@@ -24,6 +23,8 @@
 
     /** The least worth of a step; of the first one 0. */
     static double floor(int step) {
-        return step <= 0 ? 0 : step >= STEPS ? Double.POSITIVE_INFINITY : Math.pow(2, (step - ONE) / A_DOUBLING) * (1 - 1e-9);
+        return step <= 0
+                ? 0
+                : step >= STEPS ? Double.POSITIVE_INFINITY : Math.pow(2, (step - ONE) / A_DOUBLING) * (1 - 1e-9);
     }
 }
--- a/overload/src/test/java/amberroute/overload/FleetPlay.java
+++ b/overload/src/test/java/amberroute/overload/FleetPlay.java
@@ -22,11 +22,11 @@
     /** A sender calls again so long after a refusal. */
     private static final long PAUSE = 100_000;
 
-    private record Message(int kind, long due) { }
+    private record Message(int kind, long due) {}
 
-    private record Flying(long at, long order, int to, Digest digest) { }
+    private record Flying(long at, long order, int to, Digest digest) {}
 
-    private record Again(long at, long order, Message message) { }
+    private record Again(long at, long order, Message message) {}
 
     static final class Sender {
         Overload overload;
@@ -43,17 +43,20 @@
     private final boolean priced;
     /** Calls are held to parts of the limit. */
     private final boolean parts;
-    private final PriorityQueue<Flying> ways = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
-            : Long.compare(a.order(), b.order()));
-    private final PriorityQueue<Again> again = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
-            : Long.compare(a.order(), b.order()));
+
+    private final PriorityQueue<Flying> ways = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Again> again = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
     /** All demand so far, for the one that sees all: what waits there, by kind. */
     private final List<Deque<Message>> ideal = List.of(new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>());
+
     double capacity = 400;
     double load = 1.3;
     double loss;
     /** The longest that news are on the way. */
     long delay = 20_000;
+
     long now;
     private double tokens;
     private double idealTokens;
@@ -116,7 +119,8 @@
     }
 
     private void round(Sender s) {
-        for (Price p : s.overload.round(now, d -> s.held.stream().mapToInt(Deque::size).sum())) {
+        for (Price p :
+                s.overload.round(now, d -> s.held.stream().mapToInt(Deque::size).sum())) {
             s.price = p;
         }
         if (parts) {
@@ -124,14 +128,19 @@
             s.overload.asks(now).forEach(this::send);
         }
         s.overload.tell(now).forEach(this::send);
-        mostParts = Math.max(mostParts, senders.stream().mapToDouble(each -> each.overload.part(now, 1)).sum());
+        mostParts = Math.max(
+                mostParts,
+                senders.stream().mapToDouble(each -> each.overload.part(now, 1)).sum());
     }
 
     private void send(Overload.Out out) {
         bytes += out.digest().write().remaining();
         if (random.nextDouble() >= loss) {
-            ways.add(new Flying(now + 1_000 + (long) (random.nextDouble() * delay), order++,
-                    Integer.parseInt(out.to().substring(1)), Digest.read(out.digest().write())));
+            ways.add(new Flying(
+                    now + 1_000 + (long) (random.nextDouble() * delay),
+                    order++,
+                    Integer.parseInt(out.to().substring(1)),
+                    Digest.read(out.digest().write())));
         }
     }
 
@@ -158,9 +167,11 @@
         Sender s = senders.get(to);
         double worth = WORTH[m.kind()];
         s.overload.asked(now, 1, worth);
-        boolean cheap = priced && (worth < s.price.worth() || worth < s.price.upTo() && random.nextDouble() >= s.price.share());
+        boolean cheap =
+                priced && (worth < s.price.worth() || worth < s.price.upTo() && random.nextDouble() >= s.price.share());
         // Without prices a sender turns away what it could not have done in time alone.
-        boolean crowded = s.held.stream().mapToInt(Deque::size).sum() > LIFE / 1e6 * capacity / senders.size() * s.weight;
+        boolean crowded =
+                s.held.stream().mapToInt(Deque::size).sum() > LIFE / 1e6 * capacity / senders.size() * s.weight;
         if (cheap || crowded) {
             turnedAway++;
             long wait = cheap ? s.price.again() + (long) (random.nextDouble() * s.price.again()) : 500_000;
--- a/overload/src/test/java/amberroute/overload/OverloadTest.java
+++ b/overload/src/test/java/amberroute/overload/OverloadTest.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
 /** What senders believe of the whole, what they take a destination to be able to do, and what a call costs. */
@@ -35,13 +34,25 @@
             play.run(1_000_000);
             least = Math.min(least, play.served - before);
         }
-        System.out.printf("%d senders, %s%s, loss %.1f, news up to %d ms late: %.3f of the worth, %.3f refused a message, least second"
-                + " %.2f of the capacity, %.0f bytes a sender a second%n", size, priced ? parts ? "prices and parts" : "prices" : "none", skewed ? ", skewed" : "",
-                loss, delay / 1_000, play.worth / play.idealWorth, (double) play.refused / play.served, least / play.capacity,
+        System.out.printf(
+                "%d senders, %s%s, loss %.1f, news up to %d ms late: %.3f of the worth, %.3f refused a message, least second"
+                        + " %.2f of the capacity, %.0f bytes a sender a second%n",
+                size,
+                priced ? parts ? "prices and parts" : "prices" : "none",
+                skewed ? ", skewed" : "",
+                loss,
+                delay / 1_000,
+                play.worth / play.idealWorth,
+                (double) play.refused / play.served,
+                least / play.capacity,
                 play.bytes / 20.0 / size);
         assertTrue(play.mostParts <= 1 + 1e-6, "parts in use add up to " + play.mostParts);
-        return new double[] {play.worth / play.idealWorth, (double) play.refused / play.served, least / play.capacity,
-            play.bytes / 20.0 / size};
+        return new double[] {
+            play.worth / play.idealWorth,
+            (double) play.refused / play.served,
+            least / play.capacity,
+            play.bytes / 20.0 / size
+        };
     }
 
     @Test
@@ -52,7 +63,8 @@
         assertTrue(with[1] < none[1], "refused a message: " + with[1] + " after " + none[1]);
         // No swing between all and none.
         assertTrue(with[2] > 0.85, "least second " + with[2]);
-        for (double[] hard : List.of(played(12, true, true, false, 0.2, 200_000), played(12, true, true, false, 0.2, 2_000_000))) {
+        for (double[] hard :
+                List.of(played(12, true, true, false, 0.2, 200_000), played(12, true, true, false, 0.2, 2_000_000))) {
             // Half of all is at one sender, which is refused as often as those that have little.
             assertTrue(hard[0] > 0.8 && hard[2] > 0.85, hard[0] + " and " + hard[2]);
         }
@@ -163,7 +175,9 @@
         Random random = new Random(4);
         for (int i = 0; i < 10_000; i++) {
             double worth = Math.exp(random.nextDouble() * 10 - 5);
-            assertTrue(worth >= Worths.floor(Worths.step(worth)) && worth < Worths.floor(Worths.step(worth) + 1), "worth " + worth);
+            assertTrue(
+                    worth >= Worths.floor(Worths.step(worth)) && worth < Worths.floor(Worths.step(worth) + 1),
+                    "worth " + worth);
         }
     }
 
@@ -184,7 +198,8 @@
             }
             Digest other = Digest.read(ByteBuffer.wrap(spoilt));
             none += other == null ? 1 : 0;
-            assertTrue(other == null || other.loads().values().stream().allMatch(l -> l.asked() >= 0 && l.asked() < 1e12));
+            assertTrue(
+                    other == null || other.loads().values().stream().allMatch(l -> l.asked() >= 0 && l.asked() < 1e12));
         }
         assertTrue(none > 10_000, "only " + none);
         assertNull(Digest.read(ByteBuffer.allocate(0)));
--- a/sender/src/main/java/amberroute/sender/Adoption.java
+++ b/sender/src/main/java/amberroute/sender/Adoption.java
@@ -19,12 +19,12 @@
     static final String PREFIX = "adopted-";
     /** Of one lot, so that its record stays within the journal's bound. */
     static final int MOST_MESSAGES = 64;
+
     static final long MOST_BYTES = 96 << 10;
     /** What no client waits for any more, and no notice can help, is left where it is. */
     static final long FORGOTTEN_MS = 3_600_000;
 
-    private Adoption() {
-    }
+    private Adoption() {}
 
     /** Lots in the order of acceptance; a key's messages may be in several, which come one behind the other. */
     static Map<String, List<Held>> lots(String fence, Collection<Held> live, long wall) {
@@ -56,8 +56,8 @@
      * nothing.
      */
     static Held copy(Held m, LongSupplier numbers) {
-        Held own = new Held(numbers.getAsLong(), m.id, m.idempotencyKey, m.className, m.key, m.destination, m.deadline,
-                m.body);
+        Held own = new Held(
+                numbers.getAsLong(), m.id, m.idempotencyKey, m.className, m.key, m.destination, m.deadline, m.body);
         own.attempts = m.attempts;
         own.doubtSince = m.doubtSince;
         own.doubtAt = m.doubtAt;
--- a/sender/src/main/java/amberroute/sender/AnswerReader.java
+++ b/sender/src/main/java/amberroute/sender/AnswerReader.java
@@ -1,8 +1,5 @@
 package amberroute.sender;
 
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,7 +7,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
@@ -21,6 +17,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Reads the answers on one connection to a receiver, one for each call. It keeps the first line of an answer that
@@ -37,7 +35,7 @@
      * What came back. {@code status} is that of the first line, 0 where that could not be read; {@code whole} says
      * that the rest could be read too, {@code reusable} that nothing followed and another call may.
      */
-    record Answer(int status, boolean whole, boolean reusable, HttpHeaders headers, String body) { }
+    record Answer(int status, boolean whole, boolean reusable, HttpHeaders headers, String body) {}
 
     /** Learns of answers on the event loop. */
     interface Listener {
@@ -101,8 +99,10 @@
 
     /** Whether the answer itself tells where it ends, rather than the end of its connection. */
     private boolean delimited() {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
-                || head.status().code() == 204 || head.status().code() == 304;
+        return HttpUtil.isContentLengthSet(head)
+                || HttpUtil.isTransferEncodingChunked(head)
+                || head.status().code() == 204
+                || head.status().code() == 304;
     }
 
     /** Everything that has come in this pass of the loop has been decoded: only now is it known what follows. */
@@ -125,12 +125,16 @@
             }
             bytes += ((ByteBuf) message).readableBytes();
             if (deadline == null) {
-                deadline = context.executor().schedule(() -> {
-                    deadline = null;
-                    if (expecting) {
-                        finish(false);
-                    }
-                }, SPAN_MS, TimeUnit.MILLISECONDS);
+                deadline = context.executor()
+                        .schedule(
+                                () -> {
+                                    deadline = null;
+                                    if (expecting) {
+                                        finish(false);
+                                    }
+                                },
+                                SPAN_MS,
+                                TimeUnit.MILLISECONDS);
             }
             if (broken || bytes > LARGEST) {
                 ReferenceCountUtil.release(message);
@@ -160,7 +164,9 @@
     /** Takes any 1xx, a 101 too, for what precedes the answer: nothing here ever asks to switch protocols. */
     private final class Decoder extends HttpResponseDecoder {
         Decoder() {
-            super(new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LARGEST_HEAD)
+            super(new HttpDecoderConfig()
+                    .setMaxInitialLineLength(LONGEST_LINE)
+                    .setMaxHeaderSize(LARGEST_HEAD)
                     .setMaxChunkSize(LARGEST_HEAD));
         }
 
--- a/sender/src/main/java/amberroute/sender/CallGroups.java
+++ b/sender/src/main/java/amberroute/sender/CallGroups.java
@@ -8,10 +8,9 @@
 
 /** Which sends of one turn travel as one call. */
 final class CallGroups {
-    private record Together(long endpoint, long giveUpAt) { }
+    private record Together(long endpoint, long giveUpAt) {}
 
-    private CallGroups() {
-    }
+    private CallGroups() {}
 
     /**
      * Those to one endpoint that are given up at one time, as far as its kind takes several messages: the module gives all
--- a/sender/src/main/java/amberroute/sender/ClassBook.java
+++ b/sender/src/main/java/amberroute/sender/ClassBook.java
@@ -1,13 +1,12 @@
 package amberroute.sender;
 
+import amberroute.Relay.MessageClass;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntPredicate;
 
-import amberroute.Relay.MessageClass;
-
 /**
  * The classes of messages that count now, and those that messages under way were taken on in. Each version of a class,
  * a name with its figures, has a number that stays its own for as long as a message of it is held; the numbers are the
@@ -18,7 +17,7 @@
     static final int MOST = 64;
 
     /** One version of a class. */
-    record Version(String name, MessageClass type) { }
+    record Version(String name, MessageClass type) {}
 
     private final List<Version> versions = new ArrayList<>();
     private Map<String, Integer> current = Map.of();
@@ -50,7 +49,8 @@
         }
         for (Version version : missing) {
             int number = 0;
-            while (number < now.size() && (now.get(number) != null && held.test(number) || next.containsValue(number))) {
+            while (number < now.size()
+                    && (now.get(number) != null && held.test(number) || next.containsValue(number))) {
                 number++;
             }
             if (number == MOST) {
--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -1,5 +1,17 @@
 package amberroute.sender;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -14,19 +26,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.util.concurrent.Future;
-
 /** Serves clients: reads what they hand in and gives each request its answer, in order. */
 final class ClientServer {
     private static final int LONGEST_NAME = 128;
@@ -34,6 +33,7 @@
     private static final double NEWCOMERS = 0.25;
     /** With so many requests unanswered a connection is not read on; with more, all from one read, it ends. */
     private static final int MANY_WAITING = 64;
+
     private static final int MOST_WAITING = 4_096;
     /** For the first request of a connection, and from the first byte of each later one. */
     private static final long REQUEST_MS = 2_000;
@@ -46,6 +46,7 @@
      * connect anew when there are many.
      */
     private static final double COMFORTABLE = 0.33;
+
     private static final long SPARED_MS = 250;
     private static final long SWEEP_MS = 100;
     /** Connections in use so lately are closed behind their next answer rather than at once: that request may be on its way. */
@@ -54,6 +55,7 @@
     private static final long PAUSE_MS = 50;
     /** Until accepting is tried again behind a failure: short beside what clients wait, long beside what a try costs. */
     private static final long ACCEPT_PAUSE_MS = 10;
+
     private static final int MOST_BAD = 16;
     /** A connection that ends is read on, so that what was written to it arrives, but only for so many bytes. */
     private static final long LINGER_BYTES = 1 << 18;
@@ -63,8 +65,14 @@
     private static final int MOST_LOOKS = 64;
 
     /** A message as handed in; {@code timeLeft} in milliseconds, as of now: what it may have waited unread is off. */
-    record Submission(long key, String id, String className, long timeLeft, int destination,
-            String idempotencyKey, byte[] body) { }
+    record Submission(
+            long key,
+            String id,
+            String className,
+            long timeLeft,
+            int destination,
+            String idempotencyKey,
+            byte[] body) {}
 
     /** Takes submissions on; each gets exactly one answer. */
     interface Acceptor {
@@ -103,12 +111,14 @@
     private ReadingLag lag;
     /** Those that have sent a good request, in the order of last use, and those that have not, by age. */
     private final Set<Session> usual = new LinkedHashSet<>();
+
     private final Set<Session> unproven = new LinkedHashSet<>();
     private Channel server;
     /** The socket is another process's too, or will be. */
     private boolean passedDown;
     /** Whether who connects is accepted here, but for moments in which that fails. */
     private boolean accepting = true;
+
     private boolean retiring;
     private boolean parted;
     /** Nobody is accepted any more but those who wait already. */
@@ -135,20 +145,30 @@
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
         // Nobody can have waited before there was anywhere to connect to.
         lag = new ReadingLag(System.nanoTime());
-        server = bootstrap().channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 512)
-                .bind(address).sync().channel();
+        server = bootstrap()
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 512)
+                .bind(address)
+                .sync()
+                .channel();
         return listening();
     }
 
     /** Takes clients from a socket that listens already, perhaps for other processes too. */
     InetSocketAddress listen(ServerSocketChannel inherited) throws InterruptedException {
         passedDown = true;
-        server = bootstrap().channelFactory(() -> new NioServerSocketChannel(inherited)).register().sync().channel();
+        server = bootstrap()
+                .channelFactory(() -> new NioServerSocketChannel(inherited))
+                .register()
+                .sync()
+                .channel();
         return listening();
     }
 
     private ServerBootstrap bootstrap() {
-        return new ServerBootstrap().group(loop, loop).childOption(ChannelOption.TCP_NODELAY, true)
+        return new ServerBootstrap()
+                .group(loop, loop)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .handler(new Accepted())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -169,7 +189,8 @@
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             Log.warn("accept: failed, tried again in " + ACCEPT_PAUSE_MS + " ms: " + cause.getMessage());
             context.channel().config().setAutoRead(false);
-            loop.schedule(() -> context.channel().config().setAutoRead(accepting), ACCEPT_PAUSE_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> context.channel().config().setAutoRead(accepting), ACCEPT_PAUSE_MS, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -186,8 +207,8 @@
     }
 
     private InetSocketAddress listening() {
-        loop.scheduleWithFixedDelay(() -> lag.tick(System.nanoTime()), ReadingLag.TICK_MS, ReadingLag.TICK_MS,
-                TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> lag.tick(System.nanoTime()), ReadingLag.TICK_MS, ReadingLag.TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) server.localAddress();
     }
@@ -227,7 +248,9 @@
         long since = System.nanoTime() - idle * 1_000_000;
         Stream.concat(unproven.stream(), usual.stream())
                 .filter(s -> s.resting() && s.lastUse - since <= 0)
-                .limit(most).toList().forEach(Session::leave);
+                .limit(most)
+                .toList()
+                .forEach(Session::leave);
     }
 
     /** To be called again and again while the process ends: lets go of connections as {@code parting} says. */
@@ -244,7 +267,9 @@
         retiring = true;
         if (parting.over(now)) {
             // What has come of a next request cannot be answered any more; its client sends it once more.
-            Stream.concat(unproven.stream(), usual.stream()).filter(s -> s.waiting.isEmpty()).toList()
+            Stream.concat(unproven.stream(), usual.stream())
+                    .filter(s -> s.waiting.isEmpty())
+                    .toList()
                     .forEach(Session::leave);
             parted = connections() == 0;
             if (parted) {
@@ -268,18 +293,24 @@
 
     /** Looks once more for who waits; where nobody has come by that, or after so many looks, the socket closes. */
     private void closeDoorBehind(long before, int looks) {
-        loop.schedule(() -> {
-            if (accepted == before || looks == 0) {
-                server.close();
-            } else {
-                closeDoorBehind(accepted, looks - 1);
-            }
-        }, 1, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    if (accepted == before || looks == 0) {
+                        server.close();
+                    } else {
+                        closeDoorBehind(accepted, looks - 1);
+                    }
+                },
+                1,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Closes the connections on which nobody waits; a client whose request crosses that sends it once more. */
     void closeIdle() {
-        Stream.concat(unproven.stream(), usual.stream()).filter(s -> s.waiting.isEmpty()).toList().forEach(Session::leave);
+        Stream.concat(unproven.stream(), usual.stream())
+                .filter(s -> s.waiting.isEmpty())
+                .toList()
+                .forEach(Session::leave);
     }
 
     private void sweep() {
@@ -304,11 +335,16 @@
      */
     private void makeRoom(Session latest) {
         boolean crowd = unproven.size() > mostConnections * NEWCOMERS;
-        List<Session> unanswered = Stream.concat(crowd ? unproven.stream() : usual.stream(),
-                        crowd ? usual.stream() : unproven.stream())
-                .filter(s -> s.waiting.isEmpty() && s != latest).toList();
-        unanswered.stream().filter(Session::resting).findFirst()
-                .or(() -> unanswered.stream().findFirst()).orElse(latest).leave();
+        List<Session> unanswered = Stream.concat(
+                        crowd ? unproven.stream() : usual.stream(), crowd ? usual.stream() : unproven.stream())
+                .filter(s -> s.waiting.isEmpty() && s != latest)
+                .toList();
+        unanswered.stream()
+                .filter(Session::resting)
+                .findFirst()
+                .or(() -> unanswered.stream().findFirst())
+                .orElse(latest)
+                .leave();
     }
 
     /** Connections that are served. */
@@ -355,6 +391,7 @@
 
         /** Since when what it reads next may have waited, 0 where only the loop's own lag counts. */
         private long unread;
+
         private long stopped;
 
         Session(Resp resp, long unread) {
@@ -515,10 +552,13 @@
             if (!paused) {
                 paused = true;
                 unreadFromNow();
-                loop.schedule(() -> {
-                    paused = false;
-                    channel.config().setAutoRead(true);
-                }, PAUSE_MS << Math.min(bad - 1, 4), TimeUnit.MILLISECONDS);
+                loop.schedule(
+                        () -> {
+                            paused = false;
+                            channel.config().setAutoRead(true);
+                        },
+                        PAUSE_MS << Math.min(bad - 1, 4),
+                        TimeUnit.MILLISECONDS);
             }
         }
 
@@ -585,8 +625,8 @@
         require(printable(idempotencyKey), "bad idempotency key");
         long timeLeft = Math.max(0, number(options.get("d"), "d", Integer.MAX_VALUE) - waited);
         int destination = (int) number(options.get("dest"), "dest", 0xffff);
-        return new Submission(key(text(values.get(1))), id, className, timeLeft, destination, idempotencyKey,
-                values.get(4));
+        return new Submission(
+                key(text(values.get(1))), id, className, timeLeft, destination, idempotencyKey, values.get(4));
     }
 
     private static String text(byte[] value) {
--- a/sender/src/main/java/amberroute/sender/Config.java
+++ b/sender/src/main/java/amberroute/sender/Config.java
@@ -1,5 +1,13 @@
 package amberroute.sender;
 
+import amberroute.Relay;
+import amberroute.config.Units;
+import amberroute.settings.BadInput;
+import amberroute.settings.Facts;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -10,24 +18,27 @@
 import java.util.Map;
 import java.util.zip.CRC32;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
-import amberroute.Relay;
-import amberroute.config.Units;
-import amberroute.settings.BadInput;
-import amberroute.settings.Facts;
-
 /**
  * All that a sender is told at its start. On the platform {@code standalone} is null; elsewhere {@code discovery} may be.
  * {@code ops} is the address for operators, null for none; {@code keys} what the file held, with the kind of each value,
  * empty for files that a schema checks.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets,
-        long memoryBytes, long diskBytes, JsonObject known, Relay.Settings settings, List<String> classes, List<String> zones,
-        List<String> kinds, List<String> reportNames, InetSocketAddress ops, Map<String, String> keys,
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        Path state,
+        int sockets,
+        long memoryBytes,
+        long diskBytes,
+        JsonObject known,
+        Relay.Settings settings,
+        List<String> classes,
+        List<String> zones,
+        List<String> kinds,
+        List<String> reportNames,
+        InetSocketAddress ops,
+        Map<String, String> keys,
         StandaloneConfig.Standalone standalone) {
 
     /**
@@ -48,8 +59,23 @@
      * those that its own process had, which is gone: the destinations get no more calls for it than before.
      */
     Config caretaker(String theirs, Path folder, StandaloneConfig.Standalone there) {
-        return new Config(theirs, null, discovery, folder, Math.max(2 * OWN_DESCRIPTORS, sockets / 4), memoryBytes / 4, diskBytes,
-                known, settings, classes, zones, kinds, reportNames, null, keys, there);
+        return new Config(
+                theirs,
+                null,
+                discovery,
+                folder,
+                Math.max(2 * OWN_DESCRIPTORS, sockets / 4),
+                memoryBytes / 4,
+                diskBytes,
+                known,
+                settings,
+                classes,
+                zones,
+                kinds,
+                reportNames,
+                null,
+                keys,
+                there);
     }
 
     /** Who is told of messages that end undelivered. */
@@ -162,8 +188,11 @@
             }
             out.putAll(common == null ? Map.of() : common);
         } else if (value.isJsonPrimitive()) {
-            out.put(path, value.getAsJsonPrimitive().isNumber() ? "number"
-                    : value.getAsJsonPrimitive().isBoolean() ? "flag" : "text");
+            out.put(
+                    path,
+                    value.getAsJsonPrimitive().isNumber()
+                            ? "number"
+                            : value.getAsJsonPrimitive().isBoolean() ? "flag" : "text");
         }
     }
 
@@ -182,28 +211,40 @@
             throw new BadInput("GW_STATE names no folder");
         }
         JsonElement known = json.get("known");
-        return new Config(environment.getOrDefault("GW_NAME", "sender"),
-                address(environment.containsKey("GW_LISTEN") ? environment.get("GW_LISTEN")
-                        : json.get("listen").getAsString()),
-                address(environment.containsKey("GW_DISCOVERY") ? environment.get("GW_DISCOVERY")
-                        : json.get("discovery").getAsString()),
-                Path.of(state), limits.get("sockets").getAsInt(),
+        return new Config(
+                environment.getOrDefault("GW_NAME", "sender"),
+                address(
+                        environment.containsKey("GW_LISTEN")
+                                ? environment.get("GW_LISTEN")
+                                : json.get("listen").getAsString()),
+                address(
+                        environment.containsKey("GW_DISCOVERY")
+                                ? environment.get("GW_DISCOVERY")
+                                : json.get("discovery").getAsString()),
+                Path.of(state),
+                limits.get("sockets").getAsInt(),
                 (long) ((limits.has("memory_mb") ? limits.get("memory_mb").getAsDouble() : 64) * 1_000_000),
                 (long) (limits.get("disk_mb").getAsDouble() * 1_000_000),
                 known != null && known.isJsonObject() ? known.getAsJsonObject() : new JsonObject(),
-                facts.settings(seed(json)), facts.classNames(), facts.list("zones"), facts.list("kinds"),
-                facts.list("reporting.names"), ops(json, environment), keys(json), null);
+                facts.settings(seed(json)),
+                facts.classNames(),
+                facts.list("zones"),
+                facts.list("kinds"),
+                facts.list("reporting.names"),
+                ops(json, environment),
+                keys(json),
+                null);
     }
 
     private static InetSocketAddress ops(JsonObject json, Map<String, String> environment) {
-        String text = environment.containsKey("GW_OPS") ? environment.get("GW_OPS")
+        String text = environment.containsKey("GW_OPS")
+                ? environment.get("GW_OPS")
                 : json.has("ops") ? json.get("ops").getAsString() : "";
         return text.isEmpty() ? null : address(text);
     }
 
     private static long seed(JsonObject json) {
-        return json.has("seed") ? Long.parseUnsignedLong(json.get("seed").getAsString(), 16)
-                : System.nanoTime();
+        return json.has("seed") ? Long.parseUnsignedLong(json.get("seed").getAsString(), 16) : System.nanoTime();
     }
 
     /** Nested settings to the paths of the simulator's wire, values spelled as there. */
--- a/sender/src/main/java/amberroute/sender/Control.java
+++ b/sender/src/main/java/amberroute/sender/Control.java
@@ -1,18 +1,7 @@
 package amberroute.sender;
 
-import java.io.IOException;
-import java.net.UnixDomainSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.attribute.PosixFilePermissions;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -24,6 +13,15 @@
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * The daemon's control socket, for its supervisor and its operators: one JSON object a line, each answered by one. It
@@ -38,6 +36,7 @@
     static final int MOST_CONNECTIONS = 16;
     /** A stop may name all those that are absent: 4,096 names of 60 characters. */
     static final int LONGEST_LINE = 1 << 18;
+
     private static final int IDLE_MINUTES = 10;
 
     private final EventLoop loop;
@@ -63,7 +62,9 @@
         }
         Files.deleteIfExists(at);
         try {
-            server = new ServerBootstrap().group(loop, loop).channel(NioServerDomainSocketChannel.class)
+            server = new ServerBootstrap()
+                    .group(loop, loop)
+                    .channel(NioServerDomainSocketChannel.class)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
@@ -72,10 +73,16 @@
                                 channel.close();
                                 return;
                             }
-                            channel.pipeline().addLast(new ReadTimeoutHandler(IDLE_MINUTES, TimeUnit.MINUTES),
-                                    new LineBasedFrameDecoder(LONGEST_LINE, true, true), new Session());
+                            channel.pipeline()
+                                    .addLast(
+                                            new ReadTimeoutHandler(IDLE_MINUTES, TimeUnit.MINUTES),
+                                            new LineBasedFrameDecoder(LONGEST_LINE, true, true),
+                                            new Session());
                         }
-                    }).bind(UnixDomainSocketAddress.of(at)).sync().channel();
+                    })
+                    .bind(UnixDomainSocketAddress.of(at))
+                    .sync()
+                    .channel();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting", e);
@@ -110,7 +117,8 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
             JsonObject request;
             try {
-                request = JsonParser.parseString(line.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+                request = JsonParser.parseString(line.toString(StandardCharsets.UTF_8))
+                        .getAsJsonObject();
             } catch (RuntimeException e) {
                 write(context, answer(false, "no JSON object"));
                 context.close();
--- a/sender/src/main/java/amberroute/sender/Copying.java
+++ b/sender/src/main/java/amberroute/sender/Copying.java
@@ -1,20 +1,11 @@
 package amberroute.sender;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
-
+import amberroute.storage.Batch;
+import amberroute.survival.Group;
+import amberroute.survival.Position;
+import amberroute.survival.Tenure;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -27,11 +18,17 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.util.concurrent.ScheduledFuture;
-
-import amberroute.storage.Batch;
-import amberroute.survival.Group;
-import amberroute.survival.Position;
-import amberroute.survival.Tenure;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * The owner's side of one estate: takes each change of its journal on to the holders of its group, and lets an effect
@@ -44,6 +41,7 @@
 final class Copying implements Journal.Copies {
     /** Encoded bytes in one line, so that with a last batch, of a lot at most, it stays within what a peer reads. */
     private static final int LINE_BYTES = 64 << 10;
+
     private static final long MOST_PENDING = 8 << 20;
     /** Every wake-up costs an idle daemon more than what it does then; a beat may be late by so much. */
     private static final long STEP_MS = 50;
@@ -54,9 +52,11 @@
      * message waits up to three times for its copies, so this is small beside what a call takes.
      */
     private static final long SPACING_NANOS = 2_000_000;
+
     private static final int CONNECT_MS = 500;
     /** The pause before a holder is connected to again, or gets the whole again: at least, the first span, and the longest. */
     private static final long PAUSE_LEAST_MS = 25;
+
     private static final long PAUSE_MS = 100;
     private static final long PAUSE_MOST_MS = 3_000;
     /** Whoever owes an answer for longer is not the one to wait for; as long as a change may wait for company. */
@@ -69,10 +69,10 @@
     private static final long PATIENCE_NANOS = 200_000_000;
 
     /** What may happen once a majority has all up to a number. */
-    private record Waiting(long number, Runnable effect, Runnable failed, long since) { }
+    private record Waiting(long number, Runnable effect, Runnable failed, long since) {}
 
     /** A line with the changes behind one number up to another, and the group in this version, -1 for none. */
-    private record Encoded(long behind, long upTo, long version, byte[] bytes) { }
+    private record Encoded(long behind, long upTo, long version, byte[] bytes) {}
 
     /** Told when somebody else has a later term. */
     interface Over {
@@ -89,9 +89,11 @@
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     /** What each holder has said that it has, in this term: it is told so, should its folder be an older one by then. */
     private final Map<String, Long> had = new LinkedHashMap<>();
+
     private final ScheduledFuture<?> steps;
     /** Null until the term is won. */
     private Tenure tenure;
+
     private long reached = -1;
     private boolean flushDue;
     private long flushedAt = System.nanoTime() - SPACING_NANOS;
@@ -100,9 +102,16 @@
     private boolean closed;
     /** The line of changes that was encoded last: holders that are equally far get the same. */
     private Encoded encoded = new Encoded(-1, -1, -1, new byte[0]);
+
     private long late;
 
-    Copying(EventLoop loop, String self, String estate, Journal journal, Map<String, InetSocketAddress> peers, Over onOver) {
+    Copying(
+            EventLoop loop,
+            String self,
+            String estate,
+            Journal journal,
+            Map<String, InetSocketAddress> peers,
+            Over onOver) {
         this.loop = loop;
         this.self = self;
         this.estate = estate;
@@ -133,13 +142,15 @@
         next.holders().forEach(this::link);
         // What a new one has said so far was said by one that learns.
         links.forEach((name, link) -> link.fresh &= before.contains(name));
-        List.copyOf(links.keySet()).stream().filter(name -> !next.holders().contains(name)).forEach(name -> {
-            Link link = links.remove(name);
-            had.remove(name);
-            // It need not keep what will never be whole again.
-            link.say(EstateLine.of("LEAVE", self, estate, tenure.term()));
-            link.close();
-        });
+        List.copyOf(links.keySet()).stream()
+                .filter(name -> !next.holders().contains(name))
+                .forEach(name -> {
+                    Link link = links.remove(name);
+                    had.remove(name);
+                    // It need not keep what will never be whole again.
+                    link.say(EstateLine.of("LEAVE", self, estate, tenure.term()));
+                    link.close();
+                });
         release();
         return true;
     }
@@ -183,8 +194,13 @@
             return false;
         }
         long now = System.nanoTime();
-        return tenure.group().majority(tenure.group().holders().stream().filter(h -> h.equals(self) || tenure.behind(h) >= 0
-                && links.containsKey(h) && now - links.get(h).heardAt < DEAF_NANOS).toList());
+        return tenure.group()
+                .majority(tenure.group().holders().stream()
+                        .filter(h -> h.equals(self)
+                                || tenure.behind(h) >= 0
+                                        && links.containsKey(h)
+                                        && now - links.get(h).heardAt < DEAF_NANOS)
+                        .toList());
     }
 
     /** Effects that were not allowed in time, since the start. */
@@ -226,7 +242,8 @@
 
     @Override
     public byte[] place() {
-        return tenure == null || tenure.over() ? null
+        return tenure == null || tenure.over()
+                ? null
                 : EstateLine.place(new Position(tenure.term(), tenure.last() + 1));
     }
 
@@ -277,7 +294,10 @@
         long now = System.nanoTime();
         flushedAt = now;
         int wanted = tenure == null ? 0 : tenure.group().holders().size() / 2;
-        List<Link> prompt = links.values().stream().filter(link -> link.prompt(now)).limit(wanted).toList();
+        List<Link> prompt = links.values().stream()
+                .filter(link -> link.prompt(now))
+                .limit(wanted)
+                .toList();
         (prompt.size() < wanted ? List.copyOf(links.values()) : prompt).forEach(Link::pump);
     }
 
@@ -317,7 +337,7 @@
         long now = System.nanoTime();
         long next = Long.MAX_VALUE;
         List<Runnable> failed = new ArrayList<>();
-        for (Iterator<Waiting> each = waiting.iterator(); each.hasNext();) {
+        for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
             Waiting w = each.next();
             if (now - w.since() < PATIENCE_NANOS) {
                 next = w.since() + PATIENCE_NANOS - now;
@@ -341,18 +361,22 @@
         private final String holder;
         /** Of its connections and of the wholes that it asks for: short again once it has said that it has all. */
         private final Pauses pauses;
+
         private final Deque<String> pending = new ArrayDeque<>();
         private long pendingBytes;
         /** What is left of the whole, null once the holder has been sent all of it. */
         private Iterator<Supplier<Batch>> whole;
+
         private boolean first;
         private long sent;
         /** The version of the group that it has from this connection, which each whole begins with. */
         private long told;
+
         private long spokeAt;
         private long heardAt;
         /** Since when an answer is owed, 0 where none is. */
         private long owedSince;
+
         private boolean taught;
         private boolean lacking;
         private boolean fresh;
@@ -364,14 +388,19 @@
         }
 
         void connect() {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel fresh) {
                             fresh.pipeline().addLast(new LineBasedFrameDecoder(1 << 12, true, true), Link.this);
                         }
-                    }).connect(peers.get(holder)).addListener((io.netty.channel.ChannelFuture done) -> {
+                    })
+                    .connect(peers.get(holder))
+                    .addListener((io.netty.channel.ChannelFuture done) -> {
                         if (closed || links.get(holder) != this) {
                             done.channel().close();
                         } else if (done.isSuccess()) {
@@ -406,12 +435,15 @@
             pending.clear();
             pendingBytes = 0;
             whole = null;
-            loop.schedule(() -> {
-                lacking = false;
-                if (!closed && links.get(holder) == this && channel.isActive()) {
-                    again();
-                }
-            }, pauses.next(), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        lacking = false;
+                        if (!closed && links.get(holder) == this && channel.isActive()) {
+                            again();
+                        }
+                    },
+                    pauses.next(),
+                    TimeUnit.MILLISECONDS);
         }
 
         /** The holder gets the whole, from the beginning. */
@@ -446,7 +478,8 @@
                 // What was written before a content of the whole is read goes ahead of it.
                 List<String> some = new ArrayList<>();
                 long bytes = 0;
-                while (!pending.isEmpty() && (some.isEmpty() || bytes + pending.peek().length() <= LINE_BYTES)) {
+                while (!pending.isEmpty()
+                        && (some.isEmpty() || bytes + pending.peek().length() <= LINE_BYTES)) {
                     String next = pending.poll();
                     bytes += next.length();
                     pendingBytes -= next.length();
@@ -514,20 +547,29 @@
 
         /** Whether it counts, has all that was sent but for the last moment, and so will answer soon. */
         boolean prompt(long now) {
-            return whole == null && !lacking && !fresh && tenure.behind(holder) >= 0
+            return whole == null
+                    && !lacking
+                    && !fresh
+                    && tenure.behind(holder) >= 0
                     && (owedSince == 0 || now - owedSince < PROMPT_NANOS);
         }
 
         /** That the estate has its owner is said again from time to time, as is what the holder has. */
         void beat(long now) {
-            if (channel != null && channel.isActive() && !lacking && whole == null && pending.isEmpty() && now - spokeAt > BEAT_NANOS) {
+            if (channel != null
+                    && channel.isActive()
+                    && !lacking
+                    && whole == null
+                    && pending.isEmpty()
+                    && now - spokeAt > BEAT_NANOS) {
                 copy(sent, List.of());
             }
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
-            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8))
+                    .getAsJsonObject();
             if (links.get(holder) != this || line.get("term").getAsLong() < tenure.term()) {
                 return;
             }
--- a/sender/src/main/java/amberroute/sender/Decimals.java
+++ b/sender/src/main/java/amberroute/sender/Decimals.java
@@ -4,10 +4,10 @@
 
 /** Reads numbers as people write them: no sign ahead, no names such as NaN, and none of Java's other spellings. */
 final class Decimals {
-    private static final Pattern PLAIN = Pattern.compile("([0-9]{1,18}(\\.[0-9]{0,18})?|\\.[0-9]{1,18})([eE][+-]?[0-9]{1,2})?");
+    private static final Pattern PLAIN =
+            Pattern.compile("([0-9]{1,18}(\\.[0-9]{0,18})?|\\.[0-9]{1,18})([eE][+-]?[0-9]{1,2})?");
 
-    private Decimals() {
-    }
+    private Decimals() {}
 
     /** The value, or -1 where the text is no such number. */
     static double parse(String text) {
--- a/sender/src/main/java/amberroute/sender/Directory.java
+++ b/sender/src/main/java/amberroute/sender/Directory.java
@@ -1,22 +1,12 @@
 package amberroute.sender;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongPredicate;
-
+import amberroute.Relay;
+import amberroute.Relay.ListKind;
+import amberroute.Relay.Listed;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -37,10 +27,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-
-import amberroute.Relay;
-import amberroute.Relay.ListKind;
-import amberroute.Relay.Listed;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 
 /** Watches the list of receivers and gives each uid the number that the module knows it by. */
 final class Directory {
@@ -48,16 +45,19 @@
     static final long TOLD_MS = 6_000;
     /** An empty line comes every 2 s: a watch without a whole line for longer, from its opening on, is taken to be dead. */
     static final long SILENCE_MS = 3_000;
+
     static final long LOOK_MS = 100;
     static final long CONNECT_MS = 1_000;
     /** The least pause behind a watch that has ended, and by how much it is longer at most. */
     static final long PAUSE_LEAST_MS = 100;
+
     static final long PAUSE_MOST_MS = 1_000;
     /** For the answer itself, and for a loop that is late. */
     static final long ANSWER_MS = 500;
 
     static {
-        // In the worst phase a watch was opened just before discovery could be reached, and never hears a word; the next one does.
+        // In the worst phase a watch was opened just before discovery could be reached, and never hears a word; the
+        // next one does.
         if (SILENCE_MS + LOOK_MS + PAUSE_LEAST_MS + PAUSE_MOST_MS + CONNECT_MS + ANSWER_MS > TOLD_MS) {
             throw new AssertionError("a change can come later than it counts as told");
         }
@@ -65,9 +65,11 @@
 
     /** Below the time that the drain rule leaves between the news that a receiver drains and the last call to it. */
     private static final long WORD_NANOS = 200_000_000;
+
     private static final int LONGEST_LINE = 1 << 20;
     /** Of those that have left so many are known at least, else as many as are listed. */
     private static final int MOST_GONE = 1_024;
+
     private static final int LONGEST_UID = 128;
 
     /** News for the module. */
@@ -99,9 +101,16 @@
 
         /** With the numbers that a fresh configuration has for the names of its kind and zone. */
         Target under(Config former, Config fresh) {
-            return new Target(number, new Parsed(parsed.uid(), parsed.state(), parsed.destination(),
-                    index(fresh.kinds(), name(former.kinds(), parsed.kind())),
-                    index(fresh.zones(), name(former.zones(), parsed.zone())), parsed.weight(), parsed.address()));
+            return new Target(
+                    number,
+                    new Parsed(
+                            parsed.uid(),
+                            parsed.state(),
+                            parsed.destination(),
+                            index(fresh.kinds(), name(former.kinds(), parsed.kind())),
+                            index(fresh.zones(), name(former.zones(), parsed.zone())),
+                            parsed.weight(),
+                            parsed.address()));
         }
     }
 
@@ -113,17 +122,20 @@
     private final Map<Long, Target> gone = new LinkedHashMap<>();
     /** Every destination that was ever listed; there are no more than its numbers. */
     private final Set<Integer> destinations = new HashSet<>();
+
     private boolean current;
     private long nextNumber = 1;
     private long version;
     private InetSocketAddress address;
     /** The watch in use or being opened, null while a pause lasts. */
     private Watch watch;
+
     private Future<?> pause;
     private final Pauses pauses;
     private boolean stopped;
     /** Monotonic nanoseconds of the start, and of the first request for the list since, 0 before. */
     private long startedAt = System.nanoTime();
+
     private long askedAt;
     /** Whether the first request has brought anything, if only its end. */
     private boolean heard;
@@ -133,7 +145,8 @@
         this.config = config;
         this.listener = listener;
         address = config.discovery();
-        pauses = new Pauses(PAUSE_LEAST_MS, 200, PAUSE_MOST_MS, config.settings().seed());
+        pauses =
+                new Pauses(PAUSE_LEAST_MS, 200, PAUSE_MOST_MS, config.settings().seed());
     }
 
     /** Kinds and zones are what this configuration says from now on, also of what is listed already. */
@@ -196,7 +209,9 @@
      * away; what it has not said within {@link #WORD_NANOS} is not waited for, nor a connection that does not come up.
      */
     boolean settled(long now) {
-        return address == null || heard || askedAt != 0 && now - askedAt > WORD_NANOS
+        return address == null
+                || heard
+                || askedAt != 0 && now - askedAt > WORD_NANOS
                 || now - startedAt > CONNECT_MS * 1_000_000;
     }
 
@@ -209,7 +224,8 @@
     JsonObject write(LongPredicate called) {
         JsonArray items = new JsonArray();
         targets.values().forEach(target -> items.add(write(target, false)));
-        gone.values().stream().filter(target -> called.test(target.number()))
+        gone.values().stream()
+                .filter(target -> called.test(target.number()))
                 .forEach(target -> items.add(write(target, true)));
         JsonObject list = new JsonObject();
         list.addProperty("rev", version);
@@ -222,7 +238,10 @@
         Parsed parsed = target.parsed();
         JsonObject item = new JsonObject();
         item.addProperty("uid", parsed.uid());
-        item.addProperty("endpoint", parsed.address().getAddress().getHostAddress() + ":" + parsed.address().getPort());
+        item.addProperty(
+                "endpoint",
+                parsed.address().getAddress().getHostAddress() + ":"
+                        + parsed.address().getPort());
         item.addProperty("az", name(config.zones(), parsed.zone()));
         item.addProperty("model", name(config.kinds(), parsed.kind()));
         item.addProperty("pod_group", parsed.destination());
@@ -285,14 +304,14 @@
         }
         List<Relay.Kind> kinds = config.settings().kinds();
         boolean apart = target.kind() < kinds.size() && kinds.get(target.kind()).routesApart();
-        return new Receivers.Route(number, target.address(), 
-                apart ? "route " + number : target.destination());
+        return new Receivers.Route(number, target.address(), apart ? "route " + number : target.destination());
     }
 
     int messagesPerCall(long number) {
         Target target = targets.getOrDefault(number, gone.get(number));
         List<Relay.Kind> kinds = config.settings().kinds();
-        return target == null || target.kind() >= kinds.size() ? 1
+        return target == null || target.kind() >= kinds.size()
+                ? 1
                 : Math.max(1, kinds.get(target.kind()).messagesPerCall());
     }
 
@@ -358,8 +377,8 @@
     }
 
     /** An entry as the list has it, before anybody knows its number. */
-    record Parsed(String uid, Listed state, int destination, int kind, int zone, double weight,
-            InetSocketAddress address) { }
+    record Parsed(
+            String uid, Listed state, int destination, int kind, int zone, double weight, InetSocketAddress address) {}
 
     /** Takes a whole list from elsewhere than the watch. */
     void replace(JsonObject list) {
@@ -369,12 +388,13 @@
     /** Reads one entry; whatever is wrong with it ends in a RuntimeException. */
     static Parsed parse(JsonObject item, Config config) {
         String uid = item.get("uid").getAsString();
-        Listed state = switch (item.get("state").getAsString()) {
-            case "Ready" -> Listed.READY;
-            case "Terminating" -> Listed.DRAINING;
-            case "Gone" -> Listed.GONE;
-            default -> throw new IllegalArgumentException("unknown state of " + uid);
-        };
+        Listed state =
+                switch (item.get("state").getAsString()) {
+                    case "Ready" -> Listed.READY;
+                    case "Terminating" -> Listed.DRAINING;
+                    case "Gone" -> Listed.GONE;
+                    default -> throw new IllegalArgumentException("unknown state of " + uid);
+                };
         int destination = item.get("pod_group").getAsInt();
         int kind = item.has("model") ? index(config.kinds(), item.get("model").getAsString()) : 0;
         int zone = item.has("az") ? index(config.zones(), item.get("az").getAsString()) : 0;
@@ -437,7 +457,9 @@
     private void open() {
         Watch opened = new Watch();
         watch = opened;
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -446,7 +468,8 @@
                         fresh.pipeline().addLast(new HttpClientCodec(), opened);
                     }
                 })
-                .connect(address).addListener(done -> {
+                .connect(address)
+                .addListener(done -> {
                     if (!done.isSuccess()) {
                         ended(opened);
                     }
@@ -463,10 +486,13 @@
         if (stopped) {
             return;
         }
-        pause = loop.schedule(() -> {
-            pause = null;
-            open();
-        }, pauses.next(), TimeUnit.MILLISECONDS);
+        pause = loop.schedule(
+                () -> {
+                    pause = null;
+                    open();
+                },
+                pauses.next(),
+                TimeUnit.MILLISECONDS);
     }
 
     /** A cut network says nothing: the connection stays open, and only the missing lines tell. Part of a line is none. */
@@ -484,6 +510,7 @@
         private Channel channel;
         /** When it last brought an empty line or a whole object that could be read; neither bytes nor lines of half of one count. */
         private long lastLine = System.nanoTime();
+
         private boolean good;
 
         void close() {
@@ -498,8 +525,8 @@
                 context.close();
                 return;
             }
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/api/targets?follow=1&since=" + version);
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/targets?follow=1&since=" + version);
             request.headers().set(HttpHeaderNames.HOST, to.getAddress().getHostAddress());
             askedAt = askedAt == 0 ? System.nanoTime() : askedAt;
             context.writeAndFlush(request);
@@ -530,7 +557,8 @@
         private void readLines() {
             int length = pending.bytesBefore((byte) '\n');
             while (length >= 0) {
-                String line = pending.readCharSequence(length, StandardCharsets.UTF_8).toString();
+                String line =
+                        pending.readCharSequence(length, StandardCharsets.UTF_8).toString();
                 pending.skipBytes(1);
                 heard = true;
                 if (list.cutBy(line)) {
--- a/sender/src/main/java/amberroute/sender/DrainPlan.java
+++ b/sender/src/main/java/amberroute/sender/DrainPlan.java
@@ -13,7 +13,11 @@
  */
 final class DrainPlan {
     /** What the next process may count on: all that is left, what no peer takes, or nothing, as there is none. */
-    enum Mode { RESTART, MOVE, FINAL }
+    enum Mode {
+        RESTART,
+        MOVE,
+        FINAL
+    }
 
     /** What to do now. */
     enum Step {
@@ -32,7 +36,7 @@
     }
 
     /** What there is to do, as counted by the caller; {@code clients} are their connections, with those that still close. */
-    record Load(int held, int callsOut, int noticesOut, int clients) { }
+    record Load(int held, int callsOut, int noticesOut, int clients) {}
 
     /** Of a final stop's time, what delivering may take; the rest is for calls to end and for notices. */
     static final double CUT_SHARE = 0.7;
@@ -40,9 +44,11 @@
     static final long CUT_MOST = 3_000;
     /** Clients of one that leaves for good come to others so many milliseconds apart, and within this time. */
     static final long SPREAD = 5;
+
     static final long SPREAD_LONGEST = 1_000;
     /** The last answers and closes pass on the sockets before the process ends; those who are slow to read them have longer. */
     static final long LINGER = 60;
+
     static final long LINGER_LONGEST = OrderlyClose.LINGER_MS;
 
     private final Mode mode;
@@ -77,7 +83,8 @@
      * {@link #SPREAD} for each of so many connections so that they are not rushed, by a random {@code place} from 0 to 1.
      */
     long advice(long now, int connections, double place) {
-        return mode != Mode.FINAL ? left(now) + backAfter
+        return mode != Mode.FINAL
+                ? left(now) + backAfter
                 : (long) (place * Math.min(SPREAD_LONGEST, SPREAD * connections));
     }
 
@@ -109,7 +116,8 @@
 
     /** In words, for the log and whoever asked for the stop. */
     static String summary(Mode mode, Collection<Held> left, int notices) {
-        return left.isEmpty() && notices == 0 ? "nothing is owed"
+        return left.isEmpty() && notices == 0
+                ? "nothing is owed"
                 : left.size() + " messages and " + notices + " notices are left in the journal"
                         + (mode == Mode.FINAL ? ", which nobody may come back for" : " for the next start");
     }
--- a/sender/src/main/java/amberroute/sender/EndpointFile.java
+++ b/sender/src/main/java/amberroute/sender/EndpointFile.java
@@ -1,5 +1,7 @@
 package amberroute.sender;
 
+import amberroute.config.ConfigException;
+import com.google.gson.JsonObject;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -8,10 +10,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
-import com.google.gson.JsonObject;
-
-import amberroute.config.ConfigException;
-
 /**
  * Follows a list of endpoints in a file, on a thread of its own, as reading may be slow. A file counts as new when its
  * inode, size or time of change differs, so whoever writes it should write aside and rename. One that cannot be used
@@ -20,7 +18,7 @@
 final class EndpointFile implements Closeable {
     private static final long LOOK_MS = 250;
 
-    private record Stamp(Object file, long size, long time) { }
+    private record Stamp(Object file, long size, long time) {}
 
     private final Path path;
     private final Config config;
--- a/sender/src/main/java/amberroute/sender/Estate.java
+++ b/sender/src/main/java/amberroute/sender/Estate.java
@@ -1,16 +1,14 @@
 package amberroute.sender;
 
+import amberroute.Relay;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongFunction;
 import java.util.function.ToLongFunction;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
-import amberroute.Relay;
-
 /**
  * What a process passes on, beside its journal, to the one that takes its place: the list of receivers, the calls it
  * still has out, and what was learned. Receivers go by their uids, as each process numbers them itself; {@code at} is the
@@ -18,7 +16,7 @@
  */
 record Estate(long at, JsonObject list, List<Out> out, List<Relay.Learned> learned, List<Relay.Rest> rests) {
     /** A call that is out, with the numbers of its messages; {@code sentAgo} in microseconds at {@link #at}. */
-    record Out(List<Long> numbers, String uid, long sentAgo) { }
+    record Out(List<Long> numbers, String uid, long sentAgo) {}
 
     JsonObject write(LongFunction<String> uids) {
         JsonObject json = new JsonObject();
@@ -37,7 +35,8 @@
         json.add("out", calls);
         JsonArray places = new JsonArray();
         for (Relay.Learned l : learned) {
-            places.add(write(l, l.memory().endpoint() == 0 ? "" : uids.apply(l.memory().endpoint())));
+            places.add(write(
+                    l, l.memory().endpoint() == 0 ? "" : uids.apply(l.memory().endpoint())));
         }
         json.add("learned", places);
         JsonArray keys = new JsonArray();
@@ -59,14 +58,19 @@
             JsonObject call = item.getAsJsonObject();
             List<Long> messages = new ArrayList<>();
             call.getAsJsonArray("numbers").forEach(n -> messages.add(n.getAsLong()));
-            out.add(new Out(messages, call.get("uid").getAsString(), call.get("sent_ago").getAsLong()));
+            out.add(new Out(
+                    messages,
+                    call.get("uid").getAsString(),
+                    call.get("sent_ago").getAsLong()));
         }
         List<Relay.Learned> learned = new ArrayList<>();
         json.getAsJsonArray("learned").forEach(item -> learned.add(learned(item.getAsJsonObject(), numbers)));
         List<Relay.Rest> rests = new ArrayList<>();
         for (JsonElement item : json.getAsJsonArray("rests")) {
             JsonArray rest = item.getAsJsonArray();
-            rests.add(new Relay.Rest(Long.parseUnsignedLong(rest.get(0).getAsString(), 16), rest.get(1).getAsLong(),
+            rests.add(new Relay.Rest(
+                    Long.parseUnsignedLong(rest.get(0).getAsString(), 16),
+                    rest.get(1).getAsLong(),
                     rest.get(2).getAsLong()));
         }
         return new Estate(json.get("at").getAsLong(), json.getAsJsonObject("list"), out, learned, rests);
@@ -100,13 +104,25 @@
     private static Relay.Learned learned(JsonObject j, ToLongFunction<String> numbers) {
         String uid = j.get("uid").getAsString();
         double pace = j.get("pace").getAsDouble();
-        return new Relay.Learned(new Relay.Memory(j.get("destination").getAsInt(),
-                uid.isEmpty() ? 0 : numbers.applyAsLong(uid), Relay.Health.valueOf(j.get("health").getAsString()),
-                j.get("since").getAsLong(), j.get("former_pace").getAsDouble(), j.get("usual").getAsDouble()),
-                j.get("wait_left").getAsLong(), j.get("backoff_left").getAsLong(),
-                pace < 0 ? Double.POSITIVE_INFINITY : pace, j.get("refused_ago").getAsLong(), j.get("ok_ago").getAsLong(),
-                j.get("present").getAsDouble(), j.get("p").getAsDouble(), j.get("odds").getAsDouble(),
-                j.get("sent").getAsDouble(), j.get("served").getAsDouble(), j.get("weight").getAsDouble(),
+        return new Relay.Learned(
+                new Relay.Memory(
+                        j.get("destination").getAsInt(),
+                        uid.isEmpty() ? 0 : numbers.applyAsLong(uid),
+                        Relay.Health.valueOf(j.get("health").getAsString()),
+                        j.get("since").getAsLong(),
+                        j.get("former_pace").getAsDouble(),
+                        j.get("usual").getAsDouble()),
+                j.get("wait_left").getAsLong(),
+                j.get("backoff_left").getAsLong(),
+                pace < 0 ? Double.POSITIVE_INFINITY : pace,
+                j.get("refused_ago").getAsLong(),
+                j.get("ok_ago").getAsLong(),
+                j.get("present").getAsDouble(),
+                j.get("p").getAsDouble(),
+                j.get("odds").getAsDouble(),
+                j.get("sent").getAsDouble(),
+                j.get("served").getAsDouble(),
+                j.get("weight").getAsDouble(),
                 j.get("harm").getAsDouble());
     }
 }
--- a/sender/src/main/java/amberroute/sender/EstateLine.java
+++ b/sender/src/main/java/amberroute/sender/EstateLine.java
@@ -1,5 +1,11 @@
 package amberroute.sender;
 
+import amberroute.storage.Batch;
+import amberroute.survival.Group;
+import amberroute.survival.Position;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -7,21 +13,12 @@
 import java.util.Base64;
 import java.util.List;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-
-import amberroute.storage.Batch;
-import amberroute.survival.Group;
-import amberroute.survival.Position;
-
 /**
  * Words about estates between daemons, beside those of {@link PeerLine}: copies, claims and their answers. And the two
  * contents that stand in an estate's own record: its place, and the group of its holders.
  */
 final class EstateLine {
-    private EstateLine() {
-    }
+    private EstateLine() {}
 
     static JsonObject of(String word, String from, String estate, long term) {
         JsonObject line = new JsonObject();
--- a/sender/src/main/java/amberroute/sender/EstateStore.java
+++ b/sender/src/main/java/amberroute/sender/EstateStore.java
@@ -1,5 +1,13 @@
 package amberroute.sender;
 
+import amberroute.storage.Batch;
+import amberroute.storage.FolderDisk;
+import amberroute.storage.SegmentLog;
+import amberroute.survival.Group;
+import amberroute.survival.Holding;
+import amberroute.survival.Position;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -12,16 +20,6 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
-import amberroute.storage.Batch;
-import amberroute.storage.FolderDisk;
-import amberroute.storage.SegmentLog;
-import amberroute.survival.Group;
-import amberroute.survival.Holding;
-import amberroute.survival.Position;
-
 /**
  * What this daemon holds of estates, its own and others': for each a file with the term that it has granted, and, for
  * others, the copy, which is a journal's folder like any. A new whole is built beside the copy and takes its place once it is all there.
@@ -47,13 +45,16 @@
         boolean done;
         /** Name of the copy's folder in this one's, empty where there is no whole copy. */
         String copy = "";
+
         SegmentLog log;
         /** A whole that is not all there, and by which term. */
         Path staging;
+
         SegmentLog stagingLog;
         long stagingTerm;
         /** The connection that the copy, and the whole that is under way, came on: others' lines may be older than they. */
         Object copyFrom;
+
         Object stagingFrom;
         /** Monotonic nanoseconds at which its owner last spoke of it. */
         long heardAt = System.nanoTime();
@@ -107,13 +108,18 @@
             return;
         }
         try {
-            JsonObject json = JsonParser.parseString(Files.readString(each.resolve(FILE))).getAsJsonObject();
+            JsonObject json =
+                    JsonParser.parseString(Files.readString(each.resolve(FILE))).getAsJsonObject();
             kept.copy = json.get("copy").getAsString();
             kept.done = json.get("done").getAsBoolean();
-            kept.holding = new Holding(json.get("term").getAsLong(), json.get("owner").getAsString(), Position.NONE,
+            kept.holding = new Holding(
+                    json.get("term").getAsLong(),
+                    json.get("owner").getAsString(),
+                    Position.NONE,
                     json.get("fresh").getAsInt());
         } catch (IOException | RuntimeException e) {
-            Log.warn("survival: " + each.resolve(FILE) + " cannot be read, nothing is held of " + kept.estate + ": " + e);
+            Log.warn("survival: " + each.resolve(FILE) + " cannot be read, nothing is held of " + kept.estate + ": "
+                    + e);
             return;
         }
         if (kept.done) {
@@ -145,7 +151,8 @@
             kept.group = EstateLine.group(found[1]);
             kept.holding = kept.holding.reaching(EstateLine.place(found[0]));
         } catch (IOException | RuntimeException e) {
-            Log.warn("survival: the copy of " + kept.estate + " counts for nothing until it is made anew: " + e.getMessage());
+            Log.warn("survival: the copy of " + kept.estate + " counts for nothing until it is made anew: "
+                    + e.getMessage());
             dropCopy(kept);
         }
     }
@@ -215,7 +222,8 @@
 
     /** Has the term on disk; false where it cannot be written, and nothing has changed. */
     boolean promise(Kept kept, Holding next) {
-        boolean same = next.term() == kept.holding.term() && next.owner().equals(kept.holding.owner())
+        boolean same = next.term() == kept.holding.term()
+                && next.owner().equals(kept.holding.owner())
                 && next.fresh() == kept.holding.fresh();
         if (same || write(kept, next, kept.copy)) {
             kept.holding = next;
@@ -235,7 +243,11 @@
             Files.createDirectories(kept.folder);
             Path aside = kept.folder.resolve(FILE + ".new");
             Files.writeString(aside, json.toString());
-            Files.move(aside, kept.folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            Files.move(
+                    aside,
+                    kept.folder.resolve(FILE),
+                    StandardCopyOption.ATOMIC_MOVE,
+                    StandardCopyOption.REPLACE_EXISTING);
             return true;
         } catch (IOException e) {
             Log.warn("survival: cannot write what is held of " + kept.estate + ": " + e);
@@ -353,8 +365,9 @@
         }
         List<Path> old = new ArrayList<>();
         try (Stream<Path> folders = Files.list(kept.folder)) {
-            folders.filter(Files::isDirectory).filter(f -> !f.getFileName().toString().equals(kept.copy)
-                    && !f.equals(kept.staging)).forEach(old::add);
+            folders.filter(Files::isDirectory)
+                    .filter(f -> !f.getFileName().toString().equals(kept.copy) && !f.equals(kept.staging))
+                    .forEach(old::add);
             for (Path each : old) {
                 delete(each);
             }
--- a/sender/src/main/java/amberroute/sender/Fence.java
+++ b/sender/src/main/java/amberroute/sender/Fence.java
@@ -1,5 +1,7 @@
 package amberroute.sender;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.File;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -9,9 +11,6 @@
 import java.nio.file.StandardCopyOption;
 import java.util.UUID;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
 /**
  * The mark in a state folder that says who has taken over what is in it. It is raised once, whole and for one taker, and
  * never lowered: from then on no process may have an effect out of this folder. Raising goes by a hard link, which the
@@ -33,8 +32,11 @@
         }
         try {
             JsonObject json = JsonParser.parseString(Files.readString(file)).getAsJsonObject();
-            return new Fence(json.get("by").getAsString(), Path.of(json.get("into").getAsString()),
-                    json.get("lots").getAsString(), json.get("done").getAsBoolean());
+            return new Fence(
+                    json.get("by").getAsString(),
+                    Path.of(json.get("into").getAsString()),
+                    json.get("lots").getAsString(),
+                    json.get("done").getAsBoolean());
         } catch (RuntimeException e) {
             throw new IOException("the fence in " + folder + " cannot be read: " + e.getMessage());
         }
@@ -56,11 +58,12 @@
         } catch (FileAlreadyExistsException e) {
             Fence first = read(folder);
             int steps = 0;
-            for (Fence at = first; at != null && !at.into().equals(own);) {
+            for (Fence at = first; at != null && !at.into().equals(own); ) {
                 at = read(at.into());
                 // Two that took each other over lead in a circle.
                 if (at == null || !at.done() || ++steps > MOST_TAKERS) {
-                    throw new IOException("folder " + folder + " was taken over by " + first.by() + " into " + first.into());
+                    throw new IOException(
+                            "folder " + folder + " was taken over by " + first.by() + " into " + first.into());
                 }
             }
             return first;
--- a/sender/src/main/java/amberroute/sender/Figures.java
+++ b/sender/src/main/java/amberroute/sender/Figures.java
@@ -14,13 +14,18 @@
     static final long EVERY_MS = 100;
     /** Names of classes that are told apart; what comes under more is counted as {@value #OTHER}. */
     static final int MOST_NAMES = 1_024;
+
     static final String OTHER = "other";
 
     /** How a message ended. */
-    enum End { OK, SHED, ERRORS }
+    enum End {
+        OK,
+        SHED,
+        ERRORS
+    }
 
     /** What is counted of the moment and not of the past. */
-    record Now(int active, int poolSize, int poolEjected) { }
+    record Now(int active, int poolSize, int poolEjected) {}
 
     /** All figures of one moment. */
     record Snapshot(Map<String, List<Long>> ends, long tries, Now now, long applied, long rejected) {
@@ -30,9 +35,13 @@
             StringBuilder out = new StringBuilder("# TYPE svc_responses_total counter\n");
             ends.forEach((name, counts) -> {
                 for (End end : End.values()) {
-                    out.append("svc_responses_total{kind=\"").append(escaped(name)).append("\",result=\"")
-                            .append(end.name().toLowerCase(java.util.Locale.ROOT)).append("\"} ")
-                            .append(counts.get(end.ordinal())).append('\n');
+                    out.append("svc_responses_total{kind=\"")
+                            .append(escaped(name))
+                            .append("\",result=\"")
+                            .append(end.name().toLowerCase(java.util.Locale.ROOT))
+                            .append("\"} ")
+                            .append(counts.get(end.ordinal()))
+                            .append('\n');
                 }
             });
             line(out, "tries_total", "counter", tries);
@@ -45,8 +54,16 @@
         }
 
         private static void line(StringBuilder out, String name, String type, long value) {
-            out.append("# TYPE svc_").append(name).append(' ').append(type).append('\n')
-                    .append("svc_").append(name).append(' ').append(value).append('\n');
+            out.append("# TYPE svc_")
+                    .append(name)
+                    .append(' ')
+                    .append(type)
+                    .append('\n')
+                    .append("svc_")
+                    .append(name)
+                    .append(' ')
+                    .append(value)
+                    .append('\n');
         }
 
         private static String escaped(String name) {
--- a/sender/src/main/java/amberroute/sender/FleetLoad.java
+++ b/sender/src/main/java/amberroute/sender/FleetLoad.java
@@ -1,5 +1,15 @@
 package amberroute.sender;
 
+import amberroute.Relay;
+import amberroute.overload.Digest;
+import amberroute.overload.Overload;
+import amberroute.overload.Price;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -9,19 +19,6 @@
 import java.util.function.IntToDoubleFunction;
 import java.util.function.LongSupplier;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonObject;
-
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.EventLoop;
-import io.netty.channel.socket.DatagramPacket;
-
-import amberroute.Relay;
-import amberroute.overload.Digest;
-import amberroute.overload.Overload;
-import amberroute.overload.Price;
-
 /**
  * Carries what daemons tell one another of their load over UDP, on the socket that heartbeats and probes use, and passes on the
  * prices that follow. What they mean is decided in {@code overload}. A digest is taken from a configured peer's address only;
@@ -37,19 +34,34 @@
     private final Overload overload;
     /** Whether calls are held to this daemon's part. */
     private final boolean parts;
+
     private Channel channel;
 
     /** {@code clock} is monotonic, in microseconds; {@code incarnation} is larger than that of each process before this one; {@code waiting} tells what is held for a destination. */
-    FleetLoad(EventLoop loop, String name, Map<String, InetSocketAddress> peers, int daemons, boolean parts, LongSupplier clock, long incarnation,
-            IntToDoubleFunction waiting, Consumer<Relay.Event> events) {
+    FleetLoad(
+            EventLoop loop,
+            String name,
+            Map<String, InetSocketAddress> peers,
+            int daemons,
+            boolean parts,
+            LongSupplier clock,
+            long incarnation,
+            IntToDoubleFunction waiting,
+            Consumer<Relay.Event> events) {
         this.parts = parts;
         this.loop = loop;
         this.peers = Map.copyOf(peers);
         this.clock = clock;
         this.waiting = waiting;
         this.events = events;
-        overload = new Overload(clock.getAsLong(), name, List.copyOf(peers.keySet()), Math.max(daemons, peers.size() + 1),
-                parts, incarnation * 1_000, random);
+        overload = new Overload(
+                clock.getAsLong(),
+                name,
+                List.copyOf(peers.keySet()),
+                Math.max(daemons, peers.size() + 1),
+                parts,
+                incarnation * 1_000,
+                random);
     }
 
     /** Begins to tell, and to compute prices. */
@@ -76,7 +88,8 @@
     private void send(Overload.Out out) {
         // A digest may ask for something before the socket is shared; it asks again.
         if (channel != null && channel.isActive()) {
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(out.digest().write()), peers.get(out.to())));
+            channel.writeAndFlush(
+                    new DatagramPacket(Unpooled.wrappedBuffer(out.digest().write()), peers.get(out.to())));
         }
     }
 
--- a/sender/src/main/java/amberroute/sender/FolderReclaim.java
+++ b/sender/src/main/java/amberroute/sender/FolderReclaim.java
@@ -1,10 +1,9 @@
 package amberroute.sender;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoop;
-
 /**
  * Gets the state folder back after the process that it was given to has gone: whoever gave it away still has the clients and
  * the calls. The kernel frees a dying process's file locks before its connections, so the lock is free as soon as the line's end
@@ -91,7 +90,8 @@
 
     private void abandon() {
         if (!abandoned) {
-            Log.warn("reclaim: another process owns the folder, or it cannot be opened; calls that are out are given up");
+            Log.warn(
+                    "reclaim: another process owns the folder, or it cannot be opened; calls that are out are given up");
             abandoned = true;
             loop.submit(host::abandon).syncUninterruptibly();
         }
--- a/sender/src/main/java/amberroute/sender/HandOver.java
+++ b/sender/src/main/java/amberroute/sender/HandOver.java
@@ -1,5 +1,25 @@
 package amberroute.sender;
 
+import amberroute.handover.Effect;
+import amberroute.handover.KeyHolds;
+import amberroute.handover.Naming;
+import amberroute.handover.Ownership;
+import amberroute.handover.Placement;
+import amberroute.handover.Word;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -17,30 +37,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
-
-import amberroute.handover.Effect;
-import amberroute.handover.KeyHolds;
-import amberroute.handover.Naming;
-import amberroute.handover.Ownership;
-import amberroute.handover.Placement;
-import amberroute.handover.Word;
-
 /**
  * Carries the words of the hand-over protocol between daemons and its records to the journal; what they mean is decided
  * by {@link Ownership}, who is offered what by {@link Placement}, and which clients may go elsewhere by {@link Naming}.
@@ -52,21 +48,24 @@
     static final int LONGEST_LINE = 1 << 18;
     /** Peers that are served at a time, and names of which something is kept: so many, and for each configured peer some more. */
     private static final int LEAST_PEERS = 128;
+
     private static final int EACH_PEER = 4;
     private static final int MOST_OUT = 16;
     private static final int MOST_GROUPS = 4_096;
     private static final long ASK_MS = 250;
     /** On a connection that lives an answer is only late: what is asked again there is asked seldom. */
     private static final long ASK_SAME_MS = 2_000;
+
     private static final long DONE_MS = 100;
     private static final int CONNECT_MS = 500;
     /** How long clients of ordered keys wait for all peers to hold them; then they are told to wait themselves. */
     private static final long NAMING_MS = 400;
+
     private static final int MOST_PENDING = 256;
     /** Milliseconds by which the ends of holds are set apart, so that two moves of one key do not have the same. */
     private static final long UNLIKE = 499;
     /** A word that could not leave in time is asked for again. */
-    private static final Runnable IGNORED = () -> { };
+    private static final Runnable IGNORED = () -> {};
 
     /** Understands further words. */
     interface Estates {
@@ -125,6 +124,7 @@
         boolean back;
         /** The end of this daemon's own hold on the keys of the lot, 0 where an earlier process offered it. */
         long until;
+
         Channel sentOn;
         long sentAt;
 
@@ -143,6 +143,7 @@
     private final Journal journal;
     /** Milliseconds, as deadlines and holds are told. */
     private final LongSupplier clock;
+
     private final Placement placement;
     private final Map<String, Link> links = new HashMap<>();
     private final Map<String, Offer> offers = new LinkedHashMap<>();
@@ -159,10 +160,12 @@
     private final Map<Long, Long> heldUntil = new HashMap<>();
     /** Keys of which a message has come while another has them; their origin is told once. */
     private final Set<Long> wanted = new HashSet<>();
+
     private final Set<String> absent = new HashSet<>();
     private final List<ScheduledFuture<?>> repeating = new ArrayList<>();
     /** Takes lines about estates; null where nothing is copied. */
     private Estates estates;
+
     private Naming naming;
     private Channel server;
     private final int mostPeers;
@@ -173,7 +176,13 @@
     private long lots;
 
     /** {@code clock} tells milliseconds as the journal's times have them. */
-    HandOver(EventLoop loop, String name, Map<String, InetSocketAddress> peers, Host host, Journal journal, LongSupplier clock) {
+    HandOver(
+            EventLoop loop,
+            String name,
+            Map<String, InetSocketAddress> peers,
+            Host host,
+            Journal journal,
+            LongSupplier clock) {
         this.loop = loop;
         this.name = name;
         this.peers = new LinkedHashMap<>(peers);
@@ -188,7 +197,9 @@
 
     /** Listens for peers; returns the address bound. */
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        server = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+        server = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -200,7 +211,10 @@
                         }
                         channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE, true, true), new Heir());
                     }
-                }).bind(address).sync().channel();
+                })
+                .bind(address)
+                .sync()
+                .channel();
         return (InetSocketAddress) server.localAddress();
     }
 
@@ -212,7 +226,10 @@
         journal.lots().forEach((lot, kept) -> {
             List<Held> messages = journal.messages(kept.numbers());
             if (kept.ownership().status() == Ownership.Status.OFFERED && !messages.isEmpty()) {
-                Offer offer = new Offer(lot, kept.ownership(), messages,
+                Offer offer = new Offer(
+                        lot,
+                        kept.ownership(),
+                        messages,
                         new Placement.Lot(kept.ownership().peer(), List.of(group(messages, clock.getAsLong()))));
                 offer.back = true;
                 offers.put(lot, offer);
@@ -264,7 +281,11 @@
     }
 
     private List<Long> orderedKeys(List<Held> messages) {
-        return messages.stream().filter(host::inOrder).map(m -> m.key).distinct().toList();
+        return messages.stream()
+                .filter(host::inOrder)
+                .map(m -> m.key)
+                .distinct()
+                .toList();
     }
 
     private static long until(List<Held> messages) {
@@ -374,7 +395,9 @@
         }
         if (naming != null) {
             List<Long> done = naming.keys().stream()
-                    .filter(key -> !alive.contains(key) && !journal.holds().origins(key).contains(name)).toList();
+                    .filter(key -> !alive.contains(key)
+                            && !journal.holds().origins(key).contains(name))
+                    .toList();
             if (!done.isEmpty()) {
                 naming.done(done);
                 tellReleased(name, done);
@@ -385,7 +408,8 @@
             if (aliveAdopted.contains(key)) {
                 return false;
             }
-            adopted.get(key).forEach(origin -> ended.computeIfAbsent(origin, o -> new ArrayList<>()).add(key));
+            adopted.get(key).forEach(origin -> ended.computeIfAbsent(origin, o -> new ArrayList<>())
+                    .add(key));
             return true;
         });
         ended.forEach((origin, keys) -> {
@@ -403,8 +427,10 @@
 
     /** A daemon that gave keys away and was restarted meanwhile has not heard of what came of them: it asks. */
     private void askWhetherOver() {
-        List<KeyHolds.Hold> given = journal.holds().all().stream().filter(hold -> hold.origin().equals(name))
-                .limit(Naming.BATCH).toList();
+        List<KeyHolds.Hold> given = journal.holds().all().stream()
+                .filter(hold -> hold.origin().equals(name))
+                .limit(Naming.BATCH)
+                .toList();
         if (!given.isEmpty()) {
             JsonObject line = PeerLine.whether(name, given);
             peers.keySet().forEach(peer -> link(peer).say(line));
@@ -413,7 +439,8 @@
 
     private void tellReleased(String origin, List<Long> keys) {
         for (int from = 0; from < keys.size(); from += Naming.BATCH) {
-            JsonObject line = PeerLine.release(name, origin, keys.subList(from, Math.min(keys.size(), from + Naming.BATCH)));
+            JsonObject line =
+                    PeerLine.release(name, origin, keys.subList(from, Math.min(keys.size(), from + Naming.BATCH)));
             peers.keySet().forEach(peer -> link(peer).say(line));
             spoke.forEach((peer, channel) -> {
                 if (!peers.containsKey(peer) && channel.isWritable()) {
@@ -450,7 +477,8 @@
         for (Effect effect : effects) {
             if (effect instanceof Effect.Write write) {
                 boolean written = write.ownership().status() == Ownership.Status.OFFERED
-                        ? host.offer(offer.lot, write.ownership(), offer.messages, orderedKeys(offer.messages), offer.until)
+                        ? host.offer(
+                                offer.lot, write.ownership(), offer.messages, orderedKeys(offer.messages), offer.until)
                         : host.record(offer.lot, write.ownership(), offer.messages);
                 if (!written) {
                     return;
@@ -474,11 +502,13 @@
                     offer.sentOn = link.channel;
                     offer.sentAt = millis();
                     // One that cannot leave yet, or any more, is asked again.
-                    journal.whenSafe(() -> {
-                        if (link.ready()) {
-                            link.send(send.word(), offer);
-                        }
-                    }, () -> offer.sentAt = 0);
+                    journal.whenSafe(
+                            () -> {
+                                if (link.ready()) {
+                                    link.send(send.word(), offer);
+                                }
+                            },
+                            () -> offer.sentAt = 0);
                 }
             }
         }
@@ -544,14 +574,19 @@
                 failed();
                 return;
             }
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel fresh) {
                             fresh.pipeline().addLast(new LineBasedFrameDecoder(1 << 16, true, true), Link.this);
                         }
-                    }).connect(address).addListener((io.netty.channel.ChannelFuture done) -> {
+                    })
+                    .connect(address)
+                    .addListener((io.netty.channel.ChannelFuture done) -> {
                         if (done.isSuccess()) {
                             channel = done.channel();
                             while (!pending.isEmpty()) {
@@ -612,7 +647,8 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
-            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8))
+                    .getAsJsonObject();
             switch (line.get("word").getAsString()) {
                 case "HELD" -> {
                     if (naming != null) {
@@ -624,8 +660,12 @@
                 default -> {
                     Word word = PeerLine.word(line);
                     if (!word.forHeir()) {
-                        answered(peer, word, line.has("why") ? Placement.No.valueOf(line.get("why").getAsString())
-                                : Placement.No.ROOM);
+                        answered(
+                                peer,
+                                word,
+                                line.has("why")
+                                        ? Placement.No.valueOf(line.get("why").getAsString())
+                                        : Placement.No.ROOM);
                     }
                 }
             }
@@ -638,7 +678,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            Log.warn("hand-over: closed the connection to " + peer + ": " + cause.getClass().getSimpleName());
+            Log.warn("hand-over: closed the connection to " + peer + ": "
+                    + cause.getClass().getSimpleName());
             context.close();
         }
     }
@@ -652,7 +693,8 @@
     private final class Heir extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
-            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+            JsonObject line = JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8))
+                    .getAsJsonObject();
             String from = PeerLine.plain(line.get("from").getAsString());
             if (spoke.size() < mostPeers || spoke.containsKey(from)) {
                 spoke.put(from, context.channel());
@@ -675,8 +717,10 @@
                 case "WANT" -> placement.turnedUp(PeerLine.key(line.get("key").getAsString()), from);
                 case "OVER" -> {
                     List<Long> known = PeerLine.holds(line, from).stream()
-                            .filter(hold -> over.getOrDefault(from, Map.of()).getOrDefault(hold.key(), -1L) == hold.until())
-                            .map(KeyHolds.Hold::key).toList();
+                            .filter(hold ->
+                                    over.getOrDefault(from, Map.of()).getOrDefault(hold.key(), -1L) == hold.until())
+                            .map(KeyHolds.Hold::key)
+                            .toList();
                     if (!known.isEmpty()) {
                         context.writeAndFlush(PeerLine.bytes(PeerLine.release(name, from, known)));
                     }
@@ -695,20 +739,29 @@
             if (!word.forHeir()) {
                 throw new IllegalArgumentException("no word for an heir");
             }
-            List<Held> messages = word.kind() == Word.Kind.OFFER ? PeerLine.messages(line, host::nextNumber) : List.of();
-            Ownership known = journal.lots().containsKey(word.lot()) ? journal.lots().get(word.lot()).ownership()
+            List<Held> messages =
+                    word.kind() == Word.Kind.OFFER ? PeerLine.messages(line, host::nextNumber) : List.of();
+            Ownership known = journal.lots().containsKey(word.lot())
+                    ? journal.lots().get(word.lot()).ownership()
                     : Ownership.NONE;
-            Placement.No refusal = messages.isEmpty() ? Placement.No.UNFIT
+            Placement.No refusal = messages.isEmpty()
+                    ? Placement.No.UNFIT
                     : host.refuses(messages, line.has("classes") ? line.getAsJsonObject("classes") : new JsonObject());
-            if (!decide(context, line, known.offered(word.lot(), from, word, refusal == null), messages, from, refusal)) {
+            if (!decide(
+                    context, line, known.offered(word.lot(), from, word, refusal == null), messages, from, refusal)) {
                 // The disk has no room for the messages; where it has some for a no, their owner hears it at once.
                 decide(context, line, known.offered(word.lot(), from, word, false), messages, from, Placement.No.ROOM);
             }
         }
 
         /** False where the decision could not be written: then it is still open, and the leaver asks again. */
-        private boolean decide(ChannelHandlerContext context, JsonObject line, List<Effect> effects, List<Held> messages,
-                String from, Placement.No refusal) {
+        private boolean decide(
+                ChannelHandlerContext context,
+                JsonObject line,
+                List<Effect> effects,
+                List<Held> messages,
+                String from,
+                Placement.No refusal) {
             for (Effect effect : effects) {
                 if (effect instanceof Effect.Send send) {
                     JsonObject answer = PeerLine.of(send.word(), null);
@@ -718,7 +771,8 @@
                     journal.whenSafe(() -> context.writeAndFlush(PeerLine.bytes(answer)), IGNORED);
                 } else if (effect instanceof Effect.Write write) {
                     boolean mine = write.ownership().mine();
-                    boolean written = mine ? host.adopt(write.lot(), write.ownership(), messages, from)
+                    boolean written = mine
+                            ? host.adopt(write.lot(), write.ownership(), messages, from)
                             : host.record(write.lot(), write.ownership(), List.of());
                     if (!written) {
                         return false;
@@ -746,7 +800,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            Log.warn("hand-over: closed a peer's connection: " + cause.getClass().getSimpleName());
+            Log.warn(
+                    "hand-over: closed a peer's connection: " + cause.getClass().getSimpleName());
             context.close();
         }
     }
--- a/sender/src/main/java/amberroute/sender/HeapReserve.java
+++ b/sender/src/main/java/amberroute/sender/HeapReserve.java
@@ -14,8 +14,7 @@
     /** Left out, so that the block surely fits: a JVM may be told to exit where one does not. */
     private static final long MARGIN_BYTES = 1L << 16;
 
-    private HeapReserve() {
-    }
+    private HeapReserve() {}
 
     /** Takes some tens of milliseconds, one collection among them. Not on the event loop. */
     static void commit() {
--- a/sender/src/main/java/amberroute/sender/Held.java
+++ b/sender/src/main/java/amberroute/sender/Held.java
@@ -1,33 +1,38 @@
 package amberroute.sender;
 
+import com.google.gson.JsonObject;
 import java.util.Arrays;
 import java.util.Objects;
 
-import com.google.gson.JsonObject;
-
 /** A message that this sender has taken on, and what must survive a restart to end it. */
 final class Held {
     private static final byte[] EMPTY = new byte[0];
 
     /** Number in the module and in the journal; grows in the order of acceptance. */
     final long number;
+
     final String id;
     /** Idempotency key, empty where the class has none. */
     final String idempotencyKey;
+
     final String className;
     /** Key of the order, 0 for none. */
     final long key;
+
     final int destination;
     /** Wall time in milliseconds, as it must mean the same after a restart. */
     final long deadline;
     /** Tells messages apart that came under one id; the body itself goes with the end. */
     final int content;
+
     byte[] body;
     /** Number of the version of its class in the {@link ClassBook}, -1 where only the name is known. */
     int type = -1;
+
     int attempts;
     /** Wall time at which the first attempt that may have run was sent, 0 where none may have, and where. */
     long doubtSince;
+
     String doubtAt = "";
     /** Whether an attempt is out; in a message read from the journal, whether one was at the end. */
     boolean out;
@@ -35,6 +40,7 @@
     boolean frozen;
     /** Came from another daemon, whose peers may hold its key until it is over. */
     boolean adopted;
+
     long sentAt;
     String sentTo = "";
     /** The notice that ends it, until it is answered; null while the message goes on. */
@@ -42,15 +48,38 @@
     /** Place in the order of acceptance; its number, unless it went behind others. */
     long rank;
 
-    Held(long number, String id, String idempotencyKey, String className, long key, int destination,
-            long deadline, byte[] body) {
-        this(number, id, idempotencyKey, className, key, destination, deadline, body,
+    Held(
+            long number,
+            String id,
+            String idempotencyKey,
+            String className,
+            long key,
+            int destination,
+            long deadline,
+            byte[] body) {
+        this(
+                number,
+                id,
+                idempotencyKey,
+                className,
+                key,
+                destination,
+                deadline,
+                body,
                 content(className, key, destination, idempotencyKey, body));
     }
 
     /** One whose body is gone: {@code content} is of what it was. */
-    Held(long number, String id, String idempotencyKey, String className, long key, int destination,
-            long deadline, byte[] body, int content) {
+    Held(
+            long number,
+            String id,
+            String idempotencyKey,
+            String className,
+            long key,
+            int destination,
+            long deadline,
+            byte[] body,
+            int content) {
         this.number = number;
         rank = number;
         this.id = id;
@@ -76,7 +105,7 @@
     }
 
     /** What attempts change, to be put back where one could not be recorded. */
-    record Attempts(int attempts, boolean out, long sentAt, String sentTo) { }
+    record Attempts(int attempts, boolean out, long sentAt, String sentTo) {}
 
     Attempts attempts() {
         return new Attempts(attempts, out, sentAt, sentTo);
--- a/sender/src/main/java/amberroute/sender/Journal.java
+++ b/sender/src/main/java/amberroute/sender/Journal.java
@@ -1,5 +1,12 @@
 package amberroute.sender;
 
+import amberroute.Relay;
+import amberroute.handover.KeyHolds;
+import amberroute.handover.Ownership;
+import amberroute.storage.Batch;
+import amberroute.storage.Disk;
+import amberroute.storage.FolderDisk;
+import amberroute.storage.SegmentLog;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
@@ -30,14 +37,6 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-import amberroute.Relay;
-import amberroute.handover.KeyHolds;
-import amberroute.handover.Ownership;
-import amberroute.storage.Batch;
-import amberroute.storage.Disk;
-import amberroute.storage.FolderDisk;
-import amberroute.storage.SegmentLog;
-
 /**
  * What this sender owes, in a folder that outlasts its process: each change is written before the effect that it tells of.
  * What the kernel has outlasts the process; what is to outlast a loss of power is forced, as {@link Durability} has it.
@@ -58,6 +57,7 @@
     private static final int RANK = 7;
     /** How far the estate's record has come, and who holds copies of it; for whoever keeps copies. */
     static final int PLACE = 8;
+
     static final int GROUP = 9;
     // Forms of a message.
     private static final int WHOLE = 0;
@@ -73,12 +73,14 @@
     private static final int LATER = 480;
     /** The share of the budget that ids of ended messages may take, and the most of them in bytes. */
     private static final int REMEMBERED_SHARE = 32;
+
     private static final long MOST_REMEMBERED = 4 << 20;
     /**
      * What is remembered of destinations that are out or cold may take so much of the budget, the longest unchanged forgotten
      * first: 1,950 of them with 3 MB. One that is forgotten is taken for well by the next process, which its trials mend.
      */
     private static final int MEMORIES_SHARE = 16;
+
     private static final int LEAST_MEMORIES = 128;
     private static final int MEMORY_BYTES = 96;
     /** Lots of which something is known; with more, none is offered or taken. */
@@ -89,6 +91,7 @@
     private static final int HOLD_BYTES = 112;
     /** Part of the budget that holds on keys may take, and another that lots may, so that messages keep their room. */
     private static final int HOLDS_SHARE = 8;
+
     private static final int LOTS_SHARE = 8;
     /** Changes that could not be written are tried again so many at a time. */
     private static final int RETRIED = 64;
@@ -96,6 +99,7 @@
     private static final long SLICE = 16 * 1_024;
     /** When to come again where the disk is in the way. */
     private static final long AGAIN_MS = 1_000;
+
     private static final int PEEKS = 5;
     private static final int MOST_FORCES = 5;
 
@@ -110,10 +114,10 @@
      * What is known of a lot that moved or was to move: whose it is, until when that has to be kept (wall time), and the
      * numbers of its messages here.
      */
-    record Lot(Ownership ownership, long until, List<Long> numbers) { }
+    record Lot(Ownership ownership, long until, List<Long> numbers) {}
 
     /** What an owner has to have on the disk and has not yet; what then may follow. */
-    private record Owed(Batch batch, Runnable then) { }
+    private record Owed(Batch batch, Runnable then) {}
 
     /** Lets slow work run beside the event loop. */
     interface Helper {
@@ -137,7 +141,7 @@
     }
 
     /** What may happen once all up to a record is on the disk for good; {@code failed} is null where it just waits on. */
-    private record Waiting(long sequence, Runnable effect, Runnable failed) { }
+    private record Waiting(long sequence, Runnable effect, Runnable failed) {}
 
     private final Path folder;
     private final SegmentLog log;
@@ -148,9 +152,11 @@
     private boolean forceDue;
     /** Of the force that is under way: that it has run, and what has to follow on the loop. */
     private CountDownLatch ended;
+
     private Runnable completion;
     /** Live contents may have so many bytes. */
     private final long room;
+
     private final Map<Long, Held> live = new LinkedHashMap<>();
     private final Map<String, Integer> liveIds = new HashMap<>();
     private final RememberedIds remembered;
@@ -159,24 +165,29 @@
     private final Map<String, Lot> lots = new LinkedHashMap<>();
     /** Versions of classes that were taken on in, by number: at most {@link ClassBook#MOST}. */
     private final Map<Integer, ClassBook.Version> classes = new LinkedHashMap<>();
+
     private final KeyHolds holds = new KeyHolds();
     /** Owners' numbers of lots, holds, memories and classes, by what they are of. */
     private final Map<String, Long> numbers = new HashMap<>();
     /** By owner; at most one for each live message and place. */
     private final Map<Long, Owed> owed = new LinkedHashMap<>();
+
     private final LongSupplier clock = System::nanoTime;
     /** Looked for behind each record, null where nobody may take the folder over. */
     private File fence;
     /** Null where nobody keeps copies. */
     private Copies copies;
+
     private byte[] place;
     private byte[] holders;
-    private Runnable onFenced = () -> { };
+    private Runnable onFenced = () -> {};
     /** When old lots were last looked for, by the clock that their times are told by. */
     private long told;
+
     private long reserved;
     /** Bytes of an earlier version's file that could not be read, where that is what was looked at. */
     private long oldUnread;
+
     private String trouble = "";
     private boolean doubtful;
 
@@ -206,7 +217,8 @@
     /** {@code helper} forces off the event loop, for {@link Durability#BATCH}. */
     static Journal open(Path folder, Disk disk, long budget, Durability durability, Helper helper) throws IOException {
         if (budget - 4_096 < SegmentLog.Limits.LEAST) {
-            throw new IOException("the journal needs " + (SegmentLog.Limits.LEAST + 4_096) + " bytes of disk, and has " + budget);
+            throw new IOException(
+                    "the journal needs " + (SegmentLog.Limits.LEAST + 4_096) + " bytes of disk, and has " + budget);
         }
         SegmentLog.Limits limits = SegmentLog.Limits.of(budget - 4_096, durability != Durability.NONE);
         OldJournal old = folder == null ? null : OldJournal.read(folder);
@@ -247,7 +259,7 @@
         if (old == null) {
             throw new NoSuchFileException(folder.resolve(OldJournal.NAME).toString());
         }
-        for (int attempt = 1;; attempt++) {
+        for (int attempt = 1; ; attempt++) {
             try {
                 Journal journal = new Journal(folder, SegmentLog.peek(new FolderDisk(folder)), Durability.NONE, null);
                 if (old.moved) {
@@ -280,17 +292,26 @@
             Log.warn("journal: passed over " + log.tornBytes() + " bytes of torn ends");
         }
         for (SegmentLog.Loss loss : log.losses()) {
-            Log.warn("journal: DAMAGED: " + (loss.damage().to() == 0 ? "segment " + loss.segment() + " is missing"
-                    : "segment " + loss.segment() + " from byte " + loss.damage().from() + " to " + loss.damage().to()
-                            + " cannot be read") + "; what it held is lost, all else was read");
+            Log.warn("journal: DAMAGED: "
+                    + (loss.damage().to() == 0
+                            ? "segment " + loss.segment() + " is missing"
+                            : "segment " + loss.segment() + " from byte "
+                                    + loss.damage().from() + " to "
+                                    + loss.damage().to() + " cannot be read")
+                    + "; what it held is lost, all else was read");
         }
     }
 
     /** What could not be read: damage first, then torn ends; empty where everything could. */
     List<String> unread() {
         List<String> out = new ArrayList<>();
-        log.losses().forEach(loss -> out.add(loss.damage().to() == 0 ? "segment " + loss.segment() + " is missing"
-                : "segment " + loss.segment() + ": bytes " + loss.damage().from() + " to " + loss.damage().to()));
+        log.losses()
+                .forEach(loss -> out.add(
+                        loss.damage().to() == 0
+                                ? "segment " + loss.segment() + " is missing"
+                                : "segment " + loss.segment() + ": bytes "
+                                        + loss.damage().from() + " to "
+                                        + loss.damage().to()));
         if (log.tornBytes() > 0) {
             out.add(log.tornBytes() + " bytes of torn ends");
         }
@@ -407,20 +428,22 @@
             }
         };
         Runnable complete = completion;
-        helper.beside(() -> {
-            try {
-                mine.run();
-            } catch (IOException e) {
-                error[0] = e;
-            } finally {
-                ran.countDown();
-            }
-        }, () -> {
-            complete.run();
-            if (!waiting.isEmpty() && !log.unsafe()) {
-                force();
-            }
-        });
+        helper.beside(
+                () -> {
+                    try {
+                        mine.run();
+                    } catch (IOException e) {
+                        error[0] = e;
+                    } finally {
+                        ran.countDown();
+                    }
+                },
+                () -> {
+                    complete.run();
+                    if (!waiting.isEmpty() && !log.unsafe()) {
+                        force();
+                    }
+                });
     }
 
     private void forced(SegmentLog.Force force, IOException error) {
@@ -429,7 +452,8 @@
             runSafe();
             return;
         }
-        failed(new IOException("forcing failed, what was written since the last one is written anew: " + error.getMessage()));
+        failed(new IOException(
+                "forcing failed, what was written since the last one is written anew: " + error.getMessage()));
         List<Waiting> all = List.copyOf(waiting);
         waiting.clear();
         for (Waiting one : all) {
@@ -693,7 +717,7 @@
         return live.containsKey(m.number) && owed.containsKey(m.number);
     }
 
-    private static final Runnable NOTHING = () -> { };
+    private static final Runnable NOTHING = () -> {};
 
     void outcome(Held m, boolean mayHaveRun) {
         m.outcome(mayHaveRun);
@@ -756,8 +780,11 @@
     }
 
     private static long reserve(Held m) {
-        return 5 * ITEM + m.body.length + 3L * (m.id.length() + m.idempotencyKey.length() + m.className.length())
-                + (m.notice == null ? 0 : m.notice.length()) + LATER;
+        return 5 * ITEM
+                + m.body.length
+                + 3L * (m.id.length() + m.idempotencyKey.length() + m.className.length())
+                + (m.notice == null ? 0 : m.notice.length())
+                + LATER;
     }
 
     // ---- Classes and places. ----
@@ -840,7 +867,10 @@
 
     /** Those of these messages that are still owed here, in the order given. */
     List<Held> messages(List<Long> numbers) {
-        return numbers.stream().map(live::get).filter(m -> m != null && m.notice == null).toList();
+        return numbers.stream()
+                .map(live::get)
+                .filter(m -> m != null && m.notice == null)
+                .toList();
     }
 
     /** Writes whose a lot is. One that is given drops its messages, as they are another's now. */
@@ -854,8 +884,12 @@
             return false;
         }
         Batch batch = new Batch().and(more).put(numberOf("lot " + name), LOT, lotContent(name, lot));
-        List<Held> given = ownership.status() != Ownership.Status.GIVEN ? List.of()
-                : lot.numbers().stream().filter(live::containsKey).map(live::get).toList();
+        List<Held> given = ownership.status() != Ownership.Status.GIVEN
+                ? List.of()
+                : lot.numbers().stream()
+                        .filter(live::containsKey)
+                        .map(live::get)
+                        .toList();
         given.forEach(m -> batch.putSole(m.number, MESSAGE, gone(m)));
         if (!write(batch)) {
             return false;
@@ -880,7 +914,13 @@
      * Writes that a lot is offered, and in the same batch that what comes of its keys after a restart has to wait; false
      * without room for either.
      */
-    boolean offer(String name, Ownership ownership, long until, List<Held> messages, String origin, List<Long> keys,
+    boolean offer(
+            String name,
+            Ownership ownership,
+            long until,
+            List<Held> messages,
+            String origin,
+            List<Long> keys,
             long holdUntil) {
         if (!keys.isEmpty() && !roomForHolds(keys.size())) {
             return false;
@@ -895,7 +935,8 @@
     }
 
     /** Writes that a lot is this daemon's own again, and its keys with it; null where that could not be written. */
-    List<Long> takeBack(String name, Ownership ownership, long until, List<Held> messages, String origin, List<Long> keys) {
+    List<Long> takeBack(
+            String name, Ownership ownership, long until, List<Held> messages, String origin, List<Long> keys) {
         Batch batch = new Batch();
         keys.forEach(key -> letGo(batch, origin, key));
         return lot(name, ownership, until, messages, batch) ? dropHolds(origin, keys) : null;
@@ -908,7 +949,10 @@
     boolean adopt(String name, Ownership ownership, long until, List<Held> messages, String origin, List<Held> behind) {
         long more = messages.stream().mapToLong(Journal::reserve).sum();
         Lot lot = new Lot(ownership, until, messages.stream().map(m -> m.number).toList());
-        List<Long> keys = messages.stream().map(m -> m.key).filter(key -> holds.origins(key).contains(origin)).distinct()
+        List<Long> keys = messages.stream()
+                .map(m -> m.key)
+                .filter(key -> holds.origins(key).contains(origin))
+                .distinct()
                 .toList();
         if (!roomForLot(name) || !fits(more) || !owed.isEmpty()) {
             return false;
@@ -960,8 +1004,11 @@
     /** What nobody can ask for any more: a late offer of messages whose time is up is refused for that. */
     void dropOldLots(long now) {
         told = now;
-        List<String> old = lots.entrySet().stream().filter(lot -> lot.getValue().until() < now
-                && lot.getValue().ownership().status() != Ownership.Status.OFFERED).map(Map.Entry::getKey).toList();
+        List<String> old = lots.entrySet().stream()
+                .filter(lot -> lot.getValue().until() < now
+                        && lot.getValue().ownership().status() != Ownership.Status.OFFERED)
+                .map(Map.Entry::getKey)
+                .toList();
         Batch batch = new Batch();
         old.forEach(name -> batch.end(numberOf("lot " + name)));
         if (write(batch)) {
@@ -1031,7 +1078,8 @@
     }
 
     private boolean roomForHolds(int more) {
-        return holds.fits(more) && (holds.size() + more) * (long) HOLD_BYTES <= log.limits().budget() / HOLDS_SHARE
+        return holds.fits(more)
+                && (holds.size() + more) * (long) HOLD_BYTES <= log.limits().budget() / HOLDS_SHARE
                 && fits(more * (long) HOLD_BYTES);
     }
 
@@ -1060,7 +1108,8 @@
     /** Ends holds whose time is up; where that cannot be written their time stands with them. */
     List<Long> expireHolds(long wall) {
         int before = holds.size();
-        List<KeyHolds.Hold> over = holds.all().stream().filter(hold -> hold.until() <= wall).toList();
+        List<KeyHolds.Hold> over =
+                holds.all().stream().filter(hold -> hold.until() <= wall).toList();
         if (over.isEmpty()) {
             return List.of();
         }
@@ -1128,8 +1177,8 @@
                 }
                 return;
             }
-            DataInputStream in = new DataInputStream(new ByteArrayInputStream(content.array(),
-                    content.arrayOffset() + content.position(), content.remaining()));
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(
+                    content.array(), content.arrayOffset() + content.position(), content.remaining()));
             switch (kind) {
                 case LOT -> {
                     String name = in.readUTF();
@@ -1143,8 +1192,13 @@
                     keepHolds(origin, List.of(key), in.readLong());
                 }
                 case MEMORY -> {
-                    Memory memory = new Memory(in.readInt(), in.readUTF(), Relay.Health.valueOf(in.readUTF()),
-                            in.readLong(), in.readDouble(), in.readDouble());
+                    Memory memory = new Memory(
+                            in.readInt(),
+                            in.readUTF(),
+                            Relay.Health.valueOf(in.readUTF()),
+                            in.readLong(),
+                            in.readDouble(),
+                            in.readDouble());
                     numbers.put("place " + memory.place(), owner);
                     memoriesByVersion.put(owner, memory);
                 }
@@ -1187,7 +1241,9 @@
         }
         for (Map.Entry<Long, Gone> entry : gone.entrySet()) {
             Gone g = entry.getValue();
-            remembered.add(g.id(), g.content(), g.effect(), entry.getKey(), clock.getAsLong()).forEach(orphans::end);
+            remembered
+                    .add(g.id(), g.content(), g.effect(), entry.getKey(), clock.getAsLong())
+                    .forEach(orphans::end);
         }
         if (mend && !orphans.isEmpty()) {
             // On a disk that cannot be written they are met again at the next start.
@@ -1208,7 +1264,9 @@
         for (Map.Entry<String, Integer> id : old.ended.entrySet()) {
             long number = log.nextOwner();
             Batch batch = new Batch().putSole(number, MESSAGE, gone(id.getKey(), id.getValue(), Relay.Effect.UNSAFE));
-            remembered.add(id.getKey(), id.getValue(), Relay.Effect.UNSAFE, number, clock.getAsLong()).forEach(batch::end);
+            remembered
+                    .add(id.getKey(), id.getValue(), Relay.Effect.UNSAFE, number, clock.getAsLong())
+                    .forEach(batch::end);
             log.write(batch);
         }
     }
@@ -1224,12 +1282,17 @@
         }
         try (Journal source = peek(from);
                 Journal copy = open(into, Math.max(3L << 20, 4 * source.liveBytes() + (1L << 20)))) {
-            copy.take(source.live.values(), source.classes, source.memories.values(), source.holds, source.lots,
+            copy.take(
+                    source.live.values(),
+                    source.classes,
+                    source.memories.values(),
+                    source.holds,
+                    source.lots,
                     source.log.nextOwner());
             copy.writeAll();
             for (RememberedIds.Known known : source.remembered.all()) {
-                copy.log.write(new Batch().putSole(copy.log.nextOwner(), MESSAGE,
-                        gone(known.id(), known.content(), known.effect())));
+                copy.log.write(new Batch()
+                        .putSole(copy.log.nextOwner(), MESSAGE, gone(known.id(), known.content(), known.effect())));
             }
         }
     }
@@ -1248,7 +1311,8 @@
     List<Supplier<Batch>> contents() {
         List<Supplier<Batch>> parts = parts();
         for (RememberedIds.Known known : remembered.all()) {
-            parts.add(() -> !remembered.knows(known.id()) ? new Batch()
+            parts.add(() -> !remembered.knows(known.id())
+                    ? new Batch()
                     : new Batch().putSole(known.number(), MESSAGE, gone(known.id(), known.content(), known.effect())));
         }
         parts.add(() -> holders == null ? new Batch() : new Batch().put(numberOf("estate"), GROUP, holders));
@@ -1262,7 +1326,8 @@
         }
         for (String place : memories.keySet()) {
             parts.add(() -> memories.containsKey(place)
-                    ? new Batch().put(numberOf("place " + place), MEMORY, remembered(memories.get(place))) : new Batch());
+                    ? new Batch().put(numberOf("place " + place), MEMORY, remembered(memories.get(place)))
+                    : new Batch());
         }
         for (KeyHolds.Hold hold : holds.all()) {
             parts.add(() -> {
@@ -1274,14 +1339,19 @@
             });
         }
         for (Held m : live.values()) {
-            parts.add(() -> !live.containsKey(m.number) ? new Batch()
-                    : m.notice != null ? new Batch().putSole(m.number, MESSAGE, ended(m))
-                    : new Batch().put(m.number, MESSAGE, whole(m)).put(m.number, STANDING, standing(m))
-                            .put(m.number, RANK, bytes(out -> out.writeLong(m.rank))));
+            parts.add(() -> !live.containsKey(m.number)
+                    ? new Batch()
+                    : m.notice != null
+                            ? new Batch().putSole(m.number, MESSAGE, ended(m))
+                            : new Batch()
+                                    .put(m.number, MESSAGE, whole(m))
+                                    .put(m.number, STANDING, standing(m))
+                                    .put(m.number, RANK, bytes(out -> out.writeLong(m.rank))));
         }
         for (String name : lots.keySet()) {
             parts.add(() -> lots.containsKey(name)
-                    ? new Batch().put(numberOf("lot " + name), LOT, lotContent(name, lots.get(name))) : new Batch());
+                    ? new Batch().put(numberOf("lot " + name), LOT, lotContent(name, lots.get(name)))
+                    : new Batch());
         }
         return parts;
     }
@@ -1290,8 +1360,13 @@
         take(old.live.values(), old.classes, old.memories.values(), old.holds, old.lots, old.next);
     }
 
-    private void take(Collection<Held> messages, Map<Integer, ClassBook.Version> versions, Collection<Memory> places,
-            KeyHolds held, Map<String, Lot> known, long next) {
+    private void take(
+            Collection<Held> messages,
+            Map<Integer, ClassBook.Version> versions,
+            Collection<Memory> places,
+            KeyHolds held,
+            Map<String, Lot> known,
+            long next) {
         versions.forEach(this::keep);
         for (Memory memory : places) {
             memories.put(memory.place(), memory);
@@ -1385,7 +1460,7 @@
     }
 
     /** The id of a message that is over. */
-    private record Gone(String id, int content, Relay.Effect effect) { }
+    private record Gone(String id, int content, Relay.Effect effect) {}
 
     private static Gone readGone(ByteBuffer in) throws IOException {
         in.get();
@@ -1438,9 +1513,17 @@
 
     static ClassBook.Version readVersion(DataInputStream in) throws IOException {
         String name = in.readUTF();
-        return new ClassBook.Version(name, new Relay.MessageClass(in.readDouble(), in.readDouble(), in.readLong(),
-                in.readLong(), Relay.Effect.values()[in.readByte()], Relay.KeyScope.values()[in.readByte()],
-                in.readLong(), in.readBoolean()));
+        return new ClassBook.Version(
+                name,
+                new Relay.MessageClass(
+                        in.readDouble(),
+                        in.readDouble(),
+                        in.readLong(),
+                        in.readLong(),
+                        Relay.Effect.values()[in.readByte()],
+                        Relay.KeyScope.values()[in.readByte()],
+                        in.readLong(),
+                        in.readBoolean()));
     }
 
     private static byte[] remembered(Memory memory) {
--- a/sender/src/main/java/amberroute/sender/JournalView.java
+++ b/sender/src/main/java/amberroute/sender/JournalView.java
@@ -29,7 +29,12 @@
         }
         Journal journal = Journal.peek(folder);
         try (journal) {
-            return new JournalView(List.copyOf(journal.live()), journal.unread(), journal.damaged(), journal.used(), journal.liveBytes());
+            return new JournalView(
+                    List.copyOf(journal.live()),
+                    journal.unread(),
+                    journal.damaged(),
+                    journal.used(),
+                    journal.liveBytes());
         }
     }
 
@@ -37,11 +42,16 @@
     public List<String> lines(long wallMillis) {
         List<String> out = new ArrayList<>();
         for (Held m : owed) {
-            String state = m.notice != null ? "ended, its notice is not answered: " + m.notice
-                    : m.out ? "a call is out to " + m.sentTo
-                    : m.doubtSince != 0 ? "may have run at " + m.doubtAt : m.attempts > 0 ? "has not run" : "not tried";
-            out.add(m.id + " " + m.className + " dest=" + m.destination + (m.key == 0 ? "" : " key="
-                    + Long.toHexString(m.key)) + " left=" + (m.deadline - wallMillis) + "ms attempts=" + m.attempts
+            String state = m.notice != null
+                    ? "ended, its notice is not answered: " + m.notice
+                    : m.out
+                            ? "a call is out to " + m.sentTo
+                            : m.doubtSince != 0
+                                    ? "may have run at " + m.doubtAt
+                                    : m.attempts > 0 ? "has not run" : "not tried";
+            out.add(m.id + " " + m.className + " dest=" + m.destination
+                    + (m.key == 0 ? "" : " key=" + Long.toHexString(m.key)) + " left=" + (m.deadline - wallMillis)
+                    + "ms attempts=" + m.attempts
                     + " (" + state + ")");
         }
         return out;
@@ -50,7 +60,9 @@
     /** Counts for people. */
     public String summary() {
         long notices = owed.stream().filter(m -> m.notice != null).count();
-        long doubt = owed.stream().filter(m -> m.notice == null && (m.out || m.doubtSince != 0)).count();
+        long doubt = owed.stream()
+                .filter(m -> m.notice == null && (m.out || m.doubtSince != 0))
+                .count();
         return owed.size() - notices + " messages held, " + doubt + " of them in doubt; " + notices
                 + " notices not answered; " + live + " of " + used + " bytes are wanted"
                 + (unread.isEmpty() ? "" : "; COULD NOT BE READ: " + String.join(", ", unread));
--- a/sender/src/main/java/amberroute/sender/LateEnds.java
+++ b/sender/src/main/java/amberroute/sender/LateEnds.java
@@ -8,6 +8,7 @@
 final class LateEnds {
     /** Clients allow some 300 ms behind the deadline. */
     private static final long LATE_MS = 100;
+
     private static final long PAUSE_MS = 1_000;
     private final String point;
     private long toldAt = Long.MIN_VALUE / 2;
--- a/sender/src/main/java/amberroute/sender/Log.java
+++ b/sender/src/main/java/amberroute/sender/Log.java
@@ -14,8 +14,7 @@
     private static final Map<String, Integer> written = new HashMap<>();
     private static final long PROCESS = ProcessHandle.current().pid();
 
-    private Log() {
-    }
+    private Log() {}
 
     /**
      * Bounded for each kind of line, as its first words tell, so that a flood of bad input neither fills the disk
--- a/sender/src/main/java/amberroute/sender/LoopLooks.java
+++ b/sender/src/main/java/amberroute/sender/LoopLooks.java
@@ -1,11 +1,10 @@
 package amberroute.sender;
 
-import java.util.concurrent.TimeUnit;
-
 import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SelectStrategy;
 import io.netty.channel.SelectStrategyFactory;
+import java.util.concurrent.TimeUnit;
 
 /**
  * When the event loop last looked for what there is to read. A process that is stopped for a moment behind that, as one that
@@ -15,6 +14,7 @@
 final class LoopLooks implements SelectStrategyFactory {
     /** A fraction of the shortest time that receivers allow for news to be read; a pass of the loop takes a millisecond or so. */
     private static final long STALE_NANOS = 60_000_000;
+
     private long looked = System.nanoTime();
     private boolean again;
 
@@ -22,7 +22,8 @@
     public SelectStrategy newSelectStrategy() {
         SelectStrategy usual = DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy();
         return (supplier, hasTasks) -> {
-            // It may wait now; then the look seems older than it is, which costs a pass of a loop that has little to do.
+            // It may wait now; then the look seems older than it is, which costs a pass of a loop that has little to
+            // do.
             looked = System.nanoTime();
             return usual.calculateStrategy(supplier, hasTasks);
         };
--- a/sender/src/main/java/amberroute/sender/Main.java
+++ b/sender/src/main/java/amberroute/sender/Main.java
@@ -1,17 +1,15 @@
 package amberroute.sender;
 
+import amberroute.config.ConfigException;
+import amberroute.settings.BadInput;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 
-import amberroute.config.ConfigException;
-import amberroute.settings.BadInput;
-
 /** The daemon's own command line, kept lean: the one that people use is in the module {@code cli}. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /**
      * {@code serve} runs the sender until it is told to end; {@code --config FILE} stands for {@code GW_CONFIG}. Exit
--- a/sender/src/main/java/amberroute/sender/ModuleTrace.java
+++ b/sender/src/main/java/amberroute/sender/ModuleTrace.java
@@ -1,10 +1,9 @@
 package amberroute.sender;
 
+import amberroute.Relay;
 import java.io.PrintStream;
 import java.util.List;
 
-import amberroute.Relay;
-
 /**
  * A module whose events and actions are written down, a line each, for {@code bin/fleet-ledger}: only for plays whose
  * loss is counted. It is asked for by the system property {@code amberroute.trace} and is not bounded.
@@ -43,7 +42,10 @@
     }
 
     private void line(String kind, Object... fields) {
-        StringBuilder text = new StringBuilder("T ").append(System.currentTimeMillis()).append(' ').append(kind);
+        StringBuilder text = new StringBuilder("T ")
+                .append(System.currentTimeMillis())
+                .append(' ')
+                .append(kind);
         for (Object field : fields) {
             text.append(' ').append(String.valueOf(field).replace(" ", ""));
         }
--- a/sender/src/main/java/amberroute/sender/Notices.java
+++ b/sender/src/main/java/amberroute/sender/Notices.java
@@ -1,14 +1,5 @@
 package amberroute.sender;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -29,6 +20,14 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Tells the platform of messages that end without delivery, and repeats what is not answered. What is out
@@ -44,9 +43,11 @@
      * another connection, which does no harm. Silent twice in a row, each one after has twice as long.
      */
     private static final long SILENCE_MS = 120;
+
     private static final int ANSWERS = 3;
     /** The span is waited out in so many parts, each begun by the loop: a process that stood still has heard nothing meanwhile. */
     private static final int LOOKS = 4;
+
     private static final int MOST_DOUBLINGS = 4;
     /** So long behind its message's time a notice may be answered at the latest. */
     private static final long OVERDUE_MS = 300;
@@ -63,12 +64,14 @@
     private InetSocketAddress address;
     /** The connection in use or being opened, null where there is none. */
     private Line line;
+
     private Future<?> pause;
     private boolean due;
     private boolean single;
     private final Pauses pauses;
     /** Connections in a row that said nothing, and milliseconds that the last answer took. */
     private int silences;
+
     private long lastTook;
 
     Notices(EventLoop loop, InetSocketAddress address, long seed, Consumer<Held> answered) {
@@ -143,10 +146,13 @@
 
     private void again() {
         if (pause == null) {
-            pause = loop.schedule(() -> {
-                pause = null;
-                postSoon();
-            }, pauses.next(), TimeUnit.MILLISECONDS);
+            pause = loop.schedule(
+                    () -> {
+                        pause = null;
+                        postSoon();
+                    },
+                    pauses.next(),
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -180,18 +186,21 @@
 
         void open() {
             listen(LOOKS);
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel fresh) {
                             channel = fresh;
-                            fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(65_536),
-                                    Line.this);
+                            fresh.pipeline()
+                                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(65_536), Line.this);
                         }
                     })
-                    .connect(to).addListener(done -> {
+                    .connect(to)
+                    .addListener(done -> {
                         if (!done.isSuccess()) {
                             ended();
                         } else if (line != this) {
@@ -214,11 +223,15 @@
                 out.add(m);
                 lines.append(m.notice).append('\n');
             }
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/status",
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.POST,
+                    "/status",
                     Unpooled.copiedBuffer(lines, StandardCharsets.UTF_8));
             request.headers().set(HttpHeaderNames.HOST, to.getAddress().getHostAddress());
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+            request.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
             writtenAt = System.nanoTime();
             listen(LOOKS);
             channel.writeAndFlush(request).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
@@ -230,14 +243,17 @@
 
         /** Gives the other side its time to say something, if only that the connection is up. */
         private void listen(int looks) {
-            timer = loop.schedule(() -> {
-                if (looks > 1) {
-                    listen(looks - 1);
-                } else {
-                    silent = true;
-                    close();
-                }
-            }, patience() / LOOKS, TimeUnit.MILLISECONDS);
+            timer = loop.schedule(
+                    () -> {
+                        if (looks > 1) {
+                            listen(looks - 1);
+                        } else {
+                            silent = true;
+                            close();
+                        }
+                    },
+                    patience() / LOOKS,
+                    TimeUnit.MILLISECONDS);
         }
 
         void close() {
--- a/sender/src/main/java/amberroute/sender/OldEstates.java
+++ b/sender/src/main/java/amberroute/sender/OldEstates.java
@@ -17,8 +17,7 @@
     private static final String ASIDE = "over";
     private static final Set<String> STAY = Set.of("lock", "control", MARK);
 
-    private OldEstates() {
-    }
+    private OldEstates() {}
 
     /** The journal in this folder is not to be opened again. */
     static void mark(Path folder) {
@@ -46,7 +45,9 @@
         Files.createDirectories(aside);
         List<Path> files;
         try (Stream<Path> all = Files.list(folder)) {
-            files = all.filter(Files::isRegularFile).filter(f -> !STAY.contains(f.getFileName().toString())).toList();
+            files = all.filter(Files::isRegularFile)
+                    .filter(f -> !STAY.contains(f.getFileName().toString()))
+                    .toList();
         }
         for (Path file : files) {
             Files.move(file, aside.resolve(file.getFileName()));
--- a/sender/src/main/java/amberroute/sender/OldJournal.java
+++ b/sender/src/main/java/amberroute/sender/OldJournal.java
@@ -1,5 +1,8 @@
 package amberroute.sender;
 
+import amberroute.Relay;
+import amberroute.handover.KeyHolds;
+import amberroute.handover.Ownership;
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -15,10 +18,6 @@
 import java.util.Map;
 import java.util.zip.CRC32;
 
-import amberroute.Relay;
-import amberroute.handover.KeyHolds;
-import amberroute.handover.Ownership;
-
 /**
  * Reads the single file in which earlier versions kept what they owed, up to the first record that cannot be read, as they
  * did. Writes nothing but the mark that stands in its place afterwards: an earlier version that meets the mark ends with an
@@ -34,6 +33,7 @@
     final Map<Long, Held> live = new LinkedHashMap<>();
     /** What ended under each id, 0 where that is no longer known. */
     final Map<String, Integer> ended = new LinkedHashMap<>();
+
     final Map<String, Journal.Memory> memories = new LinkedHashMap<>();
     final Map<String, Journal.Lot> lots = new LinkedHashMap<>();
     final Map<Integer, ClassBook.Version> classes = new LinkedHashMap<>();
@@ -142,8 +142,13 @@
             }
             case 'W', 'F' -> replayHold(in, type == 'W');
             case 'M' -> {
-                Journal.Memory memory = new Journal.Memory(in.readInt(), in.readUTF(), Relay.Health.valueOf(in.readUTF()),
-                        in.readLong(), in.readDouble(), in.readDouble());
+                Journal.Memory memory = new Journal.Memory(
+                        in.readInt(),
+                        in.readUTF(),
+                        Relay.Health.valueOf(in.readUTF()),
+                        in.readLong(),
+                        in.readDouble(),
+                        in.readDouble());
                 memories.remove(memory.place());
                 if (memory.health() != Relay.Health.WELL) {
                     memories.put(memory.place(), memory);
@@ -157,8 +162,15 @@
         long number = in.readLong();
         next = Math.max(next, number + 1);
         if (type == 'A') {
-            Held m = new Held(number, in.readUTF(), in.readUTF(), in.readUTF(), in.readLong(), in.readInt(),
-                    in.readLong(), in.readNBytes(in.readInt()));
+            Held m = new Held(
+                    number,
+                    in.readUTF(),
+                    in.readUTF(),
+                    in.readUTF(),
+                    in.readLong(),
+                    in.readInt(),
+                    in.readLong(),
+                    in.readNBytes(in.readInt()));
             m.type = in.available() < Integer.BYTES ? -1 : in.readInt();
             live.put(number, m);
             ids.put(m.id, m.content);
