--- a/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryTroubleTest.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.function.Function;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +21,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
 
@@ -60,8 +60,11 @@
     }
 
     private String indented(int version, String uid) {
-        return new com.google.gson.GsonBuilder().setPrettyPrinting().create()
-                .toJson(com.google.gson.JsonParser.parseString(world.list(version, false, "Ready", uid))) + "\n";
+        return new com.google.gson.GsonBuilder()
+                        .setPrettyPrinting()
+                        .create()
+                        .toJson(com.google.gson.JsonParser.parseString(world.list(version, false, "Ready", uid)))
+                + "\n";
     }
 
     /** Over several lines, in pieces that end anywhere. */
@@ -86,17 +89,18 @@
         world.announce(world.list(9, false, "Ready", "s-2"));
         await(() -> sender.ready("s-2"));
         world.announce(switch (how) {
-            case "cut short and a blank line" -> indented(10, "s-3").substring(0, 60) + "\n\n";
-            case "cut short and the next list" -> world.list(10, false, "Ready", "s-3").substring(0, 60) + "\n";
-            default -> "{\"rev\":\"x\",\"all\":false,\"targets\":[]}\n";
-        } + world.list(11, false, "Ready", "s-4"));
+                    case "cut short and a blank line" -> indented(10, "s-3").substring(0, 60) + "\n\n";
+                    case "cut short and the next list" -> world.list(10, false, "Ready", "s-3")
+                                    .substring(0, 60) + "\n";
+                    default -> "{\"rev\":\"x\",\"all\":false,\"targets\":[]}\n";
+                }
+                + world.list(11, false, "Ready", "s-4"));
         await(() -> world.discovery.requests.stream().anyMatch(r -> r.head().contains("since=9 ")));
         await(() -> sender.ready("s-1") && !sender.ready("s-2"));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"refuses", "closes", "says nothing and closes", "empty", "unreadable entries",
-            "torn"})
+    @ValueSource(strings = {"refuses", "closes", "says nothing and closes", "empty", "unreadable entries", "torn"})
     void servesFromWhatIsKnownAsksSeldomAndTakesTheNextGoodList(String how) throws IOException {
         Function<World.Request, String> good = world.discovery.answers;
         Function<World.Request, String> bad = trouble(how);
@@ -121,14 +125,17 @@
     @Test
     void aWatchThatHadNothingNewIsOpenedAgainSoon() throws IOException {
         Function<World.Request, String> good = world.discovery.answers;
-        world.discovery.answers = r -> r.head().startsWith("POST") ? good.apply(r)
+        world.discovery.answers = r -> r.head().startsWith("POST")
+                ? good.apply(r)
                 : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + World.chunk("\n") + "0\r\n\r\n";
         sender = world.start();
         await(() -> asked() >= 1);
         long from = System.nanoTime();
         await(() -> asked() >= 11);
         // Ten pauses of 300 ms at most; they would be over 8 s in the mean if each counted as a failure.
-        assertTrue(System.nanoTime() - from < 6_000_000_000L, "ten watches took " + (System.nanoTime() - from) / 1_000_000 + " ms");
+        assertTrue(
+                System.nanoTime() - from < 6_000_000_000L,
+                "ten watches took " + (System.nanoTime() - from) / 1_000_000 + " ms");
     }
 
     /** What discovery can say at a start counts as told then: nothing goes by an older list while its answer is on its way. */
@@ -140,7 +147,8 @@
                 return good.apply(r);
             }
             pause(120);
-            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + World.chunk(world.list(2, true, "Terminating"));
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + World.chunk(world.list(2, true, "Terminating"));
         };
         sender = world.start();
         World.Client client = world.client(sender);
@@ -159,7 +167,9 @@
         long from = System.nanoTime();
         assertEquals("+OK", world.client(sender).submit("safe", ID + "0", NO_KEY));
         await(() -> world.receiver.requests.size() == 1);
-        assertTrue(System.nanoTime() - from < 900_000_000L, "served after " + (System.nanoTime() - from) / 1_000_000 + " ms");
+        assertTrue(
+                System.nanoTime() - from < 900_000_000L,
+                "served after " + (System.nanoTime() - from) / 1_000_000 + " ms");
     }
 
     /** How a watch goes quiet without ending: what it brings from then on, byte by byte or line by line, for as long as it is open. */
@@ -178,7 +188,13 @@
      * it brings; the next one is told at once.
      */
     @ParameterizedTest
-    @ValueSource(strings = {"nothing", "bytes that make no line", "lines of an object that never ends", "lines that are no news"})
+    @ValueSource(
+            strings = {
+                "nothing",
+                "bytes that make no line",
+                "lines of an object that never ends",
+                "lines that are no news"
+            })
     void aWatchThatNeverSpeaksCostsLessThanTheTimeToTell(String how) throws Exception {
         Function<World.Request, String> good = world.discovery.answers;
         java.util.concurrent.atomic.AtomicBoolean over = new java.util.concurrent.atomic.AtomicBoolean();
@@ -188,8 +204,10 @@
             }
             Thread drip = new Thread(() -> {
                 try {
-                    World.write(r.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                            + World.chunk(how.startsWith("lines of") ? "{\n" : " "));
+                    World.write(
+                            r.socket(),
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    + World.chunk(how.startsWith("lines of") ? "{\n" : " "));
                     while (!over.get()) {
                         if (!quiet(how).isEmpty()) {
                             World.write(r.socket(), World.chunk(quiet(how)));
@@ -225,7 +243,9 @@
         await(world::watched);
         long took = (System.nanoTime() - from) / 1_000_000;
         // The connection was accepted already, so that of the budget only the pause is left.
-        assertTrue(took <= Directory.PAUSE_LEAST_MS + Directory.PAUSE_MOST_MS + Directory.ANSWER_MS, "told after " + took + " ms");
+        assertTrue(
+                took <= Directory.PAUSE_LEAST_MS + Directory.PAUSE_MOST_MS + Directory.ANSWER_MS,
+                "told after " + took + " ms");
     }
 
     private static void pause(long millis) {
@@ -237,7 +257,9 @@
     }
 
     private long asked() {
-        return world.discovery.requests.stream().filter(r -> r.head().contains("/api/targets")).count();
+        return world.discovery.requests.stream()
+                .filter(r -> r.head().contains("/api/targets"))
+                .count();
     }
 
     /** A restart with much held while discovery is away: what is owed is served from the known list. */
@@ -255,6 +277,10 @@
         world.receiver.answers = r -> World.ok(200, "");
         world.receiver.requests.clear();
         sender = world.start();
-        await(() -> world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).distinct().count() == many);
+        await(() -> world.receiver.requests.stream()
+                        .map(r -> r.header("X-Request-ID"))
+                        .distinct()
+                        .count()
+                == many);
     }
 }
--- a/sender/src/test/java/amberroute/sender/DrainPlanTest.java
+++ b/sender/src/test/java/amberroute/sender/DrainPlanTest.java
@@ -4,13 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Random;
-
-import org.junit.jupiter.api.Test;
-
 import amberroute.sender.DrainPlan.Load;
 import amberroute.sender.DrainPlan.Mode;
 import amberroute.sender.DrainPlan.Step;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
 
 class DrainPlanTest {
     private static final Load EMPTY = new Load(0, 0, 0, 0);
@@ -83,12 +81,14 @@
             long now = 0;
             Step step = Step.DELIVER;
             while (step != Step.DONE) {
-                Load load = random.nextInt(4) == 0 ? EMPTY
+                Load load = random.nextInt(4) == 0
+                        ? EMPTY
                         : new Load(random.nextInt(3), random.nextInt(3), random.nextInt(3), random.nextInt(3));
                 step = plan.next(now, load);
                 assertFalse(cut && step == Step.DELIVER, "seed " + seed + ": delivers after a call-off");
                 cut |= step == Step.CALL_OFF || step == Step.END_ALL;
-                assertTrue(now <= span + DrainPlan.LINGER + 20, "seed " + seed + ": not over at " + now + " of " + span);
+                assertTrue(
+                        now <= span + DrainPlan.LINGER + 20, "seed " + seed + ": not over at " + now + " of " + span);
                 now += 10;
             }
         }
--- a/sender/src/test/java/amberroute/sender/EstateStoreTest.java
+++ b/sender/src/test/java/amberroute/sender/EstateStoreTest.java
@@ -4,25 +4,24 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.storage.Batch;
+import amberroute.survival.Group;
+import amberroute.survival.Holding;
+import amberroute.survival.Position;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.storage.Batch;
-import amberroute.survival.Group;
-import amberroute.survival.Holding;
-import amberroute.survival.Position;
-
 /** What a holder has on its disk, over restarts and spoilt files; a copy is a journal's folder. */
 class EstateStoreTest {
     private static final long BUDGET = 1 << 20;
     private static final String ESTATE = "s1.abc";
+
     @TempDir
     Path folder;
 
@@ -55,7 +54,14 @@
         }
 
         Held accept(String id) {
-            Held m = new Held(journal.nextNumber(), id, "k" + id, "keyed", 7, 1, System.currentTimeMillis() + 60_000,
+            Held m = new Held(
+                    journal.nextNumber(),
+                    id,
+                    "k" + id,
+                    "keyed",
+                    7,
+                    1,
+                    System.currentTimeMillis() + 60_000,
                     ("body of " + id).getBytes(StandardCharsets.UTF_8));
             assertTrue(journal.accept(m));
             return m;
@@ -73,7 +79,10 @@
 
     private static EstateStore.Kept whole(EstateStore store, Owner owner, Object on) {
         EstateStore.Kept kept = store.of(ESTATE);
-        List<Batch> all = owner.journal.contents().stream().map(part -> part.get()).filter(b -> !b.isEmpty()).toList();
+        List<Batch> all = owner.journal.contents().stream()
+                .map(part -> part.get())
+                .filter(b -> !b.isEmpty())
+                .toList();
         assertTrue(store.part(kept, true, 1, all, on));
         assertTrue(store.part(kept, false, 1, List.of(owner.journal.placed()), on));
         assertTrue(store.whole(kept, kept.holding.whole(1, "s1", owner.number, true)));
@@ -100,7 +109,9 @@
             assertEquals(new Position(1, owner.number), read.holding.copy());
             assertEquals(List.of("s1", "s2", "s3"), read.group.holders());
             try (Journal copy = Journal.open(again.lend(read), BUDGET)) {
-                assertEquals(List.of("first", "second"), copy.live().stream().map(m -> m.id).toList());
+                assertEquals(
+                        List.of("first", "second"),
+                        copy.live().stream().map(m -> m.id).toList());
                 assertTrue(copy.live().iterator().next().out);
                 assertTrue(copy.knows("over"));
                 assertEquals(new Position(1, owner.number), EstateLine.place(copy.place()));
@@ -114,7 +125,10 @@
             owner.accept("first");
             EstateStore store = store();
             EstateStore.Kept kept = store.of(ESTATE);
-            List<Batch> all = owner.journal.contents().stream().map(part -> part.get()).filter(b -> !b.isEmpty()).toList();
+            List<Batch> all = owner.journal.contents().stream()
+                    .map(part -> part.get())
+                    .filter(b -> !b.isEmpty())
+                    .toList();
             assertTrue(store.part(kept, true, 1, all, "new"));
             assertFalse(store.part(kept, false, 1, all, "old"));
             assertTrue(store.part(kept, false, 1, List.of(owner.journal.placed()), "new"));
@@ -138,7 +152,10 @@
             Path copy = again.all().get(ESTATE).copyFolder();
             again.close();
             try (Stream<Path> files = Files.list(copy)) {
-                Path segment = files.filter(f -> f.getFileName().toString().endsWith(".seg")).sorted().findFirst().orElseThrow();
+                Path segment = files.filter(f -> f.getFileName().toString().endsWith(".seg"))
+                        .sorted()
+                        .findFirst()
+                        .orElseThrow();
                 byte[] bytes = Files.readAllBytes(segment);
                 // A flipped bit in the first record, with whole ones behind it.
                 bytes[70] ^= 4;
@@ -178,10 +195,20 @@
             EstateStore store = new EstateStore(folder.resolve("copies"), 96 << 10);
             EstateStore.Kept kept = whole(store, owner, this);
             Position had = kept.holding.copy();
-            Held large = new Held(owner.journal.nextNumber(), "large", "", "keyed", 7, 1, System.currentTimeMillis() + 60_000,
+            Held large = new Held(
+                    owner.journal.nextNumber(),
+                    "large",
+                    "",
+                    "keyed",
+                    7,
+                    1,
+                    System.currentTimeMillis() + 60_000,
                     new byte[60 << 10]);
             assertTrue(owner.journal.accept(large));
-            List<Batch> all = owner.journal.contents().stream().map(part -> part.get()).filter(b -> !b.isEmpty()).toList();
+            List<Batch> all = owner.journal.contents().stream()
+                    .map(part -> part.get())
+                    .filter(b -> !b.isEmpty())
+                    .toList();
             assertFalse(store.part(kept, true, 1, all, this) && store.part(kept, false, 1, all, this));
             assertEquals(had, kept.holding.copy());
             store.close();
@@ -196,7 +223,9 @@
             assertTrue(store.promise(kept, new Holding(1, "s1", Position.NONE)));
             store.finish(kept);
         }
-        assertTrue(store.all().size() <= 256 && store.all().containsKey("s1.e299") && !store.all().containsKey("s1.e0"));
+        assertTrue(store.all().size() <= 256
+                && store.all().containsKey("s1.e299")
+                && !store.all().containsKey("s1.e0"));
         store.close();
         assertEquals(store.all().size(), store().all().size());
     }
--- a/sender/src/test/java/amberroute/sender/FailingCalls.java
+++ b/sender/src/test/java/amberroute/sender/FailingCalls.java
@@ -13,11 +13,23 @@
 /** System calls that tests let fail under running processes; needs a C compiler. */
 final class FailingCalls {
     /** In the order of the library's pairs. */
-    enum Call { ACCEPT, CONNECT, WRITE, SYNC }
+    enum Call {
+        ACCEPT,
+        CONNECT,
+        WRITE,
+        SYNC
+    }
 
     /** Some of Linux's errors, with their numbers. */
     enum Errno {
-        EIO(5), EMFILE(24), ENFILE(23), ENOSPC(28), EADDRNOTAVAIL(99), ENETUNREACH(101), ECONNABORTED(103), ENOBUFS(105);
+        EIO(5),
+        EMFILE(24),
+        ENFILE(23),
+        ENOSPC(28),
+        EADDRNOTAVAIL(99),
+        ENETUNREACH(101),
+        ECONNABORTED(103),
+        ENOBUFS(105);
 
         private final int number;
 
@@ -63,7 +75,11 @@
     }
 
     private void put(Call call, int error, int times) throws IOException {
-        ByteBuffer pair = ByteBuffer.allocate(PAIR).order(ByteOrder.nativeOrder()).putInt(error).putInt(times).flip();
+        ByteBuffer pair = ByteBuffer.allocate(PAIR)
+                .order(ByteOrder.nativeOrder())
+                .putInt(error)
+                .putInt(times)
+                .flip();
         try (FileChannel file = FileChannel.open(pairs, StandardOpenOption.WRITE)) {
             file.write(pair, call.ordinal() * PAIR);
         }
--- a/sender/src/test/java/amberroute/sender/GentleTest.java
+++ b/sender/src/test/java/amberroute/sender/GentleTest.java
@@ -6,6 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.membership.Beat;
+import amberroute.membership.Beat.Health;
+import amberroute.membership.FleetView;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -19,22 +22,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.membership.Beat;
-import amberroute.membership.Beat.Health;
-import amberroute.membership.FleetView;
-
 /** A daemon that agrees with its peers on what a cold partner gets; the peer is played by the test on a socket. */
 class GentleTest {
     private static final String NO_KEY = "0000000000000000";
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
     private DatagramSocket peer;
@@ -47,7 +46,9 @@
         peer.setSoTimeout(10_000);
         Files.writeString(folder.resolve("endpoints.json"), world.list(1, true, "Ready"));
         Path file = folder.resolve("one.toml");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
                 name = "one"
                 listen = "127.0.0.1:0"
                 state = "one"
@@ -65,7 +66,9 @@
                 slots = 16
                 open_messages = 100
                 descriptors = 256
-                """.formatted(world.discovery.address(), peer.getLocalPort()) + World.CLASSES);
+                """
+                                .formatted(world.discovery.address(), peer.getLocalPort())
+                        + World.CLASSES);
         sender = Sender.start(Config.read(Map.of("GW_CONFIG", file.toString())));
     }
 
@@ -145,7 +148,10 @@
             }
             try {
                 tell(List.of(), List.of(new Beat.Loan(false, 7, ask.number() + answers.size(), ask.part())));
-                answers.add(read(beat -> !beat.loans().isEmpty() && beat.loans().get(0).grant()).loans().get(0));
+                answers.add(read(beat ->
+                                !beat.loans().isEmpty() && beat.loans().get(0).grant())
+                        .loans()
+                        .get(0));
                 return answers.get(answers.size() - 1).part() > 0;
             } catch (IOException e) {
                 throw new java.io.UncheckedIOException(e);
@@ -163,10 +169,15 @@
     void itTellsWhatItSeesAndAsksForMore() throws Exception {
         tell(List.of(), List.of());
         hand(0, 16);
-        Beat.Loan ask = read(beat -> beat.loans().stream().anyMatch(l -> !l.grant() && l.destination() == 7)).loans().get(0);
+        Beat.Loan ask = read(beat -> beat.loans().stream().anyMatch(l -> !l.grant() && l.destination() == 7))
+                .loans()
+                .get(0);
         assertTrue(ask.part() > 0);
-        Beat.News news = read(beat -> beat.news().stream().anyMatch(n -> n.destination() == 7 && n.okAgo() >= 0)).news().stream()
-                .filter(n -> n.destination() == 7).findFirst().orElseThrow();
+        Beat.News news =
+                read(beat -> beat.news().stream().anyMatch(n -> n.destination() == 7 && n.okAgo() >= 0)).news().stream()
+                        .filter(n -> n.destination() == 7)
+                        .findFirst()
+                        .orElseThrow();
         assertEquals(Health.COLD, news.health());
         assertTrue(news.waiting() > 0);
     }
@@ -179,8 +190,13 @@
         java.util.SplittableRandom random = new java.util.SplittableRandom(3);
         try (DatagramSocket stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             stranger.setSoTimeout(300);
-            Beat forged = new Beat("two", 9, 99, FleetView.Phase.READY,
-                    List.of(new Beat.News(7, Health.WELL, -1, -1, 10, 50, 50, 0)), List.of(new Beat.Loan(false, 7, 5, 0.5f)));
+            Beat forged = new Beat(
+                    "two",
+                    9,
+                    99,
+                    FleetView.Phase.READY,
+                    List.of(new Beat.News(7, Health.WELL, -1, -1, 10, 50, 50, 0)),
+                    List.of(new Beat.Loan(false, 7, 5, 0.5f)));
             byte[] bytes = new byte[forged.write().remaining()];
             forged.write().get(bytes);
             stranger.send(new DatagramPacket(bytes, bytes.length, to));
--- a/sender/src/test/java/amberroute/sender/HandOverTest.java
+++ b/sender/src/test/java/amberroute/sender/HandOverTest.java
@@ -6,37 +6,34 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.handover.Ownership;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.handover.Ownership;
-
 /** Daemons that leave give what they hold to daemons that stay. */
 class HandOverTest {
     private static final String NO_KEY = "0000000000000000";
-    private static final String CLASSES = "\"classes\":{\"safe\":\"SAFE ENDPOINT 0 false\",\"keyed\":\"KEYED DESTINATION"
-            + " 5000000 true\",\"unsafe\":\"UNSAFE ENDPOINT 0 false\"},";
+    private static final String CLASSES =
+            "\"classes\":{\"safe\":\"SAFE ENDPOINT 0 false\",\"keyed\":\"KEYED DESTINATION"
+                    + " 5000000 true\",\"unsafe\":\"UNSAFE ENDPOINT 0 false\"},";
     private static final String KEY = "7f3a9c21e0b4d655";
 
     @TempDir
     Path folder;
+
     private World world;
     private final List<Sender> senders = new ArrayList<>();
 
@@ -55,7 +52,9 @@
     private Config config(String name, String peers, int openMessages) throws IOException {
         Files.writeString(folder.resolve("endpoints.json"), world.list(1, true, "Ready"));
         Path file = folder.resolve(name + ".toml");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
                 name = "%1$s"
                 listen = "127.0.0.1:0"
                 state = "%1$s"
@@ -68,8 +67,9 @@
                 slots = 4
                 open_messages = %4$d
                 descriptors = 256
-                """.formatted(name, world.discovery.address(), peers, openMessages)
-                + World.CLASSES.replace("deadline = \"20s\"", "deadline = \"600s\""));
+                """
+                                .formatted(name, world.discovery.address(), peers, openMessages)
+                        + World.CLASSES.replace("deadline = \"20s\"", "deadline = \"600s\""));
         return Config.read(Map.of("GW_CONFIG", file.toString()));
     }
 
@@ -103,7 +103,10 @@
         for (int i = 0; i < 4; i++) {
             assertEquals("+OK", client.answer());
         }
-        await(() -> world.receiver.requests.stream().filter(r -> r.body().contains("hang")).count() == 4);
+        await(() -> world.receiver.requests.stream()
+                        .filter(r -> r.body().contains("hang"))
+                        .count()
+                == 4);
     }
 
     private boolean noticed(String id, String state) {
@@ -127,23 +130,31 @@
         assertEquals(0, stop(leaver, 2_000));
         assertEquals(0, leaver.owed());
         await(() -> heir.owed() == 0);
-        List<String> bodies = world.receiver.requests.stream().map(World.Request::body).toList();
-        assertEquals(List.of("body of k0", "body of k1", "body of k2"),
+        List<String> bodies =
+                world.receiver.requests.stream().map(World.Request::body).toList();
+        assertEquals(
+                List.of("body of k0", "body of k1", "body of k2"),
                 bodies.stream().filter(b -> b.contains(" k")).toList());
         assertEquals(1, bodies.stream().filter(b -> b.equals("body of u")).count());
-        assertFalse(world.notices.stream().anyMatch(n -> n.contains("\"k") || n.contains("\"u")), world.notices.toString());
+        assertFalse(
+                world.notices.stream().anyMatch(n -> n.contains("\"k") || n.contains("\"u")), world.notices.toString());
     }
 
     private void offer(Sender heir, String lot, String id, String className, long doubtSince) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), heir.handOverAddress().getPort())) {
+        try (Socket socket = new Socket(
+                InetAddress.getLoopbackAddress(), heir.handOverAddress().getPort())) {
             socket.setSoTimeout(10_000);
-            World.write(socket, "{\"word\":\"OFFER\",\"lot\":\"" + lot + "\",\"generation\":2,\"from\":\"leaver\","
-                    + CLASSES + "\"messages\":[{\"id\":\"" + id + "\",\"idempotency_key\":\"\",\"class\":\"" + className
-                    + "\",\"key\":\"0\",\"destination\":7,\"deadline\":" + (System.currentTimeMillis() + 15_000)
-                    + ",\"attempts\":1,\"doubt_since\":" + doubtSince
-                    + ",\"doubt_at\":\"s-1\",\"body\":\"AAAA\"}]}\n");
+            World.write(
+                    socket,
+                    "{\"word\":\"OFFER\",\"lot\":\"" + lot + "\",\"generation\":2,\"from\":\"leaver\","
+                            + CLASSES + "\"messages\":[{\"id\":\"" + id + "\",\"idempotency_key\":\"\",\"class\":\""
+                            + className
+                            + "\",\"key\":\"0\",\"destination\":7,\"deadline\":" + (System.currentTimeMillis() + 15_000)
+                            + ",\"attempts\":1,\"doubt_since\":" + doubtSince
+                            + ",\"doubt_at\":\"s-1\",\"body\":\"AAAA\"}]}\n");
             byte[] answer = new byte[200];
-            assertEquals("{\"word\":\"YES\",\"lot\":\"" + lot + "\",\"generation\":2}\n",
+            assertEquals(
+                    "{\"word\":\"YES\",\"lot\":\"" + lot + "\",\"generation\":2}\n",
                     new String(answer, 0, socket.getInputStream().read(answer)));
         }
     }
@@ -196,8 +207,12 @@
         Sender two = start("two", "\"one=127.0.0.1:" + port + "\"");
         config("one", peer("two", two), 50);
         Path file = folder.resolve("one.toml");
-        Files.writeString(file, Files.readString(file).replace("[handover]\nlisten = \"127.0.0.1:0\"",
-                "[handover]\nlisten = \"127.0.0.1:" + port + "\""));
+        Files.writeString(
+                file,
+                Files.readString(file)
+                        .replace(
+                                "[handover]\nlisten = \"127.0.0.1:0\"",
+                                "[handover]\nlisten = \"127.0.0.1:" + port + "\""));
         Sender again = Sender.start(Config.read(Map.of("GW_CONFIG", file.toString())));
         senders.add(again);
         World.Client client = world.client(again);
@@ -249,11 +264,11 @@
             String id = adopted ? "yes" : "no";
             world.receiver.answers = r -> ok(200, "");
             Journal journal = Journal.open(state, 3_000_000);
-            Held owned = new Held(journal.nextNumber(), id, "", "safe", 0, 7,
-                    System.currentTimeMillis() + 15_000, new byte[3]);
+            Held owned = new Held(
+                    journal.nextNumber(), id, "", "safe", 0, 7, System.currentTimeMillis() + 15_000, new byte[3]);
             journal.accept(owned);
-            journal.lot("lot-" + id, new Ownership(2, Ownership.Status.OFFERED,
-                    "heir"), owned.deadline, List.of(owned));
+            journal.lot(
+                    "lot-" + id, new Ownership(2, Ownership.Status.OFFERED, "heir"), owned.deadline, List.of(owned));
             journal.close();
             world.receiver.requests.clear();
             if (adopted) {
@@ -262,7 +277,11 @@
             }
             Sender leaver = start("leaver", peer("heir", heir));
             await(() -> leaver.owed() == 0 && heir.owed() == 0);
-            assertEquals(1, world.receiver.requests.stream().filter(r -> r.header("X-Request-ID").equals(id)).count());
+            assertEquals(
+                    1,
+                    world.receiver.requests.stream()
+                            .filter(r -> r.header("X-Request-ID").equals(id))
+                            .count());
             leaver.stop();
             senders.remove(leaver);
         }
@@ -273,20 +292,31 @@
     @Test
     void aPeersMessageIsHeldToWhatClientsMaySay() throws Exception {
         Sender heir = start("heir", "");
-        String good = "{\"word\":\"OFFER\",\"lot\":\"l\",\"generation\":2,\"from\":\"leaver\"," + CLASSES + "\"messages\":[{\"id\":\"m\","
+        String good = "{\"word\":\"OFFER\",\"lot\":\"l\",\"generation\":2,\"from\":\"leaver\"," + CLASSES
+                + "\"messages\":[{\"id\":\"m\","
                 + "\"idempotency_key\":\"\",\"class\":\"safe\",\"key\":\"0\",\"destination\":7,\"deadline\":"
-                + (System.currentTimeMillis() + 15_000) + ",\"attempts\":1,\"doubt_since\":0,\"doubt_at\":\"\",\"body\":\"AAAA\"}]}\n";
-        for (String[] bad : new String[][] {{"\"id\":\"m\"", "\"id\":\"a\\r\\nX: y\""}, {"\"id\":\"m\"", "\"id\":\"\""},
-            {"\"idempotency_key\":\"\"", "\"idempotency_key\":\"a b\""}, {"\"attempts\":1", "\"attempts\":-1"},
-            {"\"doubt_since\":0", "\"doubt_since\":-5"}, {"\"deadline\":1", "\"deadline\":99999999"},
-            {"\"body\":\"AAAA\"", "\"body\":\"!\""}}) {
+                + (System.currentTimeMillis() + 15_000)
+                + ",\"attempts\":1,\"doubt_since\":0,\"doubt_at\":\"\",\"body\":\"AAAA\"}]}\n";
+        for (String[] bad : new String[][] {
+            {"\"id\":\"m\"", "\"id\":\"a\\r\\nX: y\""},
+            {"\"id\":\"m\"", "\"id\":\"\""},
+            {"\"idempotency_key\":\"\"", "\"idempotency_key\":\"a b\""},
+            {"\"attempts\":1", "\"attempts\":-1"},
+            {"\"doubt_since\":0", "\"doubt_since\":-5"},
+            {"\"deadline\":1", "\"deadline\":99999999"},
+            {"\"body\":\"AAAA\"", "\"body\":\"!\""}
+        }) {
             String line = good.replace(bad[0], bad[1]);
             assertFalse(line.equals(good), bad[0]);
             assertEquals("", exchange(heir, line), line);
         }
-        for (String[] refused : new String[][] {{"\"class\":\"safe\"", "\"class\":\"none\""},
-            {"\"destination\":7", "\"destination\":99"}, {"\"lot\":\"l\"", "\"lot\":\"empty\""}}) {
-            String line = good.replace(refused[0], refused[1]).replace("\"lot\":\"l\"", "\"lot\":\"" + refused[1].length() + "\"");
+        for (String[] refused : new String[][] {
+            {"\"class\":\"safe\"", "\"class\":\"none\""},
+            {"\"destination\":7", "\"destination\":99"},
+            {"\"lot\":\"l\"", "\"lot\":\"empty\""}
+        }) {
+            String line = good.replace(refused[0], refused[1])
+                    .replace("\"lot\":\"l\"", "\"lot\":\"" + refused[1].length() + "\"");
             line = refused[0].contains("lot") ? line.replaceAll("\\[\\{.*\\}\\]", "[]") : line;
             assertTrue(exchange(heir, line).contains("\"NO\""), line);
         }
@@ -297,7 +327,8 @@
     }
 
     private static String exchange(Sender heir, String line) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), heir.handOverAddress().getPort())) {
+        try (Socket socket = new Socket(
+                InetAddress.getLoopbackAddress(), heir.handOverAddress().getPort())) {
             socket.setSoTimeout(10_000);
             World.write(socket, line);
             byte[] answer = new byte[300];
@@ -317,7 +348,8 @@
         world.receiver.answers = r -> ok(200, "");
         Sender again = start("heir", "");
         await(() -> again.owed() == 0);
-        assertTrue(world.receiver.requests.stream().anyMatch(r -> r.header("X-Request-ID").equals("m")));
+        assertTrue(world.receiver.requests.stream()
+                .anyMatch(r -> r.header("X-Request-ID").equals("m")));
         assertEquals(List.of(), world.notices);
     }
 
@@ -330,9 +362,11 @@
         heir.stop();
         senders.remove(heir);
         Sender again = start("heir", "");
-        String late = "{\"word\":\"OFFER\",\"lot\":\"lot\",\"generation\":2,\"from\":\"leaver\"," + CLASSES + "\"messages\":[{\"id\":\"m\","
+        String late = "{\"word\":\"OFFER\",\"lot\":\"lot\",\"generation\":2,\"from\":\"leaver\"," + CLASSES
+                + "\"messages\":[{\"id\":\"m\","
                 + "\"idempotency_key\":\"\",\"class\":\"safe\",\"key\":\"0\",\"destination\":7,\"deadline\":"
-                + (System.currentTimeMillis() + 15_000) + ",\"attempts\":0,\"doubt_since\":0,\"doubt_at\":\"\",\"body\":\"\"}]}\n";
+                + (System.currentTimeMillis() + 15_000)
+                + ",\"attempts\":0,\"doubt_since\":0,\"doubt_at\":\"\",\"body\":\"\"}]}\n";
         assertTrue(exchange(again, late).contains("\"NO\""));
         assertEquals(0, again.owed());
         assertEquals(0, world.receiver.requests.size());
@@ -341,11 +375,14 @@
     @Test
     void nonsenseFromAPeerClosesItsConnectionOnly() throws Exception {
         Sender heir = start("heir", "");
-        for (String bad : List.of("x\n", "{}\n", "{\"word\":\"YES\",\"lot\":\"a\",\"generation\":1,\"from\":\"b\"}\n",
+        for (String bad : List.of(
+                "x\n",
+                "{}\n",
+                "{\"word\":\"YES\",\"lot\":\"a\",\"generation\":1,\"from\":\"b\"}\n",
                 "{\"word\":\"OFFER\",\"lot\":\"a\",\"generation\":2,\"from\":\"b\",\"messages\":[{}]}\n",
                 "x".repeat(HandOver.LONGEST_LINE + 10))) {
-            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(),
-                    heir.handOverAddress().getPort())) {
+            try (Socket socket = new Socket(
+                    InetAddress.getLoopbackAddress(), heir.handOverAddress().getPort())) {
                 socket.setSoTimeout(10_000);
                 try {
                     World.write(socket, bad);
@@ -364,7 +401,10 @@
     }
 
     private List<String> delivered(String prefix) {
-        return world.receiver.requests.stream().map(HandOverTest::bodyOf).filter(b -> b.startsWith(prefix)).toList();
+        return world.receiver.requests.stream()
+                .map(HandOverTest::bodyOf)
+                .filter(b -> b.startsWith(prefix))
+                .toList();
     }
 
     /** Opens a file of endpoints of its own for one daemon. */
@@ -415,7 +455,9 @@
         await(() -> heir.owed() == 0 && leaver.owed() == 0);
         List<String> run = new ArrayList<>(delivered("k"));
         run.remove("k0");
-        assertEquals(List.of("k0", "k1", "k2", "k3", "k4", "k5"), run.stream().distinct().toList());
+        assertEquals(
+                List.of("k0", "k1", "k2", "k3", "k4", "k5"),
+                run.stream().distinct().toList());
         assertEquals(0, leaver.stopped().get(20, TimeUnit.SECONDS));
         assertEquals(List.of(), world.notices);
     }
@@ -438,7 +480,8 @@
             // k0 had eight seconds, and nobody knows how long the two clocks agree.
             assertTrue(told + waited > 4_000, "told " + told);
             answer = world.client(leaver).submit("keyed", "x", "1111111111111111");
-            assertTrue(answer.equals("-BUSY") || Long.parseLong(answer.substring(6)) <= DrainPlan.SPREAD_LONGEST, answer);
+            assertTrue(
+                    answer.equals("-BUSY") || Long.parseLong(answer.substring(6)) <= DrainPlan.SPREAD_LONGEST, answer);
             leaver.stopped().get(20, TimeUnit.SECONDS);
         }
     }
@@ -451,8 +494,15 @@
         Journal journal = Journal.open(folder.resolve("first"), 3_000_000);
         long key = Long.parseUnsignedLong(KEY, 16);
         for (String id : List.of("k0", "k1", "u", "lost")) {
-            Held m = new Held(journal.nextNumber(), id, id, id.startsWith("k") ? "keyed" : "unsafe",
-                    id.startsWith("k") ? key : 0, 7, System.currentTimeMillis() + 15_000, ("body of " + id).getBytes());
+            Held m = new Held(
+                    journal.nextNumber(),
+                    id,
+                    id,
+                    id.startsWith("k") ? "keyed" : "unsafe",
+                    id.startsWith("k") ? key : 0,
+                    7,
+                    System.currentTimeMillis() + 15_000,
+                    ("body of " + id).getBytes());
             journal.accept(m);
             if (id.equals("k0") || id.equals("lost")) {
                 journal.attempt(m, "s-1", System.currentTimeMillis());
@@ -488,11 +538,14 @@
         for (int i = 0; i < 8; i++) {
             assertEquals("+OK", client.ask("SUBMIT", NO_KEY, "big" + i, "c=safe,d=8000,dest=7", body));
         }
-        // Time for several offers and their noes, also on a slow machine: one that is in doubt at the end could not be returned.
+        // Time for several offers and their noes, also on a slow machine: one that is in doubt at the end could not be
+        // returned.
         int code = stop(leaver, 6_000);
         assertEquals(0, code);
         assertEquals(0, leaver.owed());
-        long returned = world.notices.stream().filter(n -> n.contains("big") && n.contains("returned")).count();
+        long returned = world.notices.stream()
+                .filter(n -> n.contains("big") && n.contains("returned"))
+                .count();
         assertTrue(returned > 0, world.notices.toString());
         assertFalse(world.notices.stream().anyMatch(n -> n.contains("failed")), world.notices.toString());
         world.receiver.answers = r -> ok(200, "");
@@ -507,13 +560,18 @@
         offer(heir, "young", "young", "keyed", System.currentTimeMillis() - 500);
         await(() -> heir.owed() == 0);
         assertTrue(noticed("old", "returned"), world.notices.toString());
-        assertEquals(List.of("young"), world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).toList());
+        assertEquals(
+                List.of("young"),
+                world.receiver.requests.stream()
+                        .map(r -> r.header("X-Request-ID"))
+                        .toList());
     }
 
     /** A daemon to which a class means something else would do with it what its owner would not. */
     @Test
     void aClassThatMeansSomethingElseThereIsNotMoved() throws Exception {
-        Sender heir = startWith("heir", "", "name = \"unsafe\"\neffect = \"unsafe\"", "name = \"unsafe\"\neffect = \"safe\"");
+        Sender heir =
+                startWith("heir", "", "name = \"unsafe\"\neffect = \"unsafe\"", "name = \"unsafe\"\neffect = \"safe\"");
         Sender leaver = start("leaver", peer("heir", heir));
         World.Client client = world.client(leaver);
         world.prove(leaver, client);
@@ -533,7 +591,14 @@
         Journal journal = Journal.open(state, 3_000_000);
         long key = Long.parseUnsignedLong(KEY, 16);
         for (int i = 0; i < 2; i++) {
-            Held m = new Held(journal.nextNumber(), "k" + i, "k" + i, "keyed", key, 7, System.currentTimeMillis() + 15_000,
+            Held m = new Held(
+                    journal.nextNumber(),
+                    "k" + i,
+                    "k" + i,
+                    "keyed",
+                    key,
+                    7,
+                    System.currentTimeMillis() + 15_000,
                     "body".getBytes());
             journal.accept(m);
             if (i == 0) {
@@ -611,7 +676,9 @@
         World.Client client = world.client(leaver);
         world.receiver.answers = r -> ok(503, "", "Retry-After: 3");
         for (String id : List.of("k0", "k1", "u")) {
-            assertEquals("+OK", client.submit(id.equals("u") ? "unsafe" : "keyed", id, id.equals("u") ? NO_KEY : KEY, 30_000, 7));
+            assertEquals(
+                    "+OK",
+                    client.submit(id.equals("u") ? "unsafe" : "keyed", id, id.equals("u") ? NO_KEY : KEY, 30_000, 7));
         }
         stop(leaver, 5_000);
         assertEquals(3, heir.owed());
@@ -635,7 +702,8 @@
                     continue;
                 }
                 pairs++;
-                Segments.cut(folder.resolve("leaver"), theirs, Segments.ends(theirs).get(l - 1));
+                Segments.cut(
+                        folder.resolve("leaver"), theirs, Segments.ends(theirs).get(l - 1));
                 Segments.cut(folder.resolve("heir"), own, Segments.ends(own).get(h - 1));
                 world.receiver.requests.clear();
                 world.notices.clear();
@@ -651,10 +719,15 @@
                 } else {
                     // A call was out as the heir died: that message is in doubt, and a key's life may be over.
                     for (String id : List.of("k0", "k1", "u")) {
-                        long told = world.notices.stream().filter(n -> n.contains("\"" + id + "\"")).count();
+                        long told = world.notices.stream()
+                                .filter(n -> n.contains("\"" + id + "\""))
+                                .count();
                         assertEquals(1, delivered(id).size() + told, at);
                     }
-                    assertTrue(List.of(List.of(), List.of("k0"), List.of("k1"), List.of("k0", "k1")).contains(delivered("k")), at);
+                    assertTrue(
+                            List.of(List.of(), List.of("k0"), List.of("k1"), List.of("k0", "k1"))
+                                    .contains(delivered("k")),
+                            at);
                 }
                 heirAgain.stop();
                 leaverAgain.stop();
@@ -676,12 +749,16 @@
         try (ServerSocket between = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             Thread proxy = new Thread(() -> {
                 try (Socket from = between.accept();
-                        Socket to = new Socket(InetAddress.getLoopbackAddress(), heir.handOverAddress().getPort())) {
+                        Socket to = new Socket(
+                                InetAddress.getLoopbackAddress(),
+                                heir.handOverAddress().getPort())) {
                     Thread back = new Thread(() -> {
                         try {
                             heal.await();
                             byte[] bytes = new byte[4_096];
-                            for (int n = to.getInputStream().read(bytes); n > 0; n = to.getInputStream().read(bytes)) {
+                            for (int n = to.getInputStream().read(bytes);
+                                    n > 0;
+                                    n = to.getInputStream().read(bytes)) {
                                 late.addAndGet(n);
                                 from.getOutputStream().write(bytes, 0, n);
                             }
@@ -728,7 +805,14 @@
     void theLeaverTellsSinceWhenAMessageIsInDoubt() throws Exception {
         Sender heir = start("heir", "");
         Journal journal = Journal.open(folder.resolve("leaver"), 3_000_000);
-        Held m = new Held(journal.nextNumber(), "k", "k", "keyed", 0, 7, System.currentTimeMillis() + 15_000,
+        Held m = new Held(
+                journal.nextNumber(),
+                "k",
+                "k",
+                "keyed",
+                0,
+                7,
+                System.currentTimeMillis() + 15_000,
                 "body of k".getBytes());
         journal.accept(m);
         journal.attempt(m, "s-1", System.currentTimeMillis() - 2_500);
@@ -747,7 +831,9 @@
         };
         await(() -> heir.owed() == 0);
         assertEquals(List.of(), run);
-        assertTrue(world.notices.stream().anyMatch(n -> n.contains("\"k\"") && n.contains("returned")), world.notices.toString());
+        assertTrue(
+                world.notices.stream().anyMatch(n -> n.contains("\"k\"") && n.contains("returned")),
+                world.notices.toString());
     }
 
     /** The endpoint is replaced while its messages move: the heir goes by the list that it has by then. */
--- a/sender/src/test/java/amberroute/sender/JournalFigures.java
+++ b/sender/src/test/java/amberroute/sender/JournalFigures.java
@@ -105,8 +105,7 @@
         }
 
         @Override
-        public void between(Object journal) {
-        }
+        public void between(Object journal) {}
 
         @Override
         public int live(Object journal) {
@@ -121,12 +120,15 @@
 
     private static Held message(Kind kind, Object journal, int body) {
         long number = kind.number(journal);
-        return new Held(number, Long.toHexString(number * 0x9e3779b97f4a7c15L), "", "quote-status", 0, 7, SOON, new byte[body]);
+        return new Held(
+                number, Long.toHexString(number * 0x9e3779b97f4a7c15L), "", "quote-status", 0, 7, SOON, new byte[body]);
     }
 
     private static long written() throws IOException {
-        return Files.readAllLines(Path.of("/proc/self/io")).stream().filter(line -> line.startsWith("wchar"))
-                .mapToLong(line -> Long.parseLong(line.substring(7))).sum();
+        return Files.readAllLines(Path.of("/proc/self/io")).stream()
+                .filter(line -> line.startsWith("wchar"))
+                .mapToLong(line -> Long.parseLong(line.substring(7)))
+                .sum();
     }
 
     private static Path folder() throws IOException {
@@ -178,9 +180,16 @@
         long took = System.nanoTime() - from;
         long bytes = written() - before;
         Arrays.sort(calls);
-        System.out.printf(Locale.ROOT, "%-9s live %7d body %4d: %.1f us a message, calls 99.9%% %.0f us, longest %.1f ms, %.2f bytes written a byte%n",
-                name, live, body, took / 1e3 / messages, calls[(int) (calls.length * 0.999)] / 1e3,
-                calls[calls.length - 1] / 1e6, bytes / (double) messages / (body + 60));
+        System.out.printf(
+                Locale.ROOT,
+                "%-9s live %7d body %4d: %.1f us a message, calls 99.9%% %.0f us, longest %.1f ms, %.2f bytes written a byte%n",
+                name,
+                live,
+                body,
+                took / 1e3 / messages,
+                calls[(int) (calls.length * 0.999)] / 1e3,
+                calls[calls.length - 1] / 1e6,
+                bytes / (double) messages / (body + 60));
         kind.close(journal);
         delete(folder);
     }
@@ -189,8 +198,8 @@
     private static void forced(Durability durability, int turn, int turns) throws IOException {
         Path folder = folder();
         Deque<Runnable> due = new ArrayDeque<>();
-        Journal journal = Journal.open(folder, new amberroute.storage.FolderDisk(folder), 64 << 20, durability,
-                new Journal.Helper() {
+        Journal journal = Journal.open(
+                folder, new amberroute.storage.FolderDisk(folder), 64 << 20, durability, new Journal.Helper() {
                     @Override
                     public void beside(Runnable work, Runnable then) {
                         work.run();
@@ -219,8 +228,13 @@
             journal.tidy();
         }
         double took = (System.nanoTime() - from) / 1e9;
-        System.out.printf(Locale.ROOT, "%-5s turns of %3d messages: %.0f messages a second (%d told)%n", durability, turn,
-                turn * turns / took, told[0]);
+        System.out.printf(
+                Locale.ROOT,
+                "%-5s turns of %3d messages: %.0f messages a second (%d told)%n",
+                durability,
+                turn,
+                turn * turns / took,
+                told[0]);
         journal.close();
         delete(folder);
     }
@@ -233,8 +247,13 @@
         while (kind.accept(journal, message(kind, journal, body))) {
             taken++;
         }
-        System.out.printf(Locale.ROOT, "%-9s 3 MB hold %5d messages with bodies of %5d: %.2f of the budget are bodies%n", name,
-                taken, body, taken * (double) body / budget);
+        System.out.printf(
+                Locale.ROOT,
+                "%-9s 3 MB hold %5d messages with bodies of %5d: %.2f of the budget are bodies%n",
+                name,
+                taken,
+                body,
+                taken * (double) body / budget);
         kind.close(journal);
         delete(folder);
     }
@@ -257,7 +276,8 @@
             found = kind.live(again);
             kind.close(again);
         }
-        System.out.printf(Locale.ROOT, "%-9s reopens %7d live messages (%d found) in %.1f ms%n", name, live, found, best / 1e6);
+        System.out.printf(
+                Locale.ROOT, "%-9s reopens %7d live messages (%d found) in %.1f ms%n", name, live, found, best / 1e6);
         delete(folder);
     }
 
@@ -286,6 +306,5 @@
         }
     }
 
-    private JournalFigures() {
-    }
+    private JournalFigures() {}
 }
--- a/sender/src/test/java/amberroute/sender/JournalLotsTest.java
+++ b/sender/src/test/java/amberroute/sender/JournalLotsTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.handover.Ownership;
+import amberroute.handover.Ownership.Status;
+import amberroute.storage.SegmentLog;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -11,14 +14,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.handover.Ownership;
-import amberroute.handover.Ownership.Status;
-import amberroute.storage.SegmentLog;
-
 /** Lots in the journal: whatever a process had written when it died, no message is lost by it or has two owners. */
 class JournalLotsTest {
     private static final long SOON = System.currentTimeMillis() + 60_000;
@@ -48,7 +46,8 @@
     /** The one segment that a test has written so far. */
     private Path segment() throws IOException {
         try (var files = Files.list(folder)) {
-            return files.filter(f -> SegmentLog.isSegment(f.getFileName().toString())).min(Comparator.naturalOrder())
+            return files.filter(f -> SegmentLog.isSegment(f.getFileName().toString()))
+                    .min(Comparator.naturalOrder())
                     .orElseThrow();
         }
     }
@@ -56,7 +55,7 @@
     /** Lengths of the segment at which a whole record ends, the one that begins it first. */
     private static List<Integer> boundaries(byte[] file) {
         List<Integer> out = new ArrayList<>();
-        for (int at = 48; at < file.length;) {
+        for (int at = 48; at < file.length; ) {
             at += 20 + ByteBuffer.wrap(file).getInt(at + 4);
             out.add(at);
         }
@@ -82,7 +81,10 @@
         for (int i = 0; i < ends.size(); i++) {
             try (Journal journal = cut(whole, ends.get(i))) {
                 assertEquals(liveAndFrozen[i][0], journal.live().size(), "after record " + i);
-                assertEquals(liveAndFrozen[i][1], journal.live().stream().filter(m -> m.frozen).count(), "after record " + i);
+                assertEquals(
+                        liveAndFrozen[i][1],
+                        journal.live().stream().filter(m -> m.frozen).count(),
+                        "after record " + i);
             }
         }
     }
@@ -135,8 +137,8 @@
             doubt.attempts = 3;
             doubt.doubtSince = 12_345;
             doubt.doubtAt = "s-1";
-            assertTrue(journal.adopt("lot", new Ownership(2, Status.OWNED, ""), SOON,
-                    List.of(doubt, message(journal, "other", 70))));
+            assertTrue(journal.adopt(
+                    "lot", new Ownership(2, Status.OWNED, ""), SOON, List.of(doubt, message(journal, "other", 70))));
         }
         byte[] whole = file();
         for (int length = 0; length < whole.length; length++) {
@@ -177,7 +179,8 @@
         try (Journal journal = open()) {
             assertEquals(2, journal.live().stream().filter(m -> m.frozen).count());
             assertEquals(OFFERED, journal.lots().get("kept").ownership());
-            assertEquals(Status.REFUSED, journal.lots().get("refused").ownership().status());
+            assertEquals(
+                    Status.REFUSED, journal.lots().get("refused").ownership().status());
             assertFalse(journal.lots().containsKey("old"));
         }
     }
@@ -191,7 +194,9 @@
                 lots++;
             }
             assertTrue(lots > 1_000 && lots < 2_000, lots + " lots");
-            assertTrue(journal.lot("lot0", new Ownership(3, Status.REFUSED, ""), SOON, List.of()), "a known one has its place");
+            assertTrue(
+                    journal.lot("lot0", new Ownership(3, Status.REFUSED, ""), SOON, List.of()),
+                    "a known one has its place");
             for (int i = 0; i < 400; i++) {
                 assertTrue(journal.accept(message(journal, "m" + i, 500)), "message " + i);
             }
@@ -202,7 +207,10 @@
     void aFullDiskRefusesLotsAndKeepsWhatIsOwed() throws IOException {
         try (Journal journal = Journal.open(folder, 400_000)) {
             int taken = 0;
-            while (journal.adopt("lot" + taken, new Ownership(2, Status.OWNED, ""), SOON,
+            while (journal.adopt(
+                    "lot" + taken,
+                    new Ownership(2, Status.OWNED, ""),
+                    SOON,
                     List.of(message(journal, "m" + taken, 20_000)))) {
                 taken++;
             }
--- a/sender/src/test/java/amberroute/sender/JournalPowerTest.java
+++ b/sender/src/test/java/amberroute/sender/JournalPowerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.storage.SimulatedDisk;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,11 +15,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.storage.SimulatedDisk;
-
 /** What a client was told, a call that went out and an end that was told outlast a loss of power, where that was asked for. */
 class JournalPowerTest {
     private static final long BUDGET = 600_000;
@@ -108,8 +106,10 @@
                             }
                             case 3 -> {
                                 if (any.notice == null) {
-                                    journal.end(any, any.failed(), () -> journal.whenSafe(
-                                            () -> ended.put(any.id, any.notice), null));
+                                    journal.end(
+                                            any,
+                                            any.failed(),
+                                            () -> journal.whenSafe(() -> ended.put(any.id, any.notice), null));
                                 }
                             }
                             default -> {
@@ -133,10 +133,11 @@
                 for (String id : taken) {
                     assertTrue(found.containsKey(id) || concluded.contains(id), at + ": " + id + " is lost");
                 }
-                attempts.forEach((id, n) -> assertTrue(!found.containsKey(id) || found.get(id).notice != null
-                        || found.get(id).attempts >= n, at + ": attempt " + n + " of " + id));
-                ended.forEach((id, notice) -> assertTrue(!found.containsKey(id) || notice.equals(found.get(id).notice),
-                        at + ": the end of " + id));
+                attempts.forEach((id, n) -> assertTrue(
+                        !found.containsKey(id) || found.get(id).notice != null || found.get(id).attempts >= n,
+                        at + ": attempt " + n + " of " + id));
+                ended.forEach((id, notice) -> assertTrue(
+                        !found.containsKey(id) || notice.equals(found.get(id).notice), at + ": the end of " + id));
                 checked += taken.size();
             }
         }
@@ -181,7 +182,11 @@
             assertEquals("d", told.get(3));
             disk.powerFails(seed);
             disk.restart(1, SimulatedDisk.Fault.NONE, 0);
-            assertEquals(List.of("a", "b", "d"), Journal.open(null, disk, BUDGET).live().stream().map(m -> m.id).toList());
+            assertEquals(
+                    List.of("a", "b", "d"),
+                    Journal.open(null, disk, BUDGET).live().stream()
+                            .map(m -> m.id)
+                            .toList());
         }
     }
 
--- a/sender/src/test/java/amberroute/sender/JournalTest.java
+++ b/sender/src/test/java/amberroute/sender/JournalTest.java
@@ -6,18 +6,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.Relay;
+import amberroute.storage.SimulatedDisk;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.Relay;
-import amberroute.storage.SimulatedDisk;
-
 /** Room in the journal: given back in full, never exceeded, and enough for every message that was taken on. */
 class JournalTest {
     private static final long BUDGET = 600_000;
@@ -93,7 +91,8 @@
             assertEquals(notice, live.get(0).notice);
             assertTrue(journal.knows("id000002"), "the id of an ended message was forgotten");
             Held last = live.get(live.size() - 1);
-            assertEquals(List.of(3_001, 6L, UID, true, 77L),
+            assertEquals(
+                    List.of(3_001, 6L, UID, true, 77L),
                     List.of(last.attempts, last.doubtSince, last.doubtAt, last.out, last.sentAt));
             int taken = live.size();
             live.forEach(journal::conclude);
@@ -145,7 +144,9 @@
             assertEquals(0, journal.again());
             assertTrue(journal.accept(held(journal, "later")));
             Journal again = on(disk);
-            assertEquals(List.of("tried", "ends", "later"), again.live().stream().map(m -> m.id).toList());
+            assertEquals(
+                    List.of("tried", "ends", "later"),
+                    again.live().stream().map(m -> m.id).toList());
             assertEquals(5, again.live().iterator().next().doubtSince);
             assertTrue(again.knows("over") && !again.knows("new"));
         }
@@ -161,7 +162,9 @@
             all.add(held(journal, "m" + i));
             assertTrue(journal.accept(all.get(i)));
         }
-        disk.capacity(disk.names().stream().mapToLong(n -> (disk.bytes(n).length + 511) / 512 * 512).sum());
+        disk.capacity(disk.names().stream()
+                .mapToLong(n -> (disk.bytes(n).length + 511) / 512 * 512)
+                .sum());
         int told = 0;
         for (Held m : all.subList(0, 20)) {
             int[] one = new int[1];
@@ -200,8 +203,19 @@
     @Test
     void aBurstOfSafeMessagesForgetsNoUnsafeId() throws IOException {
         try (Journal journal = Journal.open(folder, 3 << 20)) {
-            journal.define(0, new ClassBook.Version("safe", new Relay.MessageClass(1, 0.5, 1_500_000, 6_000_000,
-                    Relay.Effect.SAFE, Relay.KeyScope.DESTINATION, 0, false)));
+            journal.define(
+                    0,
+                    new ClassBook.Version(
+                            "safe",
+                            new Relay.MessageClass(
+                                    1,
+                                    0.5,
+                                    1_500_000,
+                                    6_000_000,
+                                    Relay.Effect.SAFE,
+                                    Relay.KeyScope.DESTINATION,
+                                    0,
+                                    false)));
             for (int i = 0; i < 500; i++) {
                 Held unsafe = held(journal, "unsafe" + i);
                 assertTrue(journal.accept(unsafe));
@@ -238,7 +252,8 @@
         }
         Path segment;
         try (var files = Files.list(state)) {
-            segment = files.filter(f -> f.toString().endsWith(".seg")).findFirst().orElseThrow();
+            segment =
+                    files.filter(f -> f.toString().endsWith(".seg")).findFirst().orElseThrow();
         }
         byte[] bytes = Files.readAllBytes(segment);
         bytes[bytes.length / 2] ^= 4;
--- a/sender/src/test/java/amberroute/sender/JournalTrial.java
+++ b/sender/src/test/java/amberroute/sender/JournalTrial.java
@@ -1,5 +1,7 @@
 package amberroute.sender;
 
+import amberroute.storage.Disk;
+import amberroute.storage.SimulatedDisk;
 import java.io.BufferedReader;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
@@ -16,9 +18,6 @@
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 
-import amberroute.storage.Disk;
-import amberroute.storage.SimulatedDisk;
-
 /**
  * For tests and rigs: plays a journal at full load on a simulated disk that kills the process, fails or fills up at an
  * operation chosen in turn, recovers it, and compares each message with a model that never saw the disk. Counts three kinds
@@ -57,11 +56,13 @@
         boolean told;
         /** Refused while the disk was uncertain: it may be there. */
         boolean uncertain;
+
         int attempts;
         boolean out;
         boolean mayHaveRun;
         /** Ends asked for and told. */
         String notice;
+
         boolean noticeSent;
         boolean concluded;
         boolean concludedForSure;
@@ -93,10 +94,19 @@
     public static Counts play(long seed, int from, int to, UnaryOperator<Disk> broken) {
         Counts counts = new Counts();
         for (int round = from; round < to; round++) {
-            SimulatedDisk.Fault[] faults = {SimulatedDisk.Fault.KILL, SimulatedDisk.Fault.KILL, SimulatedDisk.Fault.FULL,
-                SimulatedDisk.Fault.FAIL, SimulatedDisk.Fault.FAIL_AND_TRUNCATE_FAILS};
+            SimulatedDisk.Fault[] faults = {
+                SimulatedDisk.Fault.KILL,
+                SimulatedDisk.Fault.KILL,
+                SimulatedDisk.Fault.FULL,
+                SimulatedDisk.Fault.FAIL,
+                SimulatedDisk.Fault.FAIL_AND_TRUNCATE_FAILS
+            };
             SimulatedDisk.Fault fault = faults[round % faults.length];
-            new JournalTrial(seed * 1_000_003 + round, "seed " + seed + ", round " + round + ", " + fault, counts, broken)
+            new JournalTrial(
+                            seed * 1_000_003 + round,
+                            "seed " + seed + ", round " + round + ", " + fault,
+                            counts,
+                            broken)
                     .round(fault, 2 + round / faults.length % 400);
             counts.rounds++;
         }
@@ -236,7 +246,8 @@
     }
 
     private Known any() {
-        List<Known> all = model.values().stream().filter(k -> k.told && !k.concluded).toList();
+        List<Known> all =
+                model.values().stream().filter(k -> k.told && !k.concluded).toList();
         return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
     }
 
@@ -313,7 +324,7 @@
         Journal own = Journal.open(Path.of(args[0]), 3 << 20);
         PrintStream out = new PrintStream(new FileOutputStream(FileDescriptor.out), true, StandardCharsets.US_ASCII);
         out.println("R");
-        for (int i = 0;; i++) {
+        for (int i = 0; ; i++) {
             List<Held> all = List.copyOf(own.live());
             Held m = all.isEmpty() ? null : all.get(random.nextInt(all.size()));
             if (m == null || all.size() < 200 && random.nextInt(3) > 0) {
@@ -356,7 +367,9 @@
             List<String> line = new ArrayList<>(command);
             line.add(folder.toString());
             line.add(Long.toString(seed * 1_000 + round));
-            Process process = new ProcessBuilder(line).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            Process process = new ProcessBuilder(line)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start();
             int after = 50 + random.nextInt(1_500);
             try (BufferedReader in = process.inputReader(StandardCharsets.US_ASCII)) {
                 if (in.readLine() == null) {
@@ -410,7 +423,9 @@
         Map<String, Held> live = new LinkedHashMap<>();
         try (Journal journal = Journal.peek(folder)) {
             journal.live().forEach(m -> live.put(m.id, m));
-            counts.wrong += journal.unread().stream().filter(what -> what.contains("segment")).count();
+            counts.wrong += journal.unread().stream()
+                    .filter(what -> what.contains("segment"))
+                    .count();
         }
         told.forEach((id, of) -> {
             Held m = live.get(id);
--- a/sender/src/test/java/amberroute/sender/JournalTrialTest.java
+++ b/sender/src/test/java/amberroute/sender/JournalTrialTest.java
@@ -4,25 +4,24 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.storage.Disk;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.UnaryOperator;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.storage.Disk;
-
 /** The rig journal-crash in its short form, and that it would find a broken engine. */
 class JournalTrialTest {
     @Test
     void nothingIsLostDoubledOrWrongWhereverItIsKilledFailsOrFillsUp() {
         JournalTrial.Counts counts = JournalTrial.play(11, 0, 500, UnaryOperator.identity());
         assertTrue(counts.ok(), counts.first);
-        assertTrue(counts.kills > 300 && counts.accepted > 20_000 && counts.writesFailed > 100 && counts.refused > 100,
+        assertTrue(
+                counts.kills > 300 && counts.accepted > 20_000 && counts.writesFailed > 100 && counts.refused > 100,
                 counts.kills + " kills, " + counts.accepted + " accepted, " + counts.writesFailed + " writes failed, "
                         + counts.refused + " refused");
     }
@@ -110,9 +109,17 @@
     /** Real processes on a real folder, killed at any moment; the rig does more of it. */
     @Test
     void realProcessesThatAreKilledLoseNothing(@TempDir Path folder) throws Exception {
-        JournalTrial.Counts counts = JournalTrial.kill(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xshare:auto", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "amberroute.sender.JournalTrial"), folder, 5, 6);
+        JournalTrial.Counts counts = JournalTrial.kill(
+                List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xshare:auto",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "amberroute.sender.JournalTrial"),
+                folder,
+                5,
+                6);
         assertTrue(counts.ok(), counts.first);
         assertEquals(6, counts.kills);
         assertTrue(counts.accepted > 100, counts.accepted + " accepted");
@@ -131,8 +138,7 @@
         }
 
         /** To be done ahead of whatever reads. */
-        void flush() {
-        }
+        void flush() {}
 
         @Override
         public List<String> list() throws IOException {
--- a/sender/src/test/java/amberroute/sender/LoopLooksTest.java
+++ b/sender/src/test/java/amberroute/sender/LoopLooksTest.java
@@ -4,17 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.channels.spi.SelectorProvider;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
-
-import org.junit.jupiter.api.Test;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,19 +13,30 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.spi.SelectorProvider;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 
 class LoopLooksTest {
     /** A turn that was due while the loop stood still comes behind what could be read by then. */
     @Test
     void afterAStopWhatCameIsReadBeforeAnythingIsDone() throws Exception {
         LoopLooks looks = new LoopLooks();
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-                NioIoHandler.newFactory(SelectorProvider.provider(), looks));
+        MultiThreadIoEventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), looks));
         List<String> order = new CopyOnWriteArrayList<>();
         try (Socket peer = new Socket()) {
             EventLoop loop = group.next();
             CountDownLatch active = new CountDownLatch(1);
-            Channel server = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            Channel server = new ServerBootstrap()
+                    .group(loop, loop)
+                    .channel(NioServerSocketChannel.class)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
@@ -48,11 +48,14 @@
                                 }
                             });
                         }
-                    }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel();
+                    })
+                    .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                    .sync()
+                    .channel();
             peer.connect(server.localAddress());
             assertTrue(active.await(10, TimeUnit.SECONDS));
             // Its channel is registered by now; the tasks below share one pass of the loop.
-            loop.submit(() -> { }).sync();
+            loop.submit(() -> {}).sync();
             CountDownLatch stands = new CountDownLatch(1);
             CountDownLatch goesOn = new CountDownLatch(1);
             CountDownLatch done = new CountDownLatch(1);
--- a/sender/src/test/java/amberroute/sender/OldJournalTest.java
+++ b/sender/src/test/java/amberroute/sender/OldJournalTest.java
@@ -6,6 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.Relay;
+import amberroute.handover.Ownership;
+import amberroute.storage.SegmentLog;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
@@ -13,14 +16,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.zip.CRC32C;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.Relay;
-import amberroute.handover.Ownership;
-import amberroute.storage.SegmentLog;
-
 /** Upgrade from, and downgrade to, the version that kept one file; {@code journal-0.2.bin} was written by it. */
 class OldJournalTest {
     private static final long BUDGET = 3_000_000;
@@ -37,19 +35,31 @@
 
     private List<Path> segments() throws IOException {
         try (var files = Files.list(folder)) {
-            return files.filter(f -> SegmentLog.isSegment(f.getFileName().toString())).sorted().toList();
+            return files.filter(f -> SegmentLog.isSegment(f.getFileName().toString()))
+                    .sorted()
+                    .toList();
         }
     }
 
     /** What {@link #write} wrote. */
     private static void check(Journal journal) {
         List<Held> live = List.copyOf(journal.live());
-        assertEquals(List.of("first", "doubt", "ended", "offered", "behind"), live.stream().map(m -> m.id).toList());
+        assertEquals(
+                List.of("first", "doubt", "ended", "offered", "behind"),
+                live.stream().map(m -> m.id).toList());
         Held first = live.get(0);
-        assertEquals(List.of(1, 120, 7L, 3, "idem-first", SOON),
-                List.of(first.type, first.body.length, first.key, first.destination, first.idempotencyKey, first.deadline));
+        assertEquals(
+                List.of(1, 120, 7L, 3, "idem-first", SOON),
+                List.of(
+                        first.type,
+                        first.body.length,
+                        first.key,
+                        first.destination,
+                        first.idempotencyKey,
+                        first.deadline));
         Held doubt = live.get(1);
-        assertEquals(List.of(2, 77L, "uid-a", true, 99L, "uid-b"),
+        assertEquals(
+                List.of(2, 77L, "uid-a", true, 99L, "uid-b"),
                 List.of(doubt.attempts, doubt.doubtSince, doubt.doubtAt, doubt.out, doubt.sentAt, doubt.sentTo));
         assertEquals(live.get(2).failed(), live.get(2).notice);
         assertTrue(live.get(3).frozen);
@@ -59,7 +69,8 @@
         assertEquals(Relay.Health.OUT, journal.memories().iterator().next().health());
         assertEquals("policy-order", journal.classes().get(1).name());
         assertTrue(journal.holds().held(31) && !journal.holds().held(32));
-        assertTrue(journal.nextNumber() > live.stream().mapToLong(m -> m.number).max().orElse(0));
+        assertTrue(journal.nextNumber()
+                > live.stream().mapToLong(m -> m.number).max().orElse(0));
     }
 
     @Test
@@ -105,7 +116,8 @@
         try (Journal journal = Journal.open(folder, BUDGET)) {
             assertTrue(journal.accept(new Held(journal.nextNumber(), "a", "", "c", 0, 1, SOON, new byte[9])));
         }
-        assertTrue(assertThrows(IOException.class, () -> SingleFileJournal.open(folder, BUDGET)).getMessage()
+        assertTrue(assertThrows(IOException.class, () -> SingleFileJournal.open(folder, BUDGET))
+                .getMessage()
                 .contains("unknown record"));
         try (Journal journal = Journal.open(folder, BUDGET)) {
             assertEquals("a", journal.live().iterator().next().id);
@@ -136,7 +148,9 @@
         crc.update(bytes, 0, 44);
         later.putInt(44, (int) crc.getValue());
         Files.write(segment, bytes);
-        assertTrue(assertThrows(IOException.class, () -> Journal.open(folder, BUDGET)).getMessage().contains("newer"));
+        assertTrue(assertThrows(IOException.class, () -> Journal.open(folder, BUDGET))
+                .getMessage()
+                .contains("newer"));
         assertArrayEquals(bytes, Files.readAllBytes(segment));
         assertEquals(1, segments().size());
     }
@@ -144,13 +158,24 @@
     /** How the resource was made, with the earlier version's own code: run once, kept as a file since. */
     static void write(Path folder) throws IOException {
         try (SingleFileJournal journal = SingleFileJournal.open(folder, BUDGET)) {
-            journal.define(1, new ClassBook.Version("policy-order", new Relay.MessageClass(1, 0.5, 1_500_000, 6_000_000,
-                    Relay.Effect.KEYED, Relay.KeyScope.DESTINATION, 60_000_000, true)));
+            journal.define(
+                    1,
+                    new ClassBook.Version(
+                            "policy-order",
+                            new Relay.MessageClass(
+                                    1,
+                                    0.5,
+                                    1_500_000,
+                                    6_000_000,
+                                    Relay.Effect.KEYED,
+                                    Relay.KeyScope.DESTINATION,
+                                    60_000_000,
+                                    true)));
             String[] ids = {"first", "doubt", "behind", "ended", "over", "offered", "given"};
             Held[] all = new Held[ids.length];
             for (int i = 0; i < ids.length; i++) {
-                all[i] = new Held(journal.nextNumber(), ids[i], "idem-" + ids[i], "policy-order", 7, 3, SOON,
-                        new byte[120]);
+                all[i] = new Held(
+                        journal.nextNumber(), ids[i], "idem-" + ids[i], "policy-order", 7, 3, SOON, new byte[120]);
                 all[i].type = 1;
                 journal.accept(all[i]);
             }
@@ -163,7 +188,12 @@
             journal.lot("lot", new Ownership(1, Ownership.Status.OFFERED, "heir"), SOON, List.of(all[5]));
             journal.lot("gone", new Ownership(2, Ownership.Status.GIVEN, "heir"), SOON, List.of(all[6]));
             Held came = new Held(journal.nextNumber(), "ended2", "", "policy-order", 7, 3, SOON, new byte[1]);
-            journal.adopt("adopted", new Ownership(1, Ownership.Status.OWNED, ""), SOON, List.of(came), "peer",
+            journal.adopt(
+                    "adopted",
+                    new Ownership(1, Ownership.Status.OWNED, ""),
+                    SOON,
+                    List.of(came),
+                    "peer",
                     List.of(all[2]));
             journal.conclude(came);
             journal.release("peer", List.of(32L));
--- a/sender/src/test/java/amberroute/sender/OpsTest.java
+++ b/sender/src/test/java/amberroute/sender/OpsTest.java
@@ -1,9 +1,9 @@
 package amberroute.sender;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static amberroute.sender.World.await;
 import static amberroute.sender.World.ok;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -15,7 +15,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +26,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
 
@@ -60,8 +60,12 @@
 
     /** A figure by its name with labels, -1 where it is not shown. */
     static double figure(Sender sender, String name) {
-        return get(sender.opsAddress(), "/-/metrics").lines().filter(line -> line.startsWith(name + " "))
-                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1))).findFirst().orElse(-1);
+        return get(sender.opsAddress(), "/-/metrics")
+                .lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElse(-1);
     }
 
     private static String ended(String className, String result) {
@@ -81,10 +85,17 @@
         assertEquals("-ERR unknown destination", client.submit("safe", World.ID + "5", NO_KEY, 8_000, 99));
         await(() -> sender.owed() == 0);
         await(() -> figure(sender, ended("safe", "shed")) == 1);
-        assertEquals(List.of(1.0, 1.0, 1.0, 0.0, 1.0, 3.0, 0.0, 2.0), List.of(figure(sender, ended("safe", "ok")),
-                figure(sender, ended("keyed", "ok")), figure(sender, ended("unsafe", "errors")),
-                figure(sender, ended("unsafe", "ok")), figure(sender, ended("safe", "errors")),
-                figure(sender, "svc_tries_total"), figure(sender, "svc_active"), figure(sender, "svc_pool_size")));
+        assertEquals(
+                List.of(1.0, 1.0, 1.0, 0.0, 1.0, 3.0, 0.0, 2.0),
+                List.of(
+                        figure(sender, ended("safe", "ok")),
+                        figure(sender, ended("keyed", "ok")),
+                        figure(sender, ended("unsafe", "errors")),
+                        figure(sender, ended("unsafe", "ok")),
+                        figure(sender, ended("safe", "errors")),
+                        figure(sender, "svc_tries_total"),
+                        figure(sender, "svc_active"),
+                        figure(sender, "svc_pool_size")));
     }
 
     /** A message that is out counts as active; a receiver that no longer answers as avoided. */
@@ -131,7 +142,8 @@
         List<Socket> idle = new ArrayList<>();
         try {
             for (int i = 0; i < 2 * OpsServer.MOST_CONNECTIONS; i++) {
-                Socket socket = new Socket(InetAddress.getLoopbackAddress(), sender.opsAddress().getPort());
+                Socket socket = new Socket(
+                        InetAddress.getLoopbackAddress(), sender.opsAddress().getPort());
                 World.write(socket, i % 2 == 0 ? "" : "GET /-/rea");
                 idle.add(socket);
             }
@@ -149,7 +161,8 @@
         assertTrue(get(sender.opsAddress(), "/").startsWith("HTTP/1.1 404"));
         assertTrue(ask(sender.opsAddress(), "DELETE /-/ready HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 405"));
         assertTrue(ask(sender.opsAddress(), "\u0001 nonsense\r\n\r\n").startsWith("HTTP/1.1 400"));
-        assertTrue(ask(sender.opsAddress(), "GET /" + "x".repeat(9_000) + " HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 4"));
+        assertTrue(ask(sender.opsAddress(), "GET /" + "x".repeat(9_000) + " HTTP/1.1\r\n\r\n")
+                .startsWith("HTTP/1.1 4"));
         assertTrue(get(sender.opsAddress(), "/-/ready").startsWith("HTTP/1.1 200"), "it ended on bad input");
     }
 }
--- a/sender/src/test/java/amberroute/sender/OutageTest.java
+++ b/sender/src/test/java/amberroute/sender/OutageTest.java
@@ -1,15 +1,14 @@
 package amberroute.sender;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static amberroute.sender.World.await;
 import static amberroute.sender.World.ok;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +23,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
     private World.Client client;
@@ -46,7 +46,9 @@
     }
 
     private List<String> called() {
-        return world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).toList();
+        return world.receiver.requests.stream()
+                .map(r -> r.header("X-Request-ID"))
+                .toList();
     }
 
     private void safe(String id) throws IOException {
@@ -147,7 +149,8 @@
         }
         await(() -> sender.owed() == 0);
         world.receiver.answers = r -> ok(200, "");
-        await(() -> client.tryAsk("SUBMIT", NO_KEY, SAFE, "c=safe,d=250,k=5c0f,dest=7", "body").equals("+OK"));
+        await(() -> client.tryAsk("SUBMIT", NO_KEY, SAFE, "c=safe,d=250,k=5c0f,dest=7", "body")
+                .equals("+OK"));
         await(() -> called().contains(SAFE));
     }
 }
--- a/sender/src/test/java/amberroute/sender/PartingTest.java
+++ b/sender/src/test/java/amberroute/sender/PartingTest.java
@@ -9,14 +9,12 @@
 
 import java.io.EOFException;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +26,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private SenderProcess process;
 
@@ -76,7 +75,8 @@
         List<String> spoilt = new ArrayList<>();
         AtomicInteger takenBehind = new AtomicInteger();
         List<Thread> busy = new ArrayList<>();
-        try (World.Client idle = new World.Client(process.port()); World.Client half = new World.Client(process.port())) {
+        try (World.Client idle = new World.Client(process.port());
+                World.Client half = new World.Client(process.port())) {
             assertEquals("+PONG", idle.ask("PING"));
             assertEquals("+PONG", half.ask("PING"));
             for (int i = 0; i < 6; i++) {
@@ -107,8 +107,10 @@
         world.receiver.answers = r -> ok(200, "");
         process = SenderProcess.start(world.environment(), folder.resolve("second"));
         // On a slow machine the time of some is up by then: that is an end too, if they are told.
-        await(() -> taken.stream().allMatch(id -> world.receiver.requests.stream().anyMatch(r -> r.header("X-Request-ID").equals(id))
-                || world.notices.stream().anyMatch(n -> n.contains('"' + id + '"'))));
+        await(() -> taken.stream()
+                .allMatch(id -> world.receiver.requests.stream()
+                                .anyMatch(r -> r.header("X-Request-ID").equals(id))
+                        || world.notices.stream().anyMatch(n -> n.contains('"' + id + '"'))));
     }
 
     /** Hands in one message after another on one connection, until that is closed. */
@@ -116,7 +118,7 @@
         World.Client client = new World.Client(process.port());
         Thread thread = new Thread(() -> {
             try (client) {
-                for (int i = 0;; i++) {
+                for (int i = 0; ; i++) {
                     String id = "c" + number + "-" + i;
                     String answer = client.submit("safe", id, NO_KEY, 20_000, 7);
                     if (answer.equals("+OK")) {
--- a/sender/src/test/java/amberroute/sender/PausesTest.java
+++ b/sender/src/test/java/amberroute/sender/PausesTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
 class PausesTest {
@@ -17,7 +16,8 @@
         }
         for (long from = 0; from < 400; from += 50) {
             long start = from;
-            long within = times.stream().filter(t -> t >= start && t < start + 50).count();
+            long within =
+                    times.stream().filter(t -> t >= start && t < start + 50).count();
             assertTrue(within <= 20, within + " within 50 ms of " + start);
         }
         assertTrue(times.stream().distinct().count() > 35, "apart: " + times);
--- a/sender/src/test/java/amberroute/sender/ProcessEndingsTest.java
+++ b/sender/src/test/java/amberroute/sender/ProcessEndingsTest.java
@@ -11,7 +11,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +25,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private final List<SenderProcess> processes = new ArrayList<>();
     private final List<World.Client> clients = new ArrayList<>();
@@ -75,7 +75,8 @@
         await(world::watched);
         World.Client client = client(process);
         assertEquals("+OK", client.submit("safe", ID + "0", NO_KEY, 8_000, 7));
-        await(() -> world.receiver.requests.stream().anyMatch(r -> r.header("X-Request-ID").equals(ID + "0")));
+        await(() -> world.receiver.requests.stream()
+                .anyMatch(r -> r.header("X-Request-ID").equals(ID + "0")));
         assertEquals("+OK", client.submit("unsafe", ID + "1", NO_KEY, 300, 8));
         await(() -> world.notices.stream().anyMatch(n -> n.contains(ID + "1")));
         assertTrue(process.alive());
@@ -98,7 +99,8 @@
             processes.add(SenderProcess.begin(own, folder.resolve("log" + i), 0));
         }
         // One after another on a single core would take as many times as long as one alone.
-        while (processes.stream().filter(SenderProcess::ready).count() < RESTARTS * 9 / 10 && System.nanoTime() - from < RESTARTS * alone) {
+        while (processes.stream().filter(SenderProcess::ready).count() < RESTARTS * 9 / 10
+                && System.nanoTime() - from < RESTARTS * alone) {
             Thread.sleep(5);
         }
         long took = System.nanoTime() - from;
@@ -130,6 +132,10 @@
         world.receiver.answers = r -> World.ok(200, "");
         world.receiver.requests.clear();
         processes.add(SenderProcess.start(world.environment(), folder.resolve("log2")));
-        await(() -> world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).distinct().count() == 7);
+        await(() -> world.receiver.requests.stream()
+                        .map(r -> r.header("X-Request-ID"))
+                        .distinct()
+                        .count()
+                == 7);
     }
 }
--- a/sender/src/test/java/amberroute/sender/ProcessReplacementTest.java
+++ b/sender/src/test/java/amberroute/sender/ProcessReplacementTest.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,6 +29,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private SharedSocket socket;
     private final List<SenderProcess> processes = new ArrayList<>();
@@ -68,7 +68,9 @@
     }
 
     private long calls(String id) {
-        return world.receiver.requests.stream().filter(r -> r.body().equals("body of " + id)).count();
+        return world.receiver.requests.stream()
+                .filter(r -> r.body().equals("body of " + id))
+                .count();
     }
 
     /** The next call for each of these ids waits for {@link #answerAll}. */
@@ -198,15 +200,19 @@
             assertTrue(socket.status(old).isEmpty(), "round " + round + ": it ended with status " + socket.status(old));
         }
         traffic.stop();
-        await(() -> traffic.accepted.stream().allMatch(id -> calls(id) > 0
-                || world.notices.stream().anyMatch(notice -> notice.contains("\"" + id + "\""))));
-        List<String> twice = traffic.accepted.stream().filter(id -> id.startsWith("unsafe") && calls(id) > 1).toList();
+        await(() -> traffic.accepted.stream()
+                .allMatch(id ->
+                        calls(id) > 0 || world.notices.stream().anyMatch(notice -> notice.contains("\"" + id + "\""))));
+        List<String> twice = traffic.accepted.stream()
+                .filter(id -> id.startsWith("unsafe") && calls(id) > 1)
+                .toList();
         assertEquals(List.of(), twice);
         assertEquals(List.of(), traffic.outOfOrder());
         long takeovers = old.lines("reclaim: owns the folder again");
         assertTrue(takeovers > 1, "only " + takeovers + " replacements had taken over when they were killed");
-        System.out.println(ROUNDS + " replacements killed, " + takeovers + " of them as owners, ready after " + untilReady + " ms: " + traffic.accepted.size()
-                + " messages taken on, " + traffic.again + " submissions asked again, " + world.notices.size() + " notices");
+        System.out.println(ROUNDS + " replacements killed, " + takeovers + " of them as owners, ready after "
+                + untilReady + " ms: " + traffic.accepted.size() + " messages taken on, " + traffic.again
+                + " submissions asked again, " + world.notices.size() + " notices");
     }
 
     /** The limit on memory holds for both processes together: the new one has to start smaller, and grows when the old one is gone. */
@@ -266,7 +272,8 @@
             for (int attempt = 0; !ended; attempt++) {
                 String id = name + "a" + attempt;
                 try (World.Client client = client()) {
-                    if (client.submit(effect, id, effect.equals("keyed") ? KEY : NO_KEY, 20_000, 7).equals("+OK")) {
+                    if (client.submit(effect, id, effect.equals("keyed") ? KEY : NO_KEY, 20_000, 7)
+                            .equals("+OK")) {
                         accepted.add(id);
                         return;
                     }
@@ -284,9 +291,13 @@
 
         /** First calls of the key that came ahead of the first call of one that was taken on before. */
         List<String> outOfOrder() {
-            List<String> taken = accepted.stream().filter(id -> id.startsWith("keyed")).toList();
-            List<String> called = world.receiver.requests.stream().map(r -> r.body().replace("body of ", ""))
-                    .filter(taken::contains).distinct().toList();
+            List<String> taken =
+                    accepted.stream().filter(id -> id.startsWith("keyed")).toList();
+            List<String> called = world.receiver.requests.stream()
+                    .map(r -> r.body().replace("body of ", ""))
+                    .filter(taken::contains)
+                    .distinct()
+                    .toList();
             List<String> expected = taken.stream().filter(called::contains).toList();
             return called.equals(expected) ? List.of() : called;
         }
--- a/sender/src/test/java/amberroute/sender/ReadingLagTest.java
+++ b/sender/src/test/java/amberroute/sender/ReadingLagTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -15,13 +18,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.Test;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 class ReadingLagTest {
     private static final long MS = 1_000_000;
 
@@ -94,13 +92,18 @@
     @Test
     void whatLayUnreadIsOffTheTimeLeft() throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        try (Socket old = new Socket(); Socket fresh = new Socket()) {
+        try (Socket old = new Socket();
+                Socket fresh = new Socket()) {
             LinkedBlockingQueue<ClientServer.Submission> read = new LinkedBlockingQueue<>();
             EventLoop loop = group.next();
-            ClientServer server = new ClientServer(loop, (submission, answer) -> {
-                read.add(submission);
-                answer.ok();
-            }, 10, 1 << 20);
+            ClientServer server = new ClientServer(
+                    loop,
+                    (submission, answer) -> {
+                        read.add(submission);
+                        answer.ok();
+                    },
+                    10,
+                    1 << 20);
             server.classes(Set.of("safe"));
             InetSocketAddress address = server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             old.connect(address);
@@ -126,8 +129,9 @@
             goesOn.countDown();
             for (int i = 0; i < 2; i++) {
                 ClientServer.Submission submission = read.poll(10, TimeUnit.SECONDS);
-                assertTrue(submission.timeLeft() <= 8_000 - waited, submission.id() + " has " + submission.timeLeft()
-                        + " ms after " + waited);
+                assertTrue(
+                        submission.timeLeft() <= 8_000 - waited,
+                        submission.id() + " has " + submission.timeLeft() + " ms after " + waited);
                 assertTrue(submission.timeLeft() >= 8_000 - ReadingLag.PATIENCE_MS, submission.id());
             }
         } finally {
--- a/sender/src/test/java/amberroute/sender/ReceiversTest.java
+++ b/sender/src/test/java/amberroute/sender/ReceiversTest.java
@@ -3,6 +3,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.Relay.Effect;
+import amberroute.Relay.Ending;
+import amberroute.Relay.KeyScope;
+import amberroute.Relay.MessageClass;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -15,44 +26,36 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import amberroute.Relay.Effect;
-import amberroute.Relay.Ending;
-import amberroute.Relay.KeyScope;
-import amberroute.Relay.MessageClass;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-
 /** Calls on an event loop of the test's own, which can be made to stand still. */
 class ReceiversTest {
     private final LoopLooks looks = new LoopLooks();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory(SelectorProvider.provider(), looks));
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), looks));
     private final EventLoop loop = group.next();
     private final LinkedBlockingQueue<Receivers.Result> results = new LinkedBlockingQueue<>();
-    private final Receivers receivers = new Receivers(loop, looks, new Receivers.Listener() {
-        @Override
-        public void ended(Receivers.Result result) {
-            results.add(result);
-        }
+    private final Receivers receivers = new Receivers(
+            loop,
+            looks,
+            new Receivers.Listener() {
+                @Override
+                public void ended(Receivers.Result result) {
+                    results.add(result);
+                }
 
-        @Override
-        public void writing() {
-        }
+                @Override
+                public void writing() {}
 
-        @Override
-        public void written(int messages) {
-        }
-    }, 5_000_000, 5_000_000, 100, List.of());
+                @Override
+                public void written(int messages) {}
+            },
+            5_000_000,
+            5_000_000,
+            100,
+            List.of());
     private ServerSocket receiver;
     private ServerSocket discovery;
 
@@ -77,12 +80,17 @@
 
     /** A watch on whose news every call is barred that is not written yet. */
     private Socket watch() throws Exception {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelRead(ChannelHandlerContext context, Object news) {
-                receivers.bar(route -> true);
-            }
-        }).connect(address(discovery)).sync();
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext context, Object news) {
+                        receivers.bar(route -> true);
+                    }
+                })
+                .connect(address(discovery))
+                .sync();
         return discovery.accept();
     }
 
@@ -97,7 +105,11 @@
     }
 
     private void repeat(Held m, long writeWithin) {
-        receivers.start(new Receivers.Route(1, address(receiver), 7), List.of(new Receivers.Item(m, 0)), 10_000_000, 10_000_000,
+        receivers.start(
+                new Receivers.Route(1, address(receiver), 7),
+                List.of(new Receivers.Item(m, 0)),
+                10_000_000,
+                10_000_000,
                 writeWithin);
     }
 
@@ -131,7 +143,7 @@
             List<Socket> fillers = fill();
             loop.submit(this::start).sync();
             // The loop has looked with that connection on its way, and stands from here on.
-            loop.schedule(() -> { }, 20, TimeUnit.MILLISECONDS).sync();
+            loop.schedule(() -> {}, 20, TimeUnit.MILLISECONDS).sync();
             CountDownLatch goesOn = new CountDownLatch(1);
             loop.execute(() -> {
                 try {
@@ -159,11 +171,13 @@
     void aRepeatWhoseConnectionComesUpBehindItsKeysLifeIsNotWritten() throws Exception {
         List<Socket> fillers = fill();
         Held m = message(50_000);
-        long left = RepeatWindow.left(List.of(new Receivers.Item(m, 1)), number -> type(Effect.KEYED),
+        long left = RepeatWindow.left(
+                List.of(new Receivers.Item(m, 1)),
+                number -> type(Effect.KEYED),
                 50_000 + 1_000 - RepeatWindow.MARGIN_MS - 10);
         assertEquals(10, left);
         loop.submit((Runnable) () -> repeat(m, left)).sync();
-        loop.schedule(() -> { }, 20, TimeUnit.MILLISECONDS).sync();
+        loop.schedule(() -> {}, 20, TimeUnit.MILLISECONDS).sync();
         for (Socket filler : fillers) {
             receiver.accept().close();
             filler.close();
@@ -177,7 +191,8 @@
     @Test
     void onlyKeyedMessagesInDoubtHaveAnEndToTheirRepeats() {
         List<Receivers.Item> fresh = List.of(new Receivers.Item(message(0), 0));
-        List<Receivers.Item> doubtful = List.of(new Receivers.Item(message(0), 0), new Receivers.Item(message(50_000), 1));
+        List<Receivers.Item> doubtful =
+                List.of(new Receivers.Item(message(0), 0), new Receivers.Item(message(50_000), 1));
         assertEquals(RepeatWindow.UNBOUNDED, RepeatWindow.left(fresh, number -> type(Effect.KEYED), 60_000));
         assertEquals(RepeatWindow.UNBOUNDED, RepeatWindow.left(doubtful, number -> type(Effect.SAFE), 60_000));
         assertEquals(900 - 10_000, RepeatWindow.left(doubtful, number -> type(Effect.KEYED), 60_000));
@@ -190,8 +205,9 @@
         try (Socket accepted = receiver.accept()) {
             byte[] head = accepted.getInputStream().readNBytes(13);
             assertEquals("POST /receive", new String(head, java.nio.charset.StandardCharsets.US_ASCII));
-            accepted.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-                    .getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            accepted.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                            .getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             Receivers.Result result = results.poll(10, TimeUnit.SECONDS);
             assertEquals(Ending.OK, result.ending());
             assertTrue(result.closed());
--- a/sender/src/test/java/amberroute/sender/ReloadTest.java
+++ b/sender/src/test/java/amberroute/sender/ReloadTest.java
@@ -1,9 +1,9 @@
 package amberroute.sender;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static amberroute.sender.World.await;
 import static amberroute.sender.World.ok;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -15,7 +15,6 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +27,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
 
@@ -45,7 +45,9 @@
     }
 
     private long watches(World.Http discovery) {
-        return discovery.requests.stream().filter(r -> r.head().startsWith("GET")).count();
+        return discovery.requests.stream()
+                .filter(r -> r.head().startsWith("GET"))
+                .count();
     }
 
     /** The file counts then, not the environment; the old watch must not come back beside the new one. */
@@ -191,7 +193,8 @@
         assertEquals(Map.of("error", "null"), reload());
         await(() -> sender.kept() == 0);
         assertEquals("+OK", client.submit("safe", A, NO_KEY));
-        await(() -> world.receiver.sockets.size() == 2 && world.receiver.sockets.get(1).isClosed());
+        await(() -> world.receiver.sockets.size() == 2
+                && world.receiver.sockets.get(1).isClosed());
     }
 
     /** What is listed from now on is of a kind that the former settings do not have, which took several messages in a call. */
@@ -203,8 +206,12 @@
         world.prove(sender, client);
         Map<String, String> environment = world.environment();
         Path file = folder.resolve("config.json");
-        Files.writeString(file, Files.readString(file).replace("\"kinds\":[\"std\"]", "\"kinds\":[\"solo\",\"std\"]")
-                .replace("\"per_call\":[8]", "\"per_call\":[1,8]").replace("\"routes_apart\":[false]", "\"routes_apart\":[false,false]"));
+        Files.writeString(
+                file,
+                Files.readString(file)
+                        .replace("\"kinds\":[\"std\"]", "\"kinds\":[\"solo\",\"std\"]")
+                        .replace("\"per_call\":[8]", "\"per_call\":[1,8]")
+                        .replace("\"routes_apart\":[false]", "\"routes_apart\":[false,false]"));
         assertEquals(null, sender.reload(environment));
         await(() -> watches(world.discovery) == 2);
         world.announce(world.list(7, true, "Ready", "s-2").replace("\"model\":\"std\"", "\"model\":\"solo\""));
@@ -304,8 +311,12 @@
     @Test
     void livesThroughSignals() throws Exception {
         Map<String, String> environment = world.environment();
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "amberroute.sender.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "amberroute.sender.Main",
+                "serve");
         builder.environment().putAll(environment);
         builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
         Process process = builder.start();
@@ -338,11 +349,16 @@
 
     private int port() throws IOException {
         String log = Files.readString(folder.resolve("log"));
-        String address = log.substring(log.indexOf("ready at")).lines().findFirst().orElseThrow();
+        String address =
+                log.substring(log.indexOf("ready at")).lines().findFirst().orElseThrow();
         return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
     }
 
     private static void signal(String name, Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid())
+                        .start()
+                        .waitFor());
     }
 }
--- a/sender/src/test/java/amberroute/sender/RememberedIdsTest.java
+++ b/sender/src/test/java/amberroute/sender/RememberedIdsTest.java
@@ -4,15 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.Relay.Effect;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.Relay.Effect;
-
 class RememberedIdsTest {
     /** What one id of one character counts for. */
     private static final long ONE = 49;
@@ -28,7 +26,9 @@
         assertEquals(List.of(4L), ids.add("e", 5, Effect.UNSAFE, 5, 4));
         assertEquals(List.of(3L), ids.add("f", 6, Effect.UNSAFE, 6, 5));
         assertEquals(List.of(1L), ids.add("g", 7, Effect.UNSAFE, 7, 6));
-        assertEquals(List.of("e", "f", "g"), ids.all().stream().map(RememberedIds.Known::id).toList());
+        assertEquals(
+                List.of("e", "f", "g"),
+                ids.all().stream().map(RememberedIds.Known::id).toList());
     }
 
     /** Also under another effect: its place is then among the youngest of that. */
@@ -63,8 +63,12 @@
         RememberedIds many = new RememberedIds(50 * ONE);
         List<Long> forgotten = new ArrayList<>();
         for (long n = 1; n <= 5_000; n++) {
-            forgotten.addAll(many.add(Character.toString('a' + random.nextInt(200)), (int) n,
-                    Effect.values()[random.nextInt(Effect.values().length)], n, n * RememberedIds.REACH_NANOS / 100));
+            forgotten.addAll(many.add(
+                    Character.toString('a' + random.nextInt(200)),
+                    (int) n,
+                    Effect.values()[random.nextInt(Effect.values().length)],
+                    n,
+                    n * RememberedIds.REACH_NANOS / 100));
             assertTrue(many.size() <= 50, "seed " + seed);
         }
         Stream<Long> left = many.all().stream().map(known -> (long) known.content());
--- a/sender/src/test/java/amberroute/sender/Segments.java
+++ b/sender/src/test/java/amberroute/sender/Segments.java
@@ -1,5 +1,6 @@
 package amberroute.sender;
 
+import amberroute.storage.SegmentLog;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -9,19 +10,18 @@
 import java.util.Arrays;
 import java.util.List;
 
-import amberroute.storage.SegmentLog;
-
 /** Segments of a state folder as bytes, for tests that cut them. */
 final class Segments {
     private static final int HEAD = 48;
     private static final int FRAME = 20;
 
-    private Segments() {
-    }
+    private Segments() {}
 
     static List<Path> of(Path state) throws IOException {
         try (var files = Files.list(state)) {
-            return files.filter(f -> SegmentLog.isSegment(f.getFileName().toString())).sorted().toList();
+            return files.filter(f -> SegmentLog.isSegment(f.getFileName().toString()))
+                    .sorted()
+                    .toList();
         }
     }
 
@@ -33,7 +33,7 @@
     /** Lengths of a segment at which a whole record ends; the first record is the one that begins it. */
     static List<Integer> ends(byte[] segment) {
         List<Integer> out = new ArrayList<>();
-        for (int at = HEAD; at < segment.length;) {
+        for (int at = HEAD; at < segment.length; ) {
             at += FRAME + ByteBuffer.wrap(segment).getInt(at + 4);
             out.add(at);
         }
--- a/sender/src/test/java/amberroute/sender/SenderProcess.java
+++ b/sender/src/test/java/amberroute/sender/SenderProcess.java
@@ -58,15 +58,22 @@
     /** The options that the deploy file gives the JVM, but for the class archive, which the tests' class path does not fit. */
     static List<String> deployedOptions() throws IOException {
         Path file = Path.of(System.getProperty("amberroute.root"), "deploy", "balancer.toml");
-        String run = Files.readAllLines(file).stream().filter(line -> line.startsWith("run ")).findFirst().orElseThrow();
-        return Stream.of(run.split("[ \"]+")).filter(word -> word.startsWith("-X") || word.startsWith("-D"))
-                .filter(word -> !word.contains("SharedArchiveFile")).toList();
+        String run = Files.readAllLines(file).stream()
+                .filter(line -> line.startsWith("run "))
+                .findFirst()
+                .orElseThrow();
+        return Stream.of(run.split("[ \"]+"))
+                .filter(word -> word.startsWith("-X") || word.startsWith("-D"))
+                .filter(word -> !word.contains("SharedArchiveFile"))
+                .toList();
     }
 
     /** Kilobytes of memory, what it shares with others counted in part; 0 once it has ended. */
     long proportionalKilobytes() {
         try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(process.pid()), "smaps_rollup"))) {
-            return lines.filter(line -> line.startsWith("Pss:")).mapToLong(line -> Long.parseLong(line.split("\\s+")[1])).sum();
+            return lines.filter(line -> line.startsWith("Pss:"))
+                    .mapToLong(line -> Long.parseLong(line.split("\\s+")[1]))
+                    .sum();
         } catch (IOException | UncheckedIOException e) {
             return 0;
         }
@@ -85,7 +92,11 @@
     }
 
     void signal(String name) throws IOException, InterruptedException {
-        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid())
+                        .start()
+                        .waitFor());
     }
 
     /** Returns when it has ended. */
@@ -111,7 +122,8 @@
 
     int port() throws IOException {
         String text = Files.readString(log);
-        String address = text.substring(text.indexOf("ready at")).lines().findFirst().orElseThrow();
+        String address =
+                text.substring(text.indexOf("ready at")).lines().findFirst().orElseThrow();
         return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
     }
 
--- a/sender/src/test/java/amberroute/sender/SenderTest.java
+++ b/sender/src/test/java/amberroute/sender/SenderTest.java
@@ -1,12 +1,13 @@
 package amberroute.sender;
 
+import static amberroute.sender.World.await;
+import static amberroute.sender.World.ok;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static amberroute.sender.World.await;
-import static amberroute.sender.World.ok;
 
+import amberroute.settings.BadInput;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.Socket;
@@ -19,14 +20,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.settings.BadInput;
-
 /** The whole sender between fakes on loopback sockets. */
 class SenderTest {
     private static final String NO_KEY = "0000000000000000";
@@ -36,6 +34,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
 
@@ -267,7 +266,9 @@
     }
 
     private long watches(String since) {
-        return world.discovery.requests.stream().filter(r -> r.head().contains(since)).count();
+        return world.discovery.requests.stream()
+                .filter(r -> r.head().contains(since))
+                .count();
     }
 
     /** What never had a connection never ran: unsafe messages may be returned, not failed. */
@@ -350,7 +351,8 @@
                 + World.command("SUBMIT", NO_KEY, B, "c=unsafe,d=8000,k=77,dest=7", "two"));
         client.answer();
         await(() -> calls() == 2 && concluded());
-        List<String> lines = world.receiver.requests.get(0).body().lines().sorted().toList();
+        List<String> lines =
+                world.receiver.requests.get(0).body().lines().sorted().toList();
         assertEquals(List.of(A + " - 3", B + " 77 3", "one", "two"), lines);
         assertEquals(B, world.receiver.requests.get(1).header("X-Request-ID"));
     }
@@ -390,8 +392,14 @@
         assertEquals(List.of("+OK", "+OK"), List.of(client.answer(), client.answer()));
         await(() -> posts.size() > 1 && concluded());
         // On a machine that answers slowly one may go once more than needed.
-        List<String> told = posts.stream().skip(1).map(body -> (body.contains(A) ? "A" : "") + (body.contains(B) ? "B" : "")).toList();
-        assertTrue(told.subList(0, 2).equals(List.of("A", "A")) && told.indexOf("B") > told.lastIndexOf("A") && !told.contains("AB"),
+        List<String> told = posts.stream()
+                .skip(1)
+                .map(body -> (body.contains(A) ? "A" : "") + (body.contains(B) ? "B" : ""))
+                .toList();
+        assertTrue(
+                told.subList(0, 2).equals(List.of("A", "A"))
+                        && told.indexOf("B") > told.lastIndexOf("A")
+                        && !told.contains("AB"),
                 told.toString());
     }
 
@@ -453,8 +461,11 @@
         world.receiver.answers = r -> ok(200, "");
         restart();
         await(() -> calls() == 3 && concluded());
-        assertEquals(List.of(A, A, B),
-                world.receiver.requests.stream().map(r -> r.header("X-Request-ID")).toList());
+        assertEquals(
+                List.of(A, A, B),
+                world.receiver.requests.stream()
+                        .map(r -> r.header("X-Request-ID"))
+                        .toList());
     }
 
     // ---- Restarts. ----
@@ -545,10 +556,15 @@
         sender.stop();
         Path newest;
         try (var files = Files.list(folder.resolve("state"))) {
-            newest = files.filter(f -> amberroute.storage.SegmentLog.isSegment(f.getFileName().toString()))
-                    .max(java.util.Comparator.naturalOrder()).orElseThrow();
+            newest = files.filter(f -> amberroute.storage.SegmentLog.isSegment(
+                            f.getFileName().toString()))
+                    .max(java.util.Comparator.naturalOrder())
+                    .orElseThrow();
         }
-        Files.write(newest, new byte[] {0x52, 0x45, 0x43, 0x31, 0, 0, 0, 90, 1, 2, 3, 4, 'A', 0}, StandardOpenOption.APPEND);
+        Files.write(
+                newest,
+                new byte[] {0x52, 0x45, 0x43, 0x31, 0, 0, 0, 90, 1, 2, 3, 4, 'A', 0},
+                StandardOpenOption.APPEND);
         sender = world.start();
         assertEquals(1, sender.owed());
     }
@@ -604,7 +620,8 @@
         assertTrue(client.ask("SUBMIT", "xyz", A, "c=safe,d=9,dest=7", "").startsWith("-ERR bad key"));
         assertTrue(client.ask("SUBMIT", NO_KEY, A).startsWith("-ERR"));
         for (String number : new String[] {"12d", "0x1p3", "-1", "Infinity"}) {
-            assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=" + number + ",dest=7", "").startsWith("-ERR bad number d"));
+            assertTrue(client.ask("SUBMIT", NO_KEY, A, "c=safe,d=" + number + ",dest=7", "")
+                    .startsWith("-ERR bad number d"));
         }
         await(() -> sender.ready("s-1") && world.watched());
         assertEquals("-ERR unknown destination", client.submit("safe", A, NO_KEY, 900, 9));
@@ -623,12 +640,16 @@
         Path file = folder.resolve("broken.json");
         Files.writeString(file, "{\"settings\":");
         Map<String, String> broken = Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.toString());
-        assertTrue(assertThrows(BadInput.class, () -> Config.read(broken)).getMessage().contains("broken.json"));
+        assertTrue(assertThrows(BadInput.class, () -> Config.read(broken))
+                .getMessage()
+                .contains("broken.json"));
         assertFalse(Config.read(world.environment()).classes().isEmpty());
     }
 
     private long callsFor(String id) {
-        return world.receiver.requests.stream().filter(r -> r.header("X-Request-ID").equals(id)).count();
+        return world.receiver.requests.stream()
+                .filter(r -> r.header("X-Request-ID").equals(id))
+                .count();
     }
 
     private static void closeQuietly(World.Request r) {
--- a/sender/src/test/java/amberroute/sender/ServiceNotifyTest.java
+++ b/sender/src/test/java/amberroute/sender/ServiceNotifyTest.java
@@ -4,12 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.file.Path;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
@@ -21,7 +15,11 @@
 import io.netty.channel.unix.DomainDatagramPacket;
 import io.netty.channel.unix.DomainSocketAddress;
 import io.netty.util.CharsetUtil;
-
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -37,13 +35,17 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, EpollIoHandler.newFactory());
         try {
             Path socket = folder.resolve("notify");
-            new Bootstrap().group(group).channel(EpollDomainDatagramChannel.class)
+            new Bootstrap()
+                    .group(group)
+                    .channel(EpollDomainDatagramChannel.class)
                     .handler(new SimpleChannelInboundHandler<DomainDatagramPacket>() {
                         @Override
                         protected void channelRead0(ChannelHandlerContext context, DomainDatagramPacket packet) {
                             heard.add(packet.content().toString(CharsetUtil.UTF_8));
                         }
-                    }).bind(new DomainSocketAddress(socket.toString())).sync();
+                    })
+                    .bind(new DomainSocketAddress(socket.toString()))
+                    .sync();
             ServiceNotify notify = new ServiceNotify(Map.of("NOTIFY_SOCKET", socket.toString()));
             notify.tell("READY=1");
             await(() -> heard.size() == 1);
--- a/sender/src/test/java/amberroute/sender/SharedSocket.java
+++ b/sender/src/test/java/amberroute/sender/SharedSocket.java
@@ -37,7 +37,9 @@
         try (InputStream text = SharedSocket.class.getResourceAsStream("/share-socket.pl")) {
             Files.copy(text, script);
         }
-        launcher = new ProcessBuilder("perl", script.toString()).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        launcher = new ProcessBuilder("perl", script.toString())
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         commands = launcher.outputWriter(StandardCharsets.UTF_8);
         Thread reading = new Thread(this::read, "launcher");
         reading.setDaemon(true);
@@ -76,9 +78,10 @@
     }
 
     /** The same by a command of its own. */
-    SenderProcess begin(Map<String, String> environment, Path log, List<String> command) throws IOException, InterruptedException {
-        List<String> fields = new ArrayList<>(List.of("start", log.toString(), Integer.toString(environment.size() + 1),
-                "GW_ACCEPT_FD=0"));
+    SenderProcess begin(Map<String, String> environment, Path log, List<String> command)
+            throws IOException, InterruptedException {
+        List<String> fields = new ArrayList<>(
+                List.of("start", log.toString(), Integer.toString(environment.size() + 1), "GW_ACCEPT_FD=0"));
         environment.forEach((name, value) -> fields.add(name + "=" + value));
         fields.addAll(command);
         commands.write(String.join("\t", fields) + "\n");
--- a/sender/src/test/java/amberroute/sender/ShortOfCpuTest.java
+++ b/sender/src/test/java/amberroute/sender/ShortOfCpuTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +27,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private SenderProcess process;
     private final Map<String, Long> noticedAt = new ConcurrentHashMap<>();
@@ -79,12 +79,17 @@
                 client.close();
             }
         }
-        long worst = taken.entrySet().stream().mapToLong(m -> (noticedAt.get(m.getKey()) - m.getValue()) / 1_000_000).max().orElse(0);
+        long worst = taken.entrySet().stream()
+                .mapToLong(m -> (noticedAt.get(m.getKey()) - m.getValue()) / 1_000_000)
+                .max()
+                .orElse(0);
         System.out.println("with a tenth of a core " + taken.size() + " of " + MESSAGES + " messages of " + TIME_MS
                 + " ms were taken on, the latest end came after " + worst + " ms");
         assertTrue(taken.size() > 0);
         assertTrue(worst <= TIME_MS + SLACK_MS, "the latest end came after " + worst + " ms");
-        assertEquals(List.of(), taken.keySet().stream().filter(id -> !noticedAt.containsKey(id)).toList());
+        assertEquals(
+                List.of(),
+                taken.keySet().stream().filter(id -> !noticedAt.containsKey(id)).toList());
     }
 
     /** Stops and continues the process until it is ended. */
--- a/sender/src/test/java/amberroute/sender/SingleFileJournal.java
+++ b/sender/src/test/java/amberroute/sender/SingleFileJournal.java
@@ -1,5 +1,8 @@
 package amberroute.sender;
 
+import amberroute.Relay;
+import amberroute.handover.KeyHolds;
+import amberroute.handover.Ownership;
 import java.io.BufferedOutputStream;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -24,10 +27,6 @@
 import java.util.Map;
 import java.util.zip.CRC32;
 
-import amberroute.Relay;
-import amberroute.handover.KeyHolds;
-import amberroute.handover.Ownership;
-
 /**
  * What this sender owes, in a folder that outlasts its process: records with length and checksum, each
  * written before the effect that it tells of. What the kernel has outlasts the process, so nothing is synced.
@@ -45,9 +44,11 @@
     private static final int LATER = 640;
     /** Ids of ended messages are remembered, as a client may hand one in twice when its connection closes. */
     private static final int REMEMBERED = 512;
+
     private static final int REMEMBERED_BYTES = REMEMBERED * 96;
     /** What is remembered of destinations, the longest unchanged forgotten first. */
     private static final int MEMORIES = 128;
+
     private static final int MEMORY_BYTES = 64;
     /** Lots of which something is known; with more, none is offered or taken. */
     private static final int MOST_LOTS = 4_096;
@@ -61,33 +62,37 @@
     private static final int HOLDS_IN_RECORD = 4_096;
     /** Part of the budget that lots may take, so that peers that ask for ever new ones leave room for messages. */
     private static final int LOTS_SHARE = 8;
+
     private static final long REWRITE_LEAST = 256 * 1024;
     private static final int REWRITE_BUFFER = 16 * 1024;
 
     /** What the module wants to know of a place again, {@code uid} empty for a whole destination; wall time. */
-    record Memory(int destination, String uid, Relay.Health health, long since, double pace, double usual) { }
+    record Memory(int destination, String uid, Relay.Health health, long since, double pace, double usual) {}
 
     /**
      * What is known of a lot that moved or was to move: whose it is, until when that has to be kept (wall time), and the
      * numbers of its messages here.
      */
-    record Lot(Ownership ownership, long until, List<Long> numbers) { }
+    record Lot(Ownership ownership, long until, List<Long> numbers) {}
 
     private final Path folder;
     private final long budget;
     private final Map<Long, Held> live = new LinkedHashMap<>();
     /** What ended under each id, 0 where that is no longer known. */
     private final Map<String, Integer> ended = new LinkedHashMap<>();
+
     private final Map<String, Integer> liveIds = new HashMap<>();
     private final Map<String, Memory> memories = new LinkedHashMap<>();
     private final Map<String, Lot> lots = new LinkedHashMap<>();
     /** Versions of classes that were taken on in, by number: at most {@link ClassBook#MOST}. */
     private final Map<Integer, ClassBook.Version> classes = new LinkedHashMap<>();
+
     private final KeyHolds holds = new KeyHolds();
     private FileChannel file;
     /** Looked for behind each record, null where nobody may take the folder over. */
     private File fence;
-    private Runnable onFenced = () -> { };
+
+    private Runnable onFenced = () -> {};
     private long size;
     private long reserved = REMEMBERED_BYTES;
     private long next = 1;
@@ -102,8 +107,8 @@
         SingleFileJournal journal = new SingleFileJournal(folder, budget);
         Files.createDirectories(folder);
         Files.deleteIfExists(journal.path("journal.new"));
-        journal.file = FileChannel.open(journal.path("journal"), StandardOpenOption.CREATE,
-                StandardOpenOption.READ, StandardOpenOption.WRITE);
+        journal.file = FileChannel.open(
+                journal.path("journal"), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         journal.recover();
         return journal;
     }
@@ -239,7 +244,10 @@
 
     /** Those of these messages that are still owed here, in the order given. */
     List<Held> messages(List<Long> numbers) {
-        return numbers.stream().map(live::get).filter(m -> m != null && m.notice == null).toList();
+        return numbers.stream()
+                .map(live::get)
+                .filter(m -> m != null && m.notice == null)
+                .toList();
     }
 
     /** Writes whose a lot is. One that is given drops its messages, as they are another's now. */
@@ -260,12 +268,23 @@
      * Writes that a lot is offered, and in the same record that what comes of its keys after a restart has to wait; false
      * without room for either.
      */
-    boolean offer(String name, Ownership ownership, long until, List<Held> messages, String origin, List<Long> keys,
+    boolean offer(
+            String name,
+            Ownership ownership,
+            long until,
+            List<Held> messages,
+            String origin,
+            List<Long> keys,
             long holdUntil) {
         if (!keys.isEmpty() && !roomForHolds(keys.size())) {
             return false;
         }
-        if (!lot(name, ownership, until, messages, keys.isEmpty() ? List.of() : List.of(held(origin, keys, holdUntil)))) {
+        if (!lot(
+                name,
+                ownership,
+                until,
+                messages,
+                keys.isEmpty() ? List.of() : List.of(held(origin, keys, holdUntil)))) {
             return false;
         }
         keepHolds(origin, keys, holdUntil);
@@ -273,9 +292,11 @@
     }
 
     /** Writes that a lot is this daemon's own again, and its keys with it; null where that could not be written. */
-    List<Long> takeBack(String name, Ownership ownership, long until, List<Held> messages, String origin, List<Long> keys) {
+    List<Long> takeBack(
+            String name, Ownership ownership, long until, List<Held> messages, String origin, List<Long> keys) {
         return lot(name, ownership, until, messages, keys.isEmpty() ? List.of() : List.of(released(origin, keys)))
-                ? dropHolds(origin, keys) : null;
+                ? dropHolds(origin, keys)
+                : null;
     }
 
     /**
@@ -285,7 +306,10 @@
     boolean adopt(String name, Ownership ownership, long until, List<Held> messages, String origin, List<Held> behind) {
         long more = messages.stream().mapToLong(SingleFileJournal::reserve).sum();
         Lot lot = new Lot(ownership, until, messages.stream().map(m -> m.number).toList());
-        List<Long> keys = messages.stream().map(m -> m.key).filter(key -> holds.origins(key).contains(origin)).distinct()
+        List<Long> keys = messages.stream()
+                .map(m -> m.key)
+                .filter(key -> holds.origins(key).contains(origin))
+                .distinct()
                 .toList();
         List<byte[]> parts = new ArrayList<>();
         if (!keys.isEmpty()) {
@@ -293,7 +317,9 @@
         }
         behind.forEach(m -> parts.add(moved(m)));
         byte[] record = lotRecord('P', name, lot, messages, parts);
-        if (!roomForLot(name) || record.length > LARGEST || 2 * (reserved + more) + REWRITE_LEAST / 4 > budget
+        if (!roomForLot(name)
+                || record.length > LARGEST
+                || 2 * (reserved + more) + REWRITE_LEAST / 4 > budget
                 || !append(record)) {
             return false;
         }
@@ -343,7 +369,8 @@
     }
 
     private boolean roomForHolds(int more) {
-        return holds.fits(more) && (holds.size() + more) * (long) HOLD_BYTES <= budget / HOLDS_SHARE
+        return holds.fits(more)
+                && (holds.size() + more) * (long) HOLD_BYTES <= budget / HOLDS_SHARE
                 && 2 * (reserved + more * (long) HOLD_BYTES) + REWRITE_LEAST / 4 <= budget;
     }
 
@@ -528,8 +555,11 @@
             throw new IllegalArgumentException(e);
         }
         byte[] payload = bytes.toByteArray();
-        return ByteBuffer.allocate(HEAD + payload.length).putInt(payload.length).putInt(checksum(payload))
-                .put(payload).array();
+        return ByteBuffer.allocate(HEAD + payload.length)
+                .putInt(payload.length)
+                .putInt(checksum(payload))
+                .put(payload)
+                .array();
     }
 
     private static int checksum(byte[] payload) {
@@ -575,9 +605,19 @@
         in.readLong();
         int number = in.readInt();
         String name = in.readUTF();
-        keep(number, new ClassBook.Version(name, new Relay.MessageClass(in.readDouble(), in.readDouble(), in.readLong(),
-                in.readLong(), Relay.Effect.values()[in.readByte()], Relay.KeyScope.values()[in.readByte()],
-                in.readLong(), in.readBoolean())));
+        keep(
+                number,
+                new ClassBook.Version(
+                        name,
+                        new Relay.MessageClass(
+                                in.readDouble(),
+                                in.readDouble(),
+                                in.readLong(),
+                                in.readLong(),
+                                Relay.Effect.values()[in.readByte()],
+                                Relay.KeyScope.values()[in.readByte()],
+                                in.readLong(),
+                                in.readBoolean())));
     }
 
     private static byte[] ending(Held m) {
@@ -639,15 +679,27 @@
             return;
         }
         if (type == 'M') {
-            keep(new Memory(in.readInt(), in.readUTF(), Relay.Health.valueOf(in.readUTF()), in.readLong(),
-                    in.readDouble(), in.readDouble()));
+            keep(new Memory(
+                    in.readInt(),
+                    in.readUTF(),
+                    Relay.Health.valueOf(in.readUTF()),
+                    in.readLong(),
+                    in.readDouble(),
+                    in.readDouble()));
             return;
         }
         long number = in.readLong();
         next = Math.max(next, number + 1);
         if (type == 'A') {
-            Held m = new Held(number, in.readUTF(), in.readUTF(), in.readUTF(), in.readLong(), in.readInt(),
-                    in.readLong(), in.readNBytes(in.readInt()));
+            Held m = new Held(
+                    number,
+                    in.readUTF(),
+                    in.readUTF(),
+                    in.readUTF(),
+                    in.readLong(),
+                    in.readInt(),
+                    in.readLong(),
+                    in.readNBytes(in.readInt()));
             m.type = in.available() < Integer.BYTES ? -1 : in.readInt();
             add(m);
             return;
@@ -767,8 +819,7 @@
 
     private boolean append(byte[] record) {
         try {
-            if (size + record.length + reserved > budget
-                    || size > REWRITE_LEAST && size > 4 * reserved) {
+            if (size + record.length + reserved > budget || size > REWRITE_LEAST && size > 4 * reserved) {
                 rewrite();
             }
             ByteBuffer bytes = ByteBuffer.wrap(record);
@@ -799,8 +850,8 @@
     private void rewrite() throws IOException {
         dropOldLots();
         Path path = path("journal.new");
-        FileChannel fresh = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-                StandardOpenOption.WRITE);
+        FileChannel fresh = FileChannel.open(
+                path, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
         long length;
         try {
             OutputStream out = new BufferedOutputStream(Channels.newOutputStream(fresh), REWRITE_BUFFER);
@@ -815,12 +866,15 @@
             }
             Map<String, Map<Long, List<Long>>> kept = new LinkedHashMap<>();
             holds.all().forEach(h -> kept.computeIfAbsent(h.origin(), o -> new LinkedHashMap<>())
-                    .computeIfAbsent(h.until(), u -> new ArrayList<>()).add(h.key()));
+                    .computeIfAbsent(h.until(), u -> new ArrayList<>())
+                    .add(h.key()));
             for (Map.Entry<String, Map<Long, List<Long>>> origin : kept.entrySet()) {
                 for (Map.Entry<Long, List<Long>> until : origin.getValue().entrySet()) {
                     List<Long> keys = until.getValue();
                     for (int from = 0; from < keys.size(); from += HOLDS_IN_RECORD) {
-                        out.write(held(origin.getKey(), keys.subList(from, Math.min(keys.size(), from + HOLDS_IN_RECORD)),
+                        out.write(held(
+                                origin.getKey(),
+                                keys.subList(from, Math.min(keys.size(), from + HOLDS_IN_RECORD)),
                                 until.getKey()));
                     }
                 }
--- a/sender/src/test/java/amberroute/sender/SpoiltAnswersTest.java
+++ b/sender/src/test/java/amberroute/sender/SpoiltAnswersTest.java
@@ -1,9 +1,9 @@
 package amberroute.sender;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static amberroute.sender.World.await;
 import static amberroute.sender.World.ok;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -12,7 +12,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.function.Function;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +27,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
 
@@ -60,16 +60,18 @@
 
     /** For one message the first line is the truth: delivered, however the answer goes on; and no more calls on it. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nand so on",
-        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\ncut",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Le",
-        "HTTP/1.1 200 OK\r\n\u0001\u0002: \u0003\r\nnoise without a colon\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nnoise\r\n",
-        "HTTP/1.1 200 OK\r\n\r\nno length at all",
-        "HTTP/1.1 103 Early\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nand so on",
+                "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\ncut",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Le",
+                "HTTP/1.1 200 OK\r\n\u0001\u0002: \u0003\r\nnoise without a colon\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nnoise\r\n",
+                "HTTP/1.1 200 OK\r\n\r\nno length at all",
+                "HTTP/1.1 103 Early\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"
+            })
     void deliversByTheFirstLine(String spoilt) throws IOException {
         World.Client client = answering(r -> r.header("X-Request-ID").equals(A) ? spoilt : ok(200, ""));
         client.submit("unsafe", A, NO_KEY);
@@ -83,13 +85,15 @@
 
     /** Anything else that is spoilt may have run: repeated where that is harmless, else failed. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "\u0000\u0001\u0002\u0003",
-        "SPDY/9 what\r\n\r\n",
-        "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 503 No\r\nContent-Length: -1\r\n\r\n",
-        "HTTP/1.1 503 No\r\nContent-Length: 40\r\n\r\ncut",
-        "HTTP/1.1 100 Go on\r\n\r\n\u0001\u0002\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "\u0000\u0001\u0002\u0003",
+                "SPDY/9 what\r\n\r\n",
+                "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 503 No\r\nContent-Length: -1\r\n\r\n",
+                "HTTP/1.1 503 No\r\nContent-Length: 40\r\n\r\ncut",
+                "HTTP/1.1 100 Go on\r\n\r\n\u0001\u0002\r\n\r\n"
+            })
     void takesOtherSpoiltAnswersAsDoubt(String spoilt) throws IOException {
         World.Client client = answering(r -> calls() < 3 ? spoilt : ok(200, ""));
         client.submit("unsafe", A, NO_KEY);
@@ -205,8 +209,8 @@
     void believesAnAnswerForSeveralOnlyAsAWhole() throws IOException {
         world.perCall = 5;
         world.slots = 1;
-        World.Client client = answering(r -> r.head().contains("receive-many")
-                ? ok(200, A + " delivered\r\n" + B.substring(0, 9)) : ok(200, ""));
+        World.Client client = answering(r ->
+                r.head().contains("receive-many") ? ok(200, A + " delivered\r\n" + B.substring(0, 9)) : ok(200, ""));
         world.prove(sender, client);
         client.raw(World.command("SUBMIT", NO_KEY, A, "c=safe,d=8000,dest=7", "one")
                 + World.command("SUBMIT", NO_KEY, B, "c=unsafe,d=8000,dest=7", "two"));
--- a/sender/src/test/java/amberroute/sender/StandaloneTest.java
+++ b/sender/src/test/java/amberroute/sender/StandaloneTest.java
@@ -7,12 +7,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.config.ConfigException;
+import amberroute.settings.BadInput;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.Channels;
 import java.nio.channels.SocketChannel;
-import java.net.UnixDomainSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,18 +25,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.config.ConfigException;
-import amberroute.settings.BadInput;
-
 /** A sender outside the platform: its files, its control socket and its stop. */
 class StandaloneTest {
     private static final String NO_KEY = "0000000000000000";
@@ -43,6 +40,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private Sender sender;
 
@@ -62,7 +60,9 @@
     }
 
     private void config(String more) throws IOException {
-        Files.writeString(folder.resolve("amberroute.toml"), """
+        Files.writeString(
+                folder.resolve("amberroute.toml"),
+                """
                 listen = "127.0.0.1:0"
                 state = "s"
                 endpoints = "endpoints.json"
@@ -75,7 +75,9 @@
                 [stop]
                 deadline = "5s"
                 back_after = "700ms"
-                """.formatted(world.discovery.address(), more) + World.CLASSES);
+                """
+                                .formatted(world.discovery.address(), more)
+                        + World.CLASSES);
     }
 
     /** Written aside and renamed, as the page for operators says. */
@@ -139,7 +141,7 @@
         World.Client client = started();
         Files.writeString(folder.resolve("endpoints.json"), "{\"targets\":[{\"uid\":\"x\"}]}");
         sender.reload(Map.of("GW_CONFIG", folder.resolve("amberroute.toml").toString()));
-        sender.pauseFor(() -> { });
+        sender.pauseFor(() -> {});
         assertTrue(sender.ready("s-1"));
         assertEquals("+OK", client.submit("safe", A, NO_KEY));
         await(() -> sender.owed() == 0);
@@ -148,8 +150,13 @@
     @Test
     void oneBadEntrySpoilsAWholeFile() throws IOException {
         String good = world.list(1, true, "Ready").strip();
-        for (String bad : List.of("{}", "[", "{\"targets\":3}", good.replace("Ready", "Sleepy"),
-                good.replace("\"s-8\"", "\"s-1\""), good.replace("127.0.0.1:1\"", "nowhere:1\""))) {
+        for (String bad : List.of(
+                "{}",
+                "[",
+                "{\"targets\":3}",
+                good.replace("Ready", "Sleepy"),
+                good.replace("\"s-8\"", "\"s-1\""),
+                good.replace("127.0.0.1:1\"", "nowhere:1\""))) {
             Files.writeString(folder.resolve("endpoints.json"), bad);
             String message = assertThrows(ConfigException.class, this::read).getMessage();
             assertTrue(message.contains("endpoints.json") && message.lines().count() == 1, message);
@@ -159,8 +166,12 @@
     @Test
     void saysWhichKeyIsWrong() throws IOException {
         for (String[] bad : new String[][] {
-            {"discovery = \"127.0.0.1:1\"", "endpoints"}, {"zone = \"x\"", "zone"}, {"contrl = \"x\"", "did you mean control?"},
-            {"control = \"" + "x".repeat(120) + "\"", "control"}, {"senders = 0", "senders has to be between 1 and 4096"}}) {
+            {"discovery = \"127.0.0.1:1\"", "endpoints"},
+            {"zone = \"x\"", "zone"},
+            {"contrl = \"x\"", "did you mean control?"},
+            {"control = \"" + "x".repeat(120) + "\"", "control"},
+            {"senders = 0", "senders has to be between 1 and 4096"}
+        }) {
             config(bad[0]);
             String message = assertThrows(ConfigException.class, this::read).getMessage();
             assertTrue(message.contains(bad[1]) && message.lines().count() == 1, message);
@@ -173,7 +184,9 @@
         String text = Files.readString(shipped);
         for (String path : StandaloneConfig.SCHEMA.paths()) {
             String name = path.substring(path.lastIndexOf('.') + 1);
-            assertTrue(text.lines().anyMatch(l -> l.matches("#? ?(\\[\\[)?" + name + "(\\]\\]| = .*).*")), path + " is not shown");
+            assertTrue(
+                    text.lines().anyMatch(l -> l.matches("#? ?(\\[\\[)?" + name + "(\\]\\]| = .*).*")),
+                    path + " is not shown");
         }
         StandaloneConfig.SCHEMA.read(shipped);
     }
@@ -183,8 +196,10 @@
     @Test
     void refusesAFolderThatAnotherHolds() throws IOException {
         started();
-        String message = assertThrows(BadInput.class, () -> Sender.start(read())).getMessage();
-        assertTrue(message.contains("is held by process " + ProcessHandle.current().pid()), message);
+        String message =
+                assertThrows(BadInput.class, () -> Sender.start(read())).getMessage();
+        assertTrue(
+                message.contains("is held by process " + ProcessHandle.current().pid()), message);
         sender.stop();
         sender = Sender.start(read());
         assertEquals("ready", state());
@@ -198,15 +213,23 @@
         JsonObject status = ask("{\"do\":\"status\"}");
         assertEquals("ready", status.get("state").getAsString());
         assertEquals(0, status.get("held").getAsInt());
-        assertEquals("rw-------", java.nio.file.attribute.PosixFilePermissions
-                .toString(Files.getPosixFilePermissions(folder.resolve("s/control"))));
+        assertEquals(
+                "rw-------",
+                java.nio.file.attribute.PosixFilePermissions.toString(
+                        Files.getPosixFilePermissions(folder.resolve("s/control"))));
     }
 
     @Test
     void answersWhatItCannotUseAndGoesOn() throws IOException {
         started();
-        for (String bad : List.of("{}", "{\"do\":\"dance\"}", "{\"do\":[1]}", "{\"do\":\"stop\"}",
-                "{\"do\":\"stop\",\"mode\":\"later\"}", "{\"do\":\"stop\",\"mode\":\"final\",\"within_ms\":\"x\"}", "nonsense")) {
+        for (String bad : List.of(
+                "{}",
+                "{\"do\":\"dance\"}",
+                "{\"do\":[1]}",
+                "{\"do\":\"stop\"}",
+                "{\"do\":\"stop\",\"mode\":\"later\"}",
+                "{\"do\":\"stop\",\"mode\":\"final\",\"within_ms\":\"x\"}",
+                "nonsense")) {
             assertFalse(ask(bad).get("ok").getAsBoolean(), bad);
         }
         assertEquals("ready", state());
@@ -232,7 +255,8 @@
         assertEquals("+OK", client.submit("safe", A, NO_KEY));
         await(() -> world.receiver.requests.size() == 1);
         String absent = String.join(",", java.util.Collections.nCopies(1_200, "\"daemon-of-a-large-fleet\""));
-        assertTrue(ask("{\"do\":\"stop\",\"mode\":\"restart\",\"within_ms\":5000,\"absent\":[" + absent + "]}").get("ok")
+        assertTrue(ask("{\"do\":\"stop\",\"mode\":\"restart\",\"within_ms\":5000,\"absent\":[" + absent + "]}")
+                .get("ok")
                 .getAsBoolean());
         String answer = client.submit("safe", B, NO_KEY);
         assertTrue(answer.matches("-BUSY [0-9]+"), answer);
@@ -265,7 +289,10 @@
         int before = world.receiver.requests.size();
         sender = Sender.start(read());
         await(() -> sender.owed() == 0);
-        List<String> bodies = world.receiver.requests.stream().skip(before).map(World.Request::body).toList();
+        List<String> bodies = world.receiver.requests.stream()
+                .skip(before)
+                .map(World.Request::body)
+                .toList();
         assertEquals(List.of("body of " + A, "body of " + B), bodies);
         assertTrue(noticed(C, "failed"), world.notices.toString());
     }
@@ -276,7 +303,8 @@
         Path journal = folder.resolve("s/journal");
         // In the earlier version's form, which takes its time to be moved in.
         try (SingleFileJournal one = SingleFileJournal.open(Files.createDirectories(folder.resolve("s")), 16_000_000)) {
-            Held m = new Held(one.nextNumber(), "m", "", "safe", 0, 7, System.currentTimeMillis() + 60_000, new byte[10]);
+            Held m = new Held(
+                    one.nextNumber(), "m", "", "safe", 0, 7, System.currentTimeMillis() + 60_000, new byte[10]);
             one.accept(m);
             one.conclude(m);
         }
@@ -295,7 +323,9 @@
             }
         });
         await(() -> !state().equals("gone"));
-        assertTrue(ask("{\"do\":\"stop\",\"mode\":\"final\",\"within_ms\":300}").get("ok").getAsBoolean());
+        assertTrue(ask("{\"do\":\"stop\",\"mode\":\"final\",\"within_ms\":300}")
+                .get("ok")
+                .getAsBoolean());
         assertFalse(starting.isDone(), "it had started before it was asked");
         sender = starting.get(20, TimeUnit.SECONDS);
         assertEquals(0, code());
@@ -313,15 +343,18 @@
     @Test
     void aReloadReadsTheListAgainAndSaysWhatIsWrong() throws IOException {
         started();
-        Map<String, String> environment = Map.of("GW_CONFIG", folder.resolve("amberroute.toml").toString());
+        Map<String, String> environment =
+                Map.of("GW_CONFIG", folder.resolve("amberroute.toml").toString());
         endpoints("Terminating");
         assertEquals(null, sender.reload(environment));
         await(() -> !sender.ready("s-1"));
         Files.writeString(folder.resolve("endpoints.json"), "{}");
         String error = sender.reload(environment);
         assertTrue(error.contains("targets is missing") && error.lines().count() == 1, error);
-        Files.writeString(folder.resolve("amberroute.toml"), Files.readString(folder.resolve("amberroute.toml"))
-                .replace("endpoints = \"endpoints.json\"", "discovery = \"127.0.0.1:1\""));
+        Files.writeString(
+                folder.resolve("amberroute.toml"),
+                Files.readString(folder.resolve("amberroute.toml"))
+                        .replace("endpoints = \"endpoints.json\"", "discovery = \"127.0.0.1:1\""));
         assertTrue(sender.reload(environment).contains("takes a restart"));
     }
 
@@ -331,7 +364,8 @@
         Map<String, String> platform = world.environment();
         Path file = Path.of(platform.get("GW_CONFIG"));
         Files.writeString(file, Files.readString(file).replace("\"balancers\":1", "\"balancers\":0"));
-        String message = assertThrows(BadInput.class, () -> Sender.start(Config.read(platform))).getMessage();
+        String message = assertThrows(BadInput.class, () -> Sender.start(Config.read(platform)))
+                .getMessage();
         assertEquals("setting senders or classes is out of range", message);
         sender = world.start();
         assertTrue(sender.ready("s-1"));
@@ -417,7 +451,9 @@
         await(() -> world.receiver.requests.size() == 2);
         byte[] before = Segments.first(folder.resolve("s"));
         JournalView view = JournalView.read(folder.resolve("s"));
-        assertTrue(view.summary().startsWith("2 messages held, 2 of them in doubt; 0 notices not answered; "), view.summary());
+        assertTrue(
+                view.summary().startsWith("2 messages held, 2 of them in doubt; 0 notices not answered; "),
+                view.summary());
         assertTrue(view.lines(System.currentTimeMillis()).get(0).startsWith(A + " unsafe dest=7"));
         assertEquals(before.length, Segments.first(folder.resolve("s")).length);
         assertThrows(IOException.class, () -> JournalView.read(folder));
--- a/sender/src/test/java/amberroute/sender/SteppedClock.java
+++ b/sender/src/test/java/amberroute/sender/SteppedClock.java
@@ -23,7 +23,8 @@
 
     /** From now on processes with {@link #with} see a wall clock that is off by so many seconds. */
     void step(long seconds) throws IOException {
-        ByteBuffer bytes = ByteBuffer.allocate(Long.BYTES).order(ByteOrder.nativeOrder()).putLong(0, seconds);
+        ByteBuffer bytes =
+                ByteBuffer.allocate(Long.BYTES).order(ByteOrder.nativeOrder()).putLong(0, seconds);
         Files.write(step, bytes.array(), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     }
 
--- a/sender/src/test/java/amberroute/sender/SuccessionTest.java
+++ b/sender/src/test/java/amberroute/sender/SuccessionTest.java
@@ -1,12 +1,16 @@
 package amberroute.sender;
 
+import static amberroute.sender.World.await;
+import static amberroute.sender.World.ok;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static amberroute.sender.World.await;
-import static amberroute.sender.World.ok;
 
+import amberroute.Relay;
+import amberroute.settings.BadInput;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -24,19 +28,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.Relay;
-import amberroute.settings.BadInput;
-
 /** One process takes another's place while that one serves: nothing lost, nothing twice, no order broken. */
 class SuccessionTest {
     private static final String NO_KEY = "0000000000000000";
@@ -44,6 +40,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private ServerSocketChannel door;
     private final List<Sender> senders = new ArrayList<>();
@@ -80,7 +77,9 @@
     }
 
     private int calls(String id) {
-        return (int) world.receiver.requests.stream().filter(r -> r.body().contains("body of " + id)).count();
+        return (int) world.receiver.requests.stream()
+                .filter(r -> r.body().contains("body of " + id))
+                .count();
     }
 
     private boolean noticed(String id, String state) {
@@ -140,8 +139,12 @@
             World.write(socket, ok(200, ""));
         }
         await(() -> fresh.owed() == 0);
-        assertEquals(List.of("body of k0", "body of k1", "body of k2", "body of k3"), world.receiver.requests.stream()
-                .map(World.Request::body).filter(b -> b.contains(" k")).toList());
+        assertEquals(
+                List.of("body of k0", "body of k1", "body of k2", "body of k3"),
+                world.receiver.requests.stream()
+                        .map(World.Request::body)
+                        .filter(b -> b.contains(" k"))
+                        .toList());
         assertEquals(List.of(1, 1, 1, List.of()), List.of(calls("s"), calls("u"), calls("n"), world.notices));
         await(() -> OpsTest.figure(old, "svc_active") == 0);
         await(() -> old.clients() == 0);
@@ -158,7 +161,8 @@
         client.submit("unsafe", "u", NO_KEY);
         await(() -> held.size() == 2);
         // A door of its own: in one JVM the old one's end would close the shared one under the new one's loop.
-        Sender fresh = start(ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+        Sender fresh =
+                start(ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
         assertEquals(2, fresh.owed());
         old.stop();
         await(() -> fresh.owed() == 0);
@@ -177,12 +181,15 @@
         // Nobody listens for a successor any more: only the lock tells when the folder is free.
         java.nio.file.Files.delete(folder.resolve("state").resolve("successor"));
         Thread end = new Thread(() -> {
-            await(() -> Thread.getAllStackTraces().entrySet().stream().anyMatch(t -> t.getKey() == taker
-                    && java.util.Arrays.stream(t.getValue()).anyMatch(f -> f.getMethodName().equals("takeOver"))));
+            await(() -> Thread.getAllStackTraces().entrySet().stream()
+                    .anyMatch(t -> t.getKey() == taker
+                            && java.util.Arrays.stream(t.getValue())
+                                    .anyMatch(f -> f.getMethodName().equals("takeOver"))));
             old.stop();
         });
         end.start();
-        Sender fresh = start(ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+        Sender fresh =
+                start(ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
         end.join();
         await(() -> fresh.owed() == 0);
         assertEquals(2, calls("s"));
@@ -251,15 +258,24 @@
                 return null;
             }
             String answer = new BufferedReader(Channels.newReader(line, StandardCharsets.UTF_8)).readLine();
-            return answer == null ? new JsonObject() : JsonParser.parseString(answer).getAsJsonObject();
+            return answer == null
+                    ? new JsonObject()
+                    : JsonParser.parseString(answer).getAsJsonObject();
         }
     }
 
     @Test
     void whatCannotBeReadGetsNothing() throws Exception {
         Sender old = start();
-        for (String bad : List.of("", "{", "[]", "{\"do\":3}", "{\"do\":\"take\"}", "{\"do\":\"cancel\",\"number\":1}",
-                "{\"do\":\"answer\",\"asked\":1,\"line\":\"+OK\"}", "x".repeat(100_000))) {
+        for (String bad : List.of(
+                "",
+                "{",
+                "[]",
+                "{\"do\":3}",
+                "{\"do\":\"take\"}",
+                "{\"do\":\"cancel\",\"number\":1}",
+                "{\"do\":\"answer\",\"asked\":1,\"line\":\"+OK\"}",
+                "x".repeat(100_000))) {
             say(bad, false);
         }
         assertEquals("no", say("{\"do\":\"take\",\"v\":99}", true).get("do").getAsString());
@@ -289,8 +305,12 @@
             World.write(socket, ok(200, ""));
         }
         await(() -> old.owed() == 0);
-        assertEquals(List.of("body of k0", "body of k1"), world.receiver.requests.stream()
-                .map(World.Request::body).filter(b -> b.contains(" k")).toList());
+        assertEquals(
+                List.of("body of k0", "body of k1"),
+                world.receiver.requests.stream()
+                        .map(World.Request::body)
+                        .filter(b -> b.contains(" k"))
+                        .toList());
         assertEquals(List.of(1, 1, List.of()), List.of(calls("u"), calls("n"), world.notices));
         assertFalse(old.stopped().isDone(), "it ended though nobody had asked for that");
     }
@@ -372,7 +392,9 @@
 
     private static boolean closedByTheOther(Socket socket) {
         try {
-            return socket.isClosed() || socket.getInputStream().available() == 0 && socket.getInputStream().read() < 0;
+            return socket.isClosed()
+                    || socket.getInputStream().available() == 0
+                            && socket.getInputStream().read() < 0;
         } catch (IOException e) {
             return true;
         }
@@ -382,14 +404,15 @@
     private static void spoil(Path socket, Path aside) {
         try (java.nio.channels.ServerSocketChannel middle = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
             middle.bind(UnixDomainSocketAddress.of(socket));
-            try (SocketChannel fresh = middle.accept(); SocketChannel old = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            try (SocketChannel fresh = middle.accept();
+                    SocketChannel old = SocketChannel.open(StandardProtocolFamily.UNIX)) {
                 old.connect(UnixDomainSocketAddress.of(aside));
                 BufferedReader asked = new BufferedReader(Channels.newReader(fresh, StandardCharsets.UTF_8));
                 old.write(ByteBuffer.wrap((asked.readLine() + "\n").getBytes(StandardCharsets.UTF_8)));
                 String yours = new BufferedReader(Channels.newReader(old, StandardCharsets.UTF_8)).readLine();
                 assertTrue(yours.contains("\"learned\""));
-                fresh.write(ByteBuffer.wrap((yours.replace("\"learned\"", "\"known\"") + "\n")
-                        .getBytes(StandardCharsets.UTF_8)));
+                fresh.write(ByteBuffer.wrap(
+                        (yours.replace("\"learned\"", "\"known\"") + "\n").getBytes(StandardCharsets.UTF_8)));
                 asked.readLine();
             }
         } catch (IOException e) {
@@ -402,13 +425,43 @@
     void theEstateReadsAsItWasWritten() {
         JsonObject list = new JsonObject();
         list.addProperty("rev", 4);
-        Estate estate = new Estate(123, list, List.of(new Estate.Out(List.of(5L, 6L), "s-1", 77)), List.of(
-                new Relay.Learned(new Relay.Memory(3, 0, Relay.Health.OUT, 1, 2.5, 3.5), 4, 5, Double.POSITIVE_INFINITY, 6,
-                        7, 8.5, 9.5, 0.5, 1.5, 2.25, 3.75, 0.125),
-                new Relay.Learned(new Relay.Memory(3, 9, Relay.Health.WELL, 1, 2, 3), 4, 5, 1.75, Long.MAX_VALUE / 2, 7, 8,
-                        9, 10, 11, 12, 13, 14)), List.of(new Relay.Rest(-1, 50, 6)));
+        Estate estate = new Estate(
+                123,
+                list,
+                List.of(new Estate.Out(List.of(5L, 6L), "s-1", 77)),
+                List.of(
+                        new Relay.Learned(
+                                new Relay.Memory(3, 0, Relay.Health.OUT, 1, 2.5, 3.5),
+                                4,
+                                5,
+                                Double.POSITIVE_INFINITY,
+                                6,
+                                7,
+                                8.5,
+                                9.5,
+                                0.5,
+                                1.5,
+                                2.25,
+                                3.75,
+                                0.125),
+                        new Relay.Learned(
+                                new Relay.Memory(3, 9, Relay.Health.WELL, 1, 2, 3),
+                                4,
+                                5,
+                                1.75,
+                                Long.MAX_VALUE / 2,
+                                7,
+                                8,
+                                9,
+                                10,
+                                11,
+                                12,
+                                13,
+                                14)),
+                List.of(new Relay.Rest(-1, 50, 6)));
         String text = estate.write(number -> "s-" + number).toString();
-        assertEquals(estate, Estate.read(JsonParser.parseString(text).getAsJsonObject(),
-                uid -> Long.parseLong(uid.substring(2))));
+        assertEquals(
+                estate,
+                Estate.read(JsonParser.parseString(text).getAsJsonObject(), uid -> Long.parseLong(uid.substring(2))));
     }
 }
--- a/sender/src/test/java/amberroute/sender/SurvivalTest.java
+++ b/sender/src/test/java/amberroute/sender/SurvivalTest.java
@@ -7,6 +7,20 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.membership.FleetView;
+import amberroute.storage.Batch;
+import amberroute.survival.Group;
+import amberroute.survival.Holding;
+import amberroute.survival.Position;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -22,29 +36,11 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.nio.NioIoHandler;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import amberroute.membership.FleetView;
-import amberroute.storage.Batch;
-import amberroute.survival.Group;
-import amberroute.survival.Holding;
-import amberroute.survival.Position;
-
 /** What one daemon says to its peers' words about estates, and what it does with what it finds on its disk. */
 class SurvivalTest {
     private static final String ESTATE = "two.abc";
@@ -52,6 +48,7 @@
 
     @TempDir
     Path folder;
+
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final List<String> fenced = new CopyOnWriteArrayList<>();
@@ -71,7 +68,9 @@
 
     private Config config(String more) throws Exception {
         Path file = folder.resolve("one.toml");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
                 name = "one"
                 listen = "127.0.0.1:0"
                 state = "one"
@@ -81,31 +80,41 @@
                 handover.peers = ["two=127.0.0.1:%d"%s]
                 survival.on = true
                 limits.disk = "1MB"
-                """.formatted(world.discovery.address(), peer.getLocalPort(), more) + World.CLASSES);
+                """
+                                .formatted(world.discovery.address(), peer.getLocalPort(), more)
+                        + World.CLASSES);
         return Config.read(Map.of("GW_CONFIG", file.toString()));
     }
 
     private Survival survival() throws Exception {
         Files.createDirectories(config.state());
         journal = Journal.open(config.state(), 1 << 20);
-        PeerProbes probes = new PeerProbes(loop, "one", "-", config.standalone().peers(), () -> System.nanoTime() / 1_000, 1,
+        PeerProbes probes = new PeerProbes(
+                loop,
+                "one",
+                "-",
+                config.standalone().peers(),
+                () -> System.nanoTime() / 1_000,
+                1,
                 () -> FleetView.Phase.READY);
         survival = loop.submit(() -> new Survival(loop, config, journal, probes, new Survival.Host() {
-            @Override
-            public void fenced(String why) {
-                fenced.add(why);
-            }
+                    @Override
+                    public void fenced(String why) {
+                        fenced.add(why);
+                    }
 
-            @Override
-            public Survival.Caretaker takeOver(EstateStore.Kept kept, Path copy, long term) throws IOException {
-                throw new IOException("not in this test");
-            }
+                    @Override
+                    public Survival.Caretaker takeOver(EstateStore.Kept kept, Path copy, long term) throws IOException {
+                        throw new IOException("not in this test");
+                    }
 
-            @Override
-            public long longestLife() {
-                return 1_000;
-            }
-        })).sync().getNow();
+                    @Override
+                    public long longestLife() {
+                        return 1_000;
+                    }
+                }))
+                .sync()
+                .getNow();
         return survival;
     }
 
@@ -120,15 +129,18 @@
         world.close();
     }
 
-    
     private final EmbeddedChannel connection = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
 
     /** The answer to a word, null for none. */
     private JsonObject say(EmbeddedChannel on, String from, JsonObject line) throws Exception {
-        assertTrue(loop.submit(() -> survival.heard(on.pipeline().firstContext(), line, from)).sync().getNow());
+        assertTrue(loop.submit(() -> survival.heard(on.pipeline().firstContext(), line, from))
+                .sync()
+                .getNow());
         on.runPendingTasks();
         ByteBuf bytes = on.readOutbound();
-        return bytes == null ? null : JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+        return bytes == null
+                ? null
+                : JsonParser.parseString(bytes.toString(StandardCharsets.UTF_8)).getAsJsonObject();
     }
 
     private String word(String from, JsonObject line) throws Exception {
@@ -164,7 +176,8 @@
     }
 
     private static Batch change(long term, long number, Group holders) {
-        return new Batch().put(1, Journal.PLACE, EstateLine.place(new Position(term, number)))
+        return new Batch()
+                .put(1, Journal.PLACE, EstateLine.place(new Position(term, number)))
                 .put(1, Journal.GROUP, EstateLine.group(ESTATE, holders));
     }
 
@@ -184,7 +197,11 @@
         assertEquals("HAVE", word("two", copy(1, 5, THREE)));
         assertEquals("LACKS", word("two", copy(1, 7, THREE)));
         // The same change from elsewhere may be older than what is here.
-        assertEquals("LACKS", say(new EmbeddedChannel(new ChannelInboundHandlerAdapter()), "two", copy(1, 6, THREE)).get("word").getAsString());
+        assertEquals(
+                "LACKS",
+                say(new EmbeddedChannel(new ChannelInboundHandlerAdapter()), "two", copy(1, 6, THREE))
+                        .get("word")
+                        .getAsString());
         assertEquals("HAVE", word("two", copy(1, 6, THREE)));
     }
 
@@ -226,7 +243,8 @@
         assertEquals("", word("two", EstateLine.of("DONE", "two", ESTATE, 1)));
         assertEquals("OVER", word("two", copy(1, 5, THREE)));
         assertEquals("DENY", word("three", claim("three", 7, false, new Position(6, 100))));
-        assertThrows(RuntimeException.class, () -> say(connection, "two", EstateLine.of("COPY", "two", "two.other", 1)));
+        assertThrows(
+                RuntimeException.class, () -> say(connection, "two", EstateLine.of("COPY", "two", "two.other", 1)));
     }
 
     /** It is told what it had: whoever put an older folder back has forgotten promises, and grants nothing. */
@@ -239,7 +257,9 @@
         assertEquals("DENY", word("three", claim("three", 2, false, new Position(1, 9))));
         Group without = THREE.without("one");
         assertFalse(say(connection, "two", whole(1, 10, without)).get("counts").getAsBoolean());
-        assertTrue(say(connection, "two", copy(1, 10, without.with("one"))).get("counts").getAsBoolean());
+        assertTrue(say(connection, "two", copy(1, 10, without.with("one")))
+                .get("counts")
+                .getAsBoolean());
         assertEquals("GRANT", word("three", claim("three", 2, false, new Position(1, 11))));
     }
 
@@ -266,7 +286,9 @@
         hold(5);
         assertEquals("", word("two", EstateLine.of("LEAVE", "two", ESTATE, 1)));
         assertEquals("DENY", word("three", claim("three", 2, false, new Position(1, 5))));
-        assertEquals("there is no copy of it here", loop.submit(() -> survival.take(ESTATE)).sync().getNow());
+        assertEquals(
+                "there is no copy of it here",
+                loop.submit(() -> survival.take(ESTATE)).sync().getNow());
         assertFalse(Files.list(config.state().resolve("copies").resolve(ESTATE)).anyMatch(Files::isDirectory));
     }
 
@@ -281,12 +303,10 @@
             }
 
             @Override
-            public void wrote(Batch batch) {
-            }
+            public void wrote(Batch batch) {}
 
             @Override
-            public void whenAgreed(Runnable effect, Runnable failed) {
-            }
+            public void whenAgreed(Runnable effect, Runnable failed) {}
         });
         assertTrue(journal.holders(EstateLine.group("one.abc", new Group(2, List.of("one", "two", "three")))));
         loop.submit(survival::close).sync();
@@ -345,8 +365,14 @@
             answer(three, "three", true, false, claims);
             answer(peer, "two", false, true, claims);
             survival().start();
-            await(() -> claims.stream().filter(c -> c.get("by").getAsString().equals("two") && estate(c)).count() >= 3);
-            assertTrue(claims.stream().filter(SurvivalTest::estate).allMatch(c -> c.get("try").getAsBoolean()), claims.toString());
+            await(() -> claims.stream()
+                            .filter(c -> c.get("by").getAsString().equals("two") && estate(c))
+                            .count()
+                    >= 3);
+            assertTrue(
+                    claims.stream().filter(SurvivalTest::estate).allMatch(c -> c.get("try")
+                            .getAsBoolean()),
+                    claims.toString());
             // The owner is gone for good: now it is the one to go on with it.
             peer.close();
             await(() -> claims.stream().anyMatch(c -> estate(c) && !c.get("try").getAsBoolean()));
@@ -362,13 +388,19 @@
         Thread thread = new Thread(() -> {
             try {
                 while (true) {
-                    try (Socket socket = at.accept(); BufferedReader in = new BufferedReader(new InputStreamReader(
-                            socket.getInputStream(), StandardCharsets.UTF_8))) {
-                        JsonObject line = JsonParser.parseString(String.valueOf(in.readLine())).getAsJsonObject();
+                    try (Socket socket = at.accept();
+                            BufferedReader in = new BufferedReader(
+                                    new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
+                        JsonObject line = JsonParser.parseString(String.valueOf(in.readLine()))
+                                .getAsJsonObject();
                         if (line.get("word").getAsString().equals("CLAIM")) {
                             line.addProperty("by", name);
                             claims.add(line);
-                            JsonObject answer = EstateLine.of(yes ? "GRANT" : "DENY", name, line.get("estate").getAsString(), 1);
+                            JsonObject answer = EstateLine.of(
+                                    yes ? "GRANT" : "DENY",
+                                    name,
+                                    line.get("estate").getAsString(),
+                                    1);
                             answer.addProperty("asked", line.get("term").getAsLong());
                             answer.addProperty("former", false);
                             answer.addProperty("ahead", ahead);
@@ -390,7 +422,8 @@
         try {
             while (true) {
                 try (Socket socket = peer.accept();
-                        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
+                        BufferedReader in = new BufferedReader(
+                                new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
                     lines.add(String.valueOf(in.readLine()));
                 }
             }
@@ -433,11 +466,14 @@
     @Test
     void aDatagramThatIsTooLongIsPassedOver() throws Exception {
         List<Integer> sizes = new CopyOnWriteArrayList<>();
-        io.netty.channel.Channel channel = PeerSocket.bind(loop, new InetSocketAddress("127.0.0.1", 0),
+        io.netty.channel.Channel channel = PeerSocket.bind(
+                loop,
+                new InetSocketAddress("127.0.0.1", 0),
                 packet -> sizes.add(packet.content().readableBytes()));
         try (java.net.DatagramSocket socket = new java.net.DatagramSocket()) {
             for (int size : new int[] {1_401, 7}) {
-                socket.send(new java.net.DatagramPacket(new byte[size], size, (InetSocketAddress) channel.localAddress()));
+                socket.send(
+                        new java.net.DatagramPacket(new byte[size], size, (InetSocketAddress) channel.localAddress()));
             }
             await(() -> !sizes.isEmpty());
             assertEquals(List.of(7), sizes);
--- a/sender/src/test/java/amberroute/sender/SystemCallTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/SystemCallTroubleTest.java
@@ -5,16 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.sender.FailingCalls.Call;
+import amberroute.sender.FailingCalls.Errno;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-
-import amberroute.sender.FailingCalls.Call;
-import amberroute.sender.FailingCalls.Errno;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -29,6 +26,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private FailingCalls calls;
     private SenderProcess process;
@@ -56,7 +54,9 @@
     }
 
     private long callsFor(String id) {
-        return world.receiver.requests.stream().filter(r -> r.body().equals("body of " + id)).count();
+        return world.receiver.requests.stream()
+                .filter(r -> r.body().equals("body of " + id))
+                .count();
     }
 
     private boolean noticed(String id) {
@@ -158,7 +158,8 @@
     }
 
     private static boolean tryAgain(World.Client client) {
-        return client.tryAsk("SUBMIT", NO_KEY, "again", "c=safe,d=8000,k=,dest=7", "body of again").equals("+OK");
+        return client.tryAsk("SUBMIT", NO_KEY, "again", "c=safe,d=8000,k=,dest=7", "body of again")
+                .equals("+OK");
     }
 
     /** A connect that fails here says nothing of the receiver: it is called as soon as that is over. */
--- a/sender/src/test/java/amberroute/sender/TextsTest.java
+++ b/sender/src/test/java/amberroute/sender/TextsTest.java
@@ -8,7 +8,6 @@
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
 class TextsTest {
--- a/sender/src/test/java/amberroute/sender/WallClockTest.java
+++ b/sender/src/test/java/amberroute/sender/WallClockTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +26,7 @@
 
     @TempDir
     Path folder;
+
     private World world;
     private SteppedClock clock;
     private final List<SenderProcess> processes = new ArrayList<>();
@@ -47,13 +47,16 @@
     }
 
     private SenderProcess start() throws Exception {
-        SenderProcess process = SenderProcess.start(clock.with(world.environment()), folder.resolve("log" + processes.size()));
+        SenderProcess process =
+                SenderProcess.start(clock.with(world.environment()), folder.resolve("log" + processes.size()));
         processes.add(process);
         return process;
     }
 
     private long calls(String id) {
-        return world.receiver.requests.stream().filter(r -> r.body().equals("body of " + id)).count();
+        return world.receiver.requests.stream()
+                .filter(r -> r.body().equals("body of " + id))
+                .count();
     }
 
     private boolean noticed(String id) {
@@ -80,7 +83,8 @@
         start();
         await(() -> noticed("held"));
         long ended = since(begun);
-        assertTrue(ended > TIME_MS * 7 / 10 && ended < TIME_MS + 500, "it ended " + ended + " ms behind its acceptance");
+        assertTrue(
+                ended > TIME_MS * 7 / 10 && ended < TIME_MS + 500, "it ended " + ended + " ms behind its acceptance");
     }
 
     @Test
--- a/sender/src/test/java/amberroute/sender/WholeMillisecondWaitsTest.java
+++ b/sender/src/test/java/amberroute/sender/WholeMillisecondWaitsTest.java
@@ -3,16 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.channels.spi.SelectorProvider;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SelectStrategyFactory;
 import io.netty.channel.nio.NioIoHandler;
-
+import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
 class WholeMillisecondWaitsTest {
@@ -27,8 +25,8 @@
             passes.incrementAndGet();
             return hasTasks ? supplier.get() : -1;
         };
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-                WholeMillisecondWaits.around(NioIoHandler.newFactory(SelectorProvider.provider(), counting)));
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(
+                1, WholeMillisecondWaits.around(NioIoHandler.newFactory(SelectorProvider.provider(), counting)));
         try {
             CountDownLatch due = new CountDownLatch(TIMERS);
             for (int i = 1; i <= TIMERS; i++) {
--- a/sender/src/test/java/amberroute/sender/World.java
+++ b/sender/src/test/java/amberroute/sender/World.java
@@ -1,5 +1,8 @@
 package amberroute.sender;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
@@ -23,15 +26,13 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /** Small fakes of a sender's surroundings on loopback sockets: a receiver, discovery and clients. */
 final class World implements Closeable {
     static final String ID = "9b1f03aa5c7e2d4";
 
     /** The three classes of {@link #environment} as a sender file outside the platform has them. */
-    static final String CLASSES = """
+    static final String CLASSES =
+            """
             [[class]]
             name = "safe"
             effect = "safe"
@@ -70,6 +71,7 @@
         volatile Function<Request, String> answers;
         /** Whether a new connection is served; any other is closed as it opens. */
         volatile Predicate<Socket> greet = s -> true;
+
         private final ServerSocket server;
         private final Thread accepting;
 
@@ -106,7 +108,8 @@
                 while (true) {
                     String head = line(in, "\r\n\r\n");
                     int length = head.toLowerCase().contains("content-length:")
-                            ? Integer.parseInt(new Request(head, "", socket).header("Content-Length")) : 0;
+                            ? Integer.parseInt(new Request(head, "", socket).header("Content-Length"))
+                            : 0;
                     String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
                     Request request = new Request(head, body, socket);
                     requests.add(request);
@@ -190,7 +193,11 @@
         }
 
         String submit(String className, String id, String key, long time, int destination) throws IOException {
-            return ask("SUBMIT", key, id, "c=" + className + ",d=" + time + ",k=5c0f" + id + ",dest=" + destination,
+            return ask(
+                    "SUBMIT",
+                    key,
+                    id,
+                    "c=" + className + ",d=" + time + ",k=5c0f" + id + ",dest=" + destination,
                     "body of " + id);
         }
 
@@ -207,6 +214,7 @@
     volatile Function<Request, String> noticeAnswers = r -> ok(204, "");
     /** A second discovery, for moves; null until a test makes one. */
     Http moved;
+
     private final List<Closeable> open = new ArrayList<>();
     int slots = 4;
     int openCap = 50;
@@ -215,9 +223,11 @@
     long keepAlive = 15_000_000;
     /** Deadline of each class in microseconds. */
     long deadline = 20_000_000;
+
     int attempts = 12;
     /** The file's classes, each as JSON. */
-    String lanes = """
+    String lanes =
+            """
             {"name":"safe","effect":"pure","importance":2,"goal_time_us":100000,"deadline_us":DEADLINE},
             {"name":"keyed","effect":"token","dedup_scope":"all","importance":1,"goal_time_us":100000,
              "deadline_us":DEADLINE,"key_ttl_us":5000000,"sequential":true},
@@ -292,7 +302,9 @@
 
     Map<String, String> environment() throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%1$s","ops":"127.0.0.1:0","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":%2$s},"known":%3$s,
                  "settings":{"balancers":1,"az":0,"tick_us":5000,"membership_mode":"pushed",
@@ -304,9 +316,22 @@
                   "rules":{"answer_slack_us":20000,"ask_within_us":10000000,"start_capacity":0.13,
                    "cold_us":14000000,"fall_multiple":2.5,"fall_us":1500000,"settle_after_doubt_us":100000},
                   "lanes":[%4$s]}}
-                """.formatted(discoveryAddress, diskMb, list(1, true, "Ready"), lanes.replace("DEADLINE", Long.toString(deadline)), slots,
-                perCall, openCap, keepAlive, attempts));
-        return Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString());
+                """
+                        .formatted(
+                                discoveryAddress,
+                                diskMb,
+                                list(1, true, "Ready"),
+                                lanes.replace("DEADLINE", Long.toString(deadline)),
+                                slots,
+                                perCall,
+                                openCap,
+                                keepAlive,
+                                attempts));
+        return Map.of(
+                "GW_CONFIG",
+                file.toString(),
+                "GW_STATE",
+                folder.resolve("state").toString());
     }
 
     Client client(Sender sender) throws IOException {
--- a/shares/src/main/java/amberroute/shares/ColdLimit.java
+++ b/shares/src/main/java/amberroute/shares/ColdLimit.java
@@ -1,13 +1,11 @@
 package amberroute.shares;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 import amberroute.membership.Beat;
 import amberroute.membership.Beat.Health;
 import amberroute.membership.Beat.News;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
  * What this daemon may give one partner: nothing limits that while the partner is well; while it is out, cold, or nothing
@@ -39,11 +37,13 @@
     static final long RECENT = 5_000_000;
     /** The most that was ever answered loses half of its weight in this time, as partners change. */
     static final double HALVING = 600e6;
+
     private static final double SMOOTH = 4e6;
     /** What waits is to leave within this, for how much of the limit this daemon wants. */
     private static final double HORIZON = 1e6;
     /** Answers are remembered by spans of this length, for so many of them. */
     private static final long SLOT = 250_000;
+
     private static final int SLOTS = 256;
     static final int MOST_PEERS = 4_096;
 
@@ -51,10 +51,10 @@
      * The figures of the rule, as the settings tell them; spans in microseconds. {@code first} is how many messages a second
      * all daemons together give a partner of which nothing is known.
      */
-    public record Rules(double from, long span, double multiple, long window, double first) { }
+    public record Rules(double from, long span, double multiple, long window, double first) {}
 
     /** A request to a peer. */
-    public record Ask(String peer, Beat.Loan loan) { }
+    public record Ask(String peer, Beat.Loan loan) {}
 
     private record Told(News news, long at) {
         long ago(int millis, long now) {
@@ -131,7 +131,8 @@
         }
         Told before = told.put(peer, new Told(news, now));
         boolean well = news.health() == Health.WELL || news.health() == Health.COLD;
-        boolean wasWell = before != null && now - before.at() < FRESH && before.news().health() == news.health();
+        boolean wasWell =
+                before != null && now - before.at() < FRESH && before.news().health() == news.health();
         return mine == Health.OUT && well && !wasWell && news.okAgo() >= 0 && now - news.okAgo() * 1_000L > outAt;
     }
 
@@ -140,8 +141,11 @@
     }
 
     private boolean wellElsewhere(long now) {
-        return told.values().stream().anyMatch(t -> fresh(now, t) && t.news().health() == Health.WELL
-                && t.news().okAgo() >= 0 && now - t.ago(t.news().okAgo(), now) < RECENT);
+        return told.values().stream()
+                .anyMatch(t -> fresh(now, t)
+                        && t.news().health() == Health.WELL
+                        && t.news().okAgo() >= 0
+                        && now - t.ago(t.news().okAgo(), now) < RECENT);
     }
 
     /** Since when it is cold by peers' word, -1 where no word stands against what was seen here. */
@@ -149,7 +153,10 @@
         long latest = -1;
         for (Told t : told.values()) {
             long back = t.ago(t.news().backAgo(), now);
-            if (fresh(now, t) && t.news().health() == Health.COLD && back >= 0 && now - back < rules.span()
+            if (fresh(now, t)
+                    && t.news().health() == Health.COLD
+                    && back >= 0
+                    && now - back < rules.span()
                     && !answeredBetween(t.ago(t.news().outAgo(), now), back)) {
                 latest = Math.max(latest, back);
             }
@@ -260,18 +267,24 @@
             return List.of();
         }
         double whole = whole(now);
-        List<String> able = alive.stream().filter(peer -> {
-            Told t = told.get(peer);
-            double use = t == null ? 0 : (t.news().waiting() * 1e6 / HORIZON + t.news().served()) / whole;
-            return use < lending.owned();
-        }).toList();
-        return lending.asks(now, missing, able).stream().map(r -> new Ask(r.peer(), new Beat.Loan(false, destination, r.number(), r.part())))
+        List<String> able = alive.stream()
+                .filter(peer -> {
+                    Told t = told.get(peer);
+                    double use = t == null
+                            ? 0
+                            : (t.news().waiting() * 1e6 / HORIZON + t.news().served()) / whole;
+                    return use < lending.owned();
+                })
+                .toList();
+        return lending.asks(now, missing, able).stream()
+                .map(r -> new Ask(r.peer(), new Beat.Loan(false, destination, r.number(), r.part())))
                 .toList();
     }
 
     /** A peer asks: its answer. Who has no limit uses its part itself. */
     Beat.Loan asked(long now, String peer, Beat.Loan loan) {
-        return new Beat.Loan(true, destination, loan.number(), lending.asked(now, peer, loan.number(), loan.part(), need(now)));
+        return new Beat.Loan(
+                true, destination, loan.number(), lending.asked(now, peer, loan.number(), loan.part(), need(now)));
     }
 
     void granted(long now, String peer, Beat.Loan loan) {
@@ -284,8 +297,15 @@
         // An end of the cold span is noticed by looking.
         from(now);
         long since = mine == Health.COLD || mine == Health.WELL ? backAt : -1;
-        return new News(destination, mine, ago(now, outAt), ago(now, since), ago(now, okAt),
-                (float) served.perSecond(now), (float) best(now), (float) waiting);
+        return new News(
+                destination,
+                mine,
+                ago(now, outAt),
+                ago(now, since),
+                ago(now, okAt),
+                (float) served.perSecond(now),
+                (float) best(now),
+                (float) waiting);
     }
 
     private static int ago(long now, long at) {
