--- a/shares/src/main/java/amberroute/shares/ColdLimits.java
+++ b/shares/src/main/java/amberroute/shares/ColdLimits.java
@@ -1,5 +1,8 @@
 package amberroute.shares;
 
+import amberroute.membership.Beat;
+import amberroute.membership.Beat.Health;
+import amberroute.membership.FleetView;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -8,10 +11,6 @@
 import java.util.Map;
 import java.util.function.IntToDoubleFunction;
 
-import amberroute.membership.Beat;
-import amberroute.membership.Beat.Health;
-import amberroute.membership.FleetView;
-
 /**
  * The limits of all partners of one daemon: takes what is seen and told, and says what has changed. At most
  * {@value #MOST} partners are kept; further ones have no limit, as without this package.
@@ -22,10 +21,10 @@
     private static final double STEP = 0.02;
 
     /** What daemons are told in the settings; times in microseconds. */
-    public record Fleet(int daemons, int index, long lease, ColdLimit.Rules rules) { }
+    public record Fleet(int daemons, int index, long lease, ColdLimit.Rules rules) {}
 
     /** What holds from now on: messages a second, what is saved up of the first one, whether it answered another daemon. */
-    public record Ceiling(int destination, double perSecond, double first, boolean back) { }
+    public record Ceiling(int destination, double perSecond, double first, boolean back) {}
 
     private final Fleet fleet;
     private final long numbers;
@@ -44,8 +43,11 @@
     private ColdLimit limit(long now, int destination) {
         ColdLimit known = limits.get(destination);
         if (known == null && limits.size() < MOST) {
-            known = new ColdLimit(destination, fleet.rules(), new Share(now, numbers, fleet.daemons(), fleet.lease(),
-                    now < quietUntil), fleet.lease());
+            known = new ColdLimit(
+                    destination,
+                    fleet.rules(),
+                    new Share(now, numbers, fleet.daemons(), fleet.lease(), now < quietUntil),
+                    fleet.lease());
             limits.put(destination, known);
         }
         return known;
@@ -131,7 +133,10 @@
 
     /** Requests for more of what is limited, by peer. */
     public Map<String, List<Beat.Loan>> asks(long now, FleetView view) {
-        List<String> alive = view.members(now).stream().filter(FleetView.Member::alive).map(FleetView.Member::name).toList();
+        List<String> alive = view.members(now).stream()
+                .filter(FleetView.Member::alive)
+                .map(FleetView.Member::name)
+                .toList();
         Map<String, List<Beat.Loan>> out = new LinkedHashMap<>();
         limits.forEach((destination, limit) -> {
             for (ColdLimit.Ask ask : limit.asks(now, alive)) {
@@ -152,10 +157,13 @@
             List<Map.Entry<Integer, ColdLimit>> turned = new ArrayList<>(all.subList(from, all.size()));
             turned.addAll(all.subList(0, from));
             all = turned;
-            all.sort(Comparator.comparing(e -> e.getValue().health() == Health.OUT || e.getValue().health() == Health.COLD
-                    ? 0 : 1));
+            all.sort(Comparator.comparing(
+                    e -> e.getValue().health() == Health.OUT || e.getValue().health() == Health.COLD ? 0 : 1));
         }
-        return all.stream().limit(Beat.MOST_NEWS).map(e -> e.getValue().news(now)).toList();
+        return all.stream()
+                .limit(Beat.MOST_NEWS)
+                .map(e -> e.getValue().news(now))
+                .toList();
     }
 
     /** Partners that have a limit now. */
--- a/shares/src/main/java/amberroute/shares/Lending.java
+++ b/shares/src/main/java/amberroute/shares/Lending.java
@@ -14,7 +14,7 @@
     private static final int ASKED_AT_ONCE = 4;
 
     /** A request to a peer. */
-    public record Request(String peer, long number, float part) { }
+    public record Request(String peer, long number, float part) {}
 
     private final Share share;
     private final long pause;
@@ -38,7 +38,9 @@
 
     /** Requests for a part that is missing, to peers that seem to have some to spare; none is asked again too soon. */
     public List<Request> asks(long now, double missing, List<String> able) {
-        List<String> ready = able.stream().filter(peer -> now - askedAt.getOrDefault(peer, Long.MIN_VALUE / 2) > pause).toList();
+        List<String> ready = able.stream()
+                .filter(peer -> now - askedAt.getOrDefault(peer, Long.MIN_VALUE / 2) > pause)
+                .toList();
         List<Request> out = new ArrayList<>();
         double left = missing;
         // Another begins with another peer, so that not all ask the same one.
--- a/shares/src/main/java/amberroute/shares/Share.java
+++ b/shares/src/main/java/amberroute/shares/Share.java
@@ -18,21 +18,23 @@
 public final class Share {
     /** A clock may be so much fast or slow. */
     public static final double DRIFT = 0.02;
+
     private static final int MOST_PEERS = 4_096;
 
     /** What a peer is asked for. The number is the asker's and grows with each request. */
-    public record Ask(long number, double part) { }
+    public record Ask(long number, double part) {}
 
     /** What was lent, for the lease that both know from the settings; 0 is a no. */
-    public record Grant(long number, double part) { }
+    public record Grant(long number, double part) {}
 
-    private record Loan(double part, long until) { }
+    private record Loan(double part, long until) {}
 
     private final double own;
     private final long lease;
     private final long quietUntil;
     /** Of each borrower: all loans that may still be in use; a renewal stands beside the one before. */
     private final Map<String, Map<Long, Loan>> lent = new HashMap<>();
+
     private final Map<String, Long> lastAsked = new HashMap<>();
     private final Map<String, Loan> borrowed = new HashMap<>();
     private final Map<String, Ask> asked = new HashMap<>();
@@ -106,7 +108,9 @@
      */
     public Grant asked(long now, String peer, Ask ask, double need) {
         boolean known = lastAsked.containsKey(peer);
-        if (now < quietUntil || known && ask.number() <= lastAsked.get(peer) || !known && lastAsked.size() >= MOST_PEERS
+        if (now < quietUntil
+                || known && ask.number() <= lastAsked.get(peer)
+                || !known && lastAsked.size() >= MOST_PEERS
                 || !(ask.part() > 0)) {
             return new Grant(ask.number(), 0);
         }
--- a/shares/src/test/java/amberroute/shares/ColdFleetTest.java
+++ b/shares/src/test/java/amberroute/shares/ColdFleetTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.membership.Beat;
+import amberroute.membership.Beat.Health;
+import amberroute.membership.FleetView;
+import amberroute.membership.Heartbeats;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,14 +16,8 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.membership.Beat;
-import amberroute.membership.Beat.Health;
-import amberroute.membership.FleetView;
-import amberroute.membership.Heartbeats;
-
 /**
  * Whole fleets against one partner that falls over, in simulated time: beats are lost, late and doubled, views are split,
  * daemons die, clocks differ. What is counted is the largest load that the partner had over any window of the rule, as a
@@ -77,7 +75,7 @@
         }
     }
 
-    private record Packet(long at, long order, int to, Beat beat) { }
+    private record Packet(long at, long order, int to, Beat beat) {}
 
     /** How a run is disturbed. */
     private record Trouble(double loss, long delay, boolean split, boolean ceilings, double fastest, int dying) {
@@ -113,8 +111,8 @@
     }
 
     private final List<Daemon> fleet = new ArrayList<>();
-    private final PriorityQueue<Packet> wire = new PriorityQueue<>(Comparator.comparingLong(Packet::at)
-            .thenComparingLong(Packet::order));
+    private final PriorityQueue<Packet> wire =
+            new PriorityQueue<>(Comparator.comparingLong(Packet::at).thenComparingLong(Packet::order));
     private SplittableRandom random;
     private Trouble trouble;
     private long order;
@@ -169,8 +167,8 @@
         boolean apart = trouble.split() && from.index % 2 != to % 2;
         int copies = random.nextDouble() < trouble.loss() || apart ? 0 : random.nextDouble() < trouble.loss() ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            wire.add(new Packet(at + 200 + random.nextLong(Math.max(1, trouble.delay())), order++, to,
-                    Beat.read(beat.write())));
+            wire.add(new Packet(
+                    at + 200 + random.nextLong(Math.max(1, trouble.delay())), order++, to, Beat.read(beat.write())));
         }
     }
 
@@ -217,9 +215,13 @@
             return;
         }
         d.limits.told(now, packet.beat().from(), packet.beat().news()).forEach(c -> set(d, now, c));
-        List<Beat.Loan> answers = d.limits.loans(now, packet.beat().from(), packet.beat().loans());
+        List<Beat.Loan> answers =
+                d.limits.loans(now, packet.beat().from(), packet.beat().loans());
         if (!answers.isEmpty()) {
-            send(at, d, Integer.parseInt(packet.beat().from().substring(1)),
+            send(
+                    at,
+                    d,
+                    Integer.parseInt(packet.beat().from().substring(1)),
                     d.beats.next(d.name, FleetView.Phase.READY, answers));
         }
     }
@@ -228,8 +230,13 @@
         long now = d.clock(at);
         if (at % 50_000 == 0) {
             d.limits.tick(now, destination -> d.backlog).forEach(c -> set(d, now, c));
-            d.limits.asks(now, d.beats).forEach((peer, loans) -> send(at, d, Integer.parseInt(peer.substring(1)),
-                    d.beats.next(d.name, FleetView.Phase.READY, loans)));
+            d.limits
+                    .asks(now, d.beats)
+                    .forEach((peer, loans) -> send(
+                            at,
+                            d,
+                            Integer.parseInt(peer.substring(1)),
+                            d.beats.next(d.name, FleetView.Phase.READY, loans)));
         }
         if (d.beats.due(now)) {
             tell(at, d);
--- a/shares/src/test/java/amberroute/shares/ShareTest.java
+++ b/shares/src/test/java/amberroute/shares/ShareTest.java
@@ -3,17 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.shares.Share.Ask;
+import amberroute.shares.Share.Grant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import amberroute.shares.Share.Ask;
-import amberroute.shares.Share.Grant;
-
 class ShareTest {
     private static final long LEASE = 1_000_000;
 
@@ -103,7 +101,7 @@
         }
     }
 
-    private record Mail(long at, Node from, Node to, Object content) { }
+    private record Mail(long at, Node from, Node to, Object content) {}
 
     /**
      * Up to forty daemons with clocks up to two per cent fast or slow ask each other at random over a network that
@@ -124,8 +122,9 @@
         int daemons = 2 + random.nextInt(39);
         List<Node> nodes = new ArrayList<>();
         for (int i = 0; i < daemons; i++) {
-            double rate = i == 0 ? 1 + Share.DRIFT : i == 1 ? 1 - Share.DRIFT
-                    : 1 + Share.DRIFT * (2 * random.nextDouble() - 1);
+            double rate = i == 0
+                    ? 1 + Share.DRIFT
+                    : i == 1 ? 1 - Share.DRIFT : 1 + Share.DRIFT * (2 * random.nextDouble() - 1);
             nodes.add(new Node("d" + i, rate, random.nextInt(1_000_000), daemons));
         }
         List<Mail> mails = new ArrayList<>();
@@ -147,7 +146,14 @@
                 Node peer = nodes.get(random.nextInt(daemons));
                 if (peer != node) {
                     Ask ask = node.share.ask(node.clock(now), peer.name, random.nextDouble() / daemons);
-                    post(random, mails, now, node, peer, ask, split && nodes.indexOf(node) % 2 != nodes.indexOf(peer) % 2);
+                    post(
+                            random,
+                            mails,
+                            now,
+                            node,
+                            peer,
+                            ask,
+                            split && nodes.indexOf(node) % 2 != nodes.indexOf(peer) % 2);
                 }
             }
             if (random.nextInt(100) == 0) {
@@ -178,7 +184,8 @@
         }
     }
 
-    private static void post(Random random, List<Mail> mails, long now, Node from, Node to, Object content, boolean cut) {
+    private static void post(
+            Random random, List<Mail> mails, long now, Node from, Node to, Object content, boolean cut) {
         for (int copies = random.nextInt(10) == 0 ? 2 : 1; copies > 0; copies--) {
             if (!cut && random.nextInt(8) != 0) {
                 long delay = random.nextInt(6) == 0 ? random.nextInt((int) (2 * LEASE)) : random.nextInt(20_000);
--- a/simulator/src/main/java/amberroute/simulator/Main.java
+++ b/simulator/src/main/java/amberroute/simulator/Main.java
@@ -1,5 +1,7 @@
 package amberroute.simulator;
 
+import amberroute.Policy;
+import amberroute.settings.BadInput;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
@@ -7,18 +9,13 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 
-import amberroute.Policy;
-import amberroute.settings.BadInput;
-
 /** Serves the simulator's wire on standard input and output. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Takes no arguments. Exit code 1: what came in cannot be read. */
     public static void main(String[] args) {
-        try (BufferedInputStream in =
-                        new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16);
+        try (BufferedInputStream in = new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16);
                 BufferedOutputStream out =
                         new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
             new WireHost(Policy::new).serve(in, out);
--- a/simulator/src/main/java/amberroute/simulator/Replies.java
+++ b/simulator/src/main/java/amberroute/simulator/Replies.java
@@ -1,13 +1,12 @@
 package amberroute.simulator;
 
+import amberroute.Relay;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-import amberroute.Relay;
-
 /** Collects the action records of one reply. */
 final class Replies implements Relay.Actions {
     private static final int HEADER = 12;
--- a/simulator/src/main/java/amberroute/simulator/WireHost.java
+++ b/simulator/src/main/java/amberroute/simulator/WireHost.java
@@ -1,5 +1,12 @@
 package amberroute.simulator;
 
+import amberroute.Relay;
+import amberroute.Relay.Ending;
+import amberroute.Relay.Event;
+import amberroute.Relay.ListKind;
+import amberroute.Relay.Listed;
+import amberroute.settings.BadInput;
+import amberroute.settings.Facts;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -14,14 +21,6 @@
 import java.util.Set;
 import java.util.function.Function;
 
-import amberroute.Relay;
-import amberroute.Relay.Ending;
-import amberroute.Relay.Event;
-import amberroute.Relay.ListKind;
-import amberroute.Relay.Listed;
-import amberroute.settings.BadInput;
-import amberroute.settings.Facts;
-
 /** Translates batches of the wire into events for the instances, and their actions into replies. */
 final class WireHost {
     private static final int HEADER = 20;
@@ -89,8 +88,7 @@
             case 257 -> note(who, now, listing(at));
             case 258 -> pages.set(page(u32(at + 2), at), entries(at + 6));
             case 259 -> provision(who, at);
-            case 260 -> note(who, now,
-                    new Event.CheckEnded(endpoint(at + 9), ending(body.get(at + 4)), u32(at + 5)));
+            case 260 -> note(who, now, new Event.CheckEnded(endpoint(at + 9), ending(body.get(at + 4)), u32(at + 5)));
             case 261 -> note(who, now, new Event.TimerDue(body.getLong(at + 4)));
             case 262 -> {
                 instances.remove(who);
@@ -98,8 +96,16 @@
             }
             case 263 -> note(who, now, new Event.Withdrawn(u32(at + 4)));
             case 264 -> note(who, now, outcome(at));
-            case 265 -> note(who, now, new Event.Arrival(u32(at + 4), body.getShort(at + 8) & 0xffff,
-                    body.getInt(at + 10), body.getLong(at + 14), u32(at + 22), (int) body.getFloat(at + 30)));
+            case 265 -> note(
+                    who,
+                    now,
+                    new Event.Arrival(
+                            u32(at + 4),
+                            body.getShort(at + 8) & 0xffff,
+                            body.getInt(at + 10),
+                            body.getLong(at + 14),
+                            u32(at + 22),
+                            (int) body.getFloat(at + 30)));
             case 266 -> note(who, now, new Event.StreamStarted(u32(at + 4), body.get(at + 18) & 0xff));
             default -> throw new BadInput("unknown event code " + code + " at byte " + at);
         }
@@ -136,15 +142,15 @@
 
     private Event listing(int at) {
         int code = body.get(at + 4) & 0xff;
-        ListKind kind = switch (code) {
-            case 0 -> ListKind.DELTA;
-            case 1 -> ListKind.CACHED;
-            case 2 -> ListKind.FAILED;
-            case 3 -> ListKind.FULL;
-            default -> throw new BadInput("unknown list kind " + code + " at byte " + at);
-        };
-        List<Relay.Entry> entries =
-                kind == ListKind.FAILED ? List.of() : pages.get(page(u32(at + 9), at));
+        ListKind kind =
+                switch (code) {
+                    case 0 -> ListKind.DELTA;
+                    case 1 -> ListKind.CACHED;
+                    case 2 -> ListKind.FAILED;
+                    case 3 -> ListKind.FULL;
+                    default -> throw new BadInput("unknown list kind " + code + " at byte " + at);
+                };
+        List<Relay.Entry> entries = kind == ListKind.FAILED ? List.of() : pages.get(page(u32(at + 9), at));
         return new Event.Listing(kind, entries);
     }
 
@@ -156,8 +162,15 @@
         for (int i = 0; i < Math.min(n, 4); i++) {
             report.add((double) body.getFloat(at + 26 + 4 * i));
         }
-        return new Event.Outcome(u32(at + 4), body.get(at + 8) & 0xff, endpoint(at + 9), ending, u32(at + 16),
-                body.get(at + 20) != 0, wait, report);
+        return new Event.Outcome(
+                u32(at + 4),
+                body.get(at + 8) & 0xff,
+                endpoint(at + 9),
+                ending,
+                u32(at + 16),
+                body.get(at + 20) != 0,
+                wait,
+                report);
     }
 
     private List<Relay.Entry> entries(int at) {
@@ -166,14 +179,20 @@
         List<Relay.Entry> out = new ArrayList<>(n);
         for (int i = 0; i < n; i++) {
             int e = from + i * ENTRY;
-            Listed state = switch (body.get(e + 8)) {
-                case 0 -> Listed.GONE;
-                case 1 -> Listed.READY;
-                case 2 -> Listed.DRAINING;
-                default -> throw new BadInput("unknown state in a list at byte " + e);
-            };
-            out.add(new Relay.Entry(endpoint(e), body.getShort(e + 6) & 0xffff, state, body.getFloat(e + 17),
-                    body.getShort(e + 21) & 0xffff, body.getShort(e + 23) & 0xffff));
+            Listed state =
+                    switch (body.get(e + 8)) {
+                        case 0 -> Listed.GONE;
+                        case 1 -> Listed.READY;
+                        case 2 -> Listed.DRAINING;
+                        default -> throw new BadInput("unknown state in a list at byte " + e);
+                    };
+            out.add(new Relay.Entry(
+                    endpoint(e),
+                    body.getShort(e + 6) & 0xffff,
+                    state,
+                    body.getFloat(e + 17),
+                    body.getShort(e + 21) & 0xffff,
+                    body.getShort(e + 23) & 0xffff));
         }
         return out;
     }
--- a/simulator/src/test/java/amberroute/simulator/WireHostTest.java
+++ b/simulator/src/test/java/amberroute/simulator/WireHostTest.java
@@ -6,6 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.Policy;
+import amberroute.Relay;
+import amberroute.settings.BadInput;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -15,17 +18,12 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.settings.BadInput;
-
-import amberroute.Policy;
-import amberroute.Relay;
-
 /** Frames written by hand from the layout of the wire. */
 class WireHostTest {
-    private static final String FACTS = """
+    private static final String FACTS =
+            """
             balancers=2
             tick_us=5000
             membership_mode=pushed
@@ -73,8 +71,11 @@
     }
 
     private static String le(int value) {
-        return HexFormat.of().formatHex(
-                ByteBuffer.allocate(4).order(ByteOrder.LITTLE_ENDIAN).putInt(value).array());
+        return HexFormat.of()
+                .formatHex(ByteBuffer.allocate(4)
+                        .order(ByteOrder.LITTLE_ENDIAN)
+                        .putInt(value)
+                        .array());
     }
 
     private byte[] batch(long now, int sequence) {
@@ -106,19 +107,19 @@
         replies.clear();
         replies.actFor(3);
         replies.closeIdle(0x074a120aL << 16 | 0x1b5b);
-        assertArrayEquals(HexFormat.of().parseHex("010000001800000009000000"
-                + "060103000a124a075b1b" + "0000000000000000000000000000"), replies.frame(9));
+        assertArrayEquals(
+                HexFormat.of()
+                        .parseHex("010000001800000009000000" + "060103000a124a075b1b" + "0000000000000000000000000000"),
+                replies.frame(9));
     }
 
     @Test
     void messageIsSentToItsEndpoint() throws IOException {
         provision(3, FACTS);
         record(258, 0, "0000" + le(tail.size()) + le(1));
-        tail.writeBytes(HexFormat.of().parseHex(
-                "0a124a075b1b3900010000000000000000" + "0000803f" + "00000000"));
+        tail.writeBytes(HexFormat.of().parseHex("0a124a075b1b3900010000000000000000" + "0000803f" + "00000000"));
         record(257, 3, "00" + le(1) + le(0));
-        record(265, 3, "c4913afd" + "0000" + le(0) + "0000000000000000" + le(8_000_000) + le(0)
-                + "00006442" + "00");
+        record(265, 3, "c4913afd" + "0000" + le(0) + "0000000000000000" + le(8_000_000) + le(0) + "00006442" + "00");
         byte[] reply = serve(batch(1_000_000, 9));
         ByteBuffer r = ByteBuffer.wrap(reply).order(ByteOrder.LITTLE_ENDIAN);
         assertEquals(9, r.getInt(8));
@@ -132,14 +133,19 @@
     void everyOutcomeIsRead() throws IOException {
         List<Relay.Event> seen = new ArrayList<>();
         provision(1, FACTS);
-        record(264, 1, "0700000002" + "0a124a075b1b" + "0b" + le(1234) + "00" + le(250)
-                + "02" + "0000803f" + "00000040" + "00000000" + "00000000");
+        record(
+                264,
+                1,
+                "0700000002" + "0a124a075b1b" + "0b" + le(1234) + "00" + le(250) + "02" + "0000803f" + "00000040"
+                        + "00000000" + "00000000");
         byte[] in = batch(1, 1);
         new WireHost(s -> (now, event, actions) -> seen.add(event))
                 .serve(new ByteArrayInputStream(in), new ByteArrayOutputStream());
         Relay.Event.Outcome o = assertInstanceOf(Relay.Event.Outcome.class, seen.get(0));
-        assertEquals(new Relay.Event.Outcome(7, 2, 0x074a120a1b5bL, Relay.Ending.FULL, 1234, false, 250_000,
-                List.of(1.0, 2.0)), o);
+        assertEquals(
+                new Relay.Event.Outcome(
+                        7, 2, 0x074a120a1b5bL, Relay.Ending.FULL, 1234, false, 250_000, List.of(1.0, 2.0)),
+                o);
         assertInstanceOf(Relay.Event.Turn.class, seen.get(1));
     }
 
@@ -154,9 +160,14 @@
         provision(1, FACTS);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         new WireHost(s -> (now, event, actions) -> {
-            throw new IllegalStateException("odd");
-        }).serve(new ByteArrayInputStream(batch(1, 1)), out);
-        assertEquals(265, ByteBuffer.wrap(out.toByteArray()).order(ByteOrder.LITTLE_ENDIAN).getShort(12));
+                    throw new IllegalStateException("odd");
+                })
+                .serve(new ByteArrayInputStream(batch(1, 1)), out);
+        assertEquals(
+                265,
+                ByteBuffer.wrap(out.toByteArray())
+                        .order(ByteOrder.LITTLE_ENDIAN)
+                        .getShort(12));
         assertTrue(out.toString(StandardCharsets.UTF_8).contains("odd"));
     }
 
@@ -164,10 +175,13 @@
     void badInputIsNamed() {
         assertTrue(failure(new byte[7]).contains("truncated"));
         assertTrue(failure(record(999, 1, "").batch(1, 1)).contains("999"));
-        assertTrue(failure(record(259, 1, "0100000000000000" + le(5) + le(90)).batch(1, 1)).contains("tail"));
-        assertTrue(failure(provision(1, FACTS.replace("balancers=2", "balancers=x")).batch(1, 1))
+        assertTrue(failure(record(259, 1, "0100000000000000" + le(5) + le(90)).batch(1, 1))
+                .contains("tail"));
+        assertTrue(failure(provision(1, FACTS.replace("balancers=2", "balancers=x"))
+                        .batch(1, 1))
                 .contains("balancers"));
-        assertTrue(failure(provision(1, FACTS.replace("balancers=2", "balancers=0")).batch(1, 1))
+        assertTrue(failure(provision(1, FACTS.replace("balancers=2", "balancers=0"))
+                        .batch(1, 1))
                 .contains("senders"));
     }
 
--- a/storage/src/main/java/amberroute/storage/Batch.java
+++ b/storage/src/main/java/amberroute/storage/Batch.java
@@ -10,7 +10,7 @@
  * takes the place of the one that the owner had under that kind.
  */
 public final class Batch {
-    record Put(long owner, int kind, byte[] content, boolean sole) { }
+    record Put(long owner, int kind, byte[] content, boolean sole) {}
 
     final List<Put> puts = new ArrayList<>();
     final List<Long> ends = new ArrayList<>();
@@ -59,7 +59,10 @@
         }
         ByteBuffer out = ByteBuffer.allocate(size).putInt(puts.size());
         for (Put put : puts) {
-            out.putLong(put.owner()).put((byte) put.kind()).put((byte) (put.sole() ? 1 : 0)).putInt(put.content().length)
+            out.putLong(put.owner())
+                    .put((byte) put.kind())
+                    .put((byte) (put.sole() ? 1 : 0))
+                    .putInt(put.content().length)
                     .put(put.content());
         }
         out.putInt(ends.size());
--- a/storage/src/main/java/amberroute/storage/FolderDisk.java
+++ b/storage/src/main/java/amberroute/storage/FolderDisk.java
@@ -23,14 +23,16 @@
     @Override
     public List<String> list() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(Files::isRegularFile).map(file -> file.getFileName().toString()).toList();
+            return files.filter(Files::isRegularFile)
+                    .map(file -> file.getFileName().toString())
+                    .toList();
         }
     }
 
     @Override
     public Handle open(String name) throws IOException {
-        return new File(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE));
+        return new File(FileChannel.open(
+                folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE));
     }
 
     @Override
--- a/storage/src/main/java/amberroute/storage/Segment.java
+++ b/storage/src/main/java/amberroute/storage/Segment.java
@@ -22,39 +22,43 @@
     static final int FRAME = 20;
     /** The longest content of a record. */
     public static final int LONGEST = 1 << 18;
+
     static final short VERSION = 1;
     /** The highest kind of a content. */
     static final int KINDS = 63;
+
     private static final int SOLE = 64;
     /** Bytes of the longest number. */
     private static final int LONGEST_NUMBER = 10;
     /** The item that tells which owners are over. */
     static final int ENDS = 0;
+
     private static final int PARTS = -1;
     private static final int RETIRED = -2;
     private static final long MAGIC = 0x414d4252_5345474dL;
     private static final int MARKER = 0x5245_4331;
 
     /** Whether the head is whole, its words, and where the file's last whole record ends. */
-    record Head(boolean whole, long number, long previousNumber, long previousEnd, long owners) { }
+    record Head(boolean whole, long number, long previousNumber, long previousEnd, long owners) {}
 
     /** Bytes that could not be read, from one place to another. */
-    public record Damage(long from, long to) { }
+    public record Damage(long from, long to) {}
 
     /** Takes what a segment has, in its order. */
     interface Visitor {
         /** Where one record stands and how long its items are. */
-        default void record(long at, long sequence) throws IOException { }
+        default void record(long at, long sequence) throws IOException {}
 
         /** A content that stands at {@code at} in {@code bytes}; {@code size} counts the item's own head as well. */
-        void put(long owner, int kind, boolean sole, long version, byte[] bytes, int at, int length, int size) throws IOException;
+        void put(long owner, int kind, boolean sole, long version, byte[] bytes, int at, int length, int size)
+                throws IOException;
 
         void ends(List<Long> owners, int size) throws IOException;
 
         /** The segments that are there, as its writer knew when it began this one; then each that it retired. */
-        default void parts(List<Long> numbers) throws IOException { }
+        default void parts(List<Long> numbers) throws IOException {}
 
-        default void retired(long number) throws IOException { }
+        default void retired(long number) throws IOException {}
     }
 
     /** What is told of a segment that was read; {@code end} is behind its last whole record. */
@@ -79,13 +83,17 @@
         }
     }
 
-    private Segment() {
-    }
+    private Segment() {}
 
     static ByteBuffer head(long number, long previousNumber, long previousEnd, long owners) {
         ByteBuffer out = ByteBuffer.allocate(HEAD);
-        out.putLong(MAGIC).putShort(VERSION).putShort((short) 0).putLong(number).putLong(previousNumber)
-                .putLong(previousEnd).putLong(owners);
+        out.putLong(MAGIC)
+                .putShort(VERSION)
+                .putShort((short) 0)
+                .putLong(number)
+                .putLong(previousNumber)
+                .putLong(previousEnd)
+                .putLong(owners);
         CRC32C crc = new CRC32C();
         crc.update(out.array(), 0, HEAD - Integer.BYTES);
         return out.putInt((int) crc.getValue()).flip();
@@ -234,7 +242,9 @@
             return false;
         }
         int length = in.getInt(at + 4);
-        return length >= 0 && length <= LONGEST && at + FRAME + length <= in.limit()
+        return length >= 0
+                && length <= LONGEST
+                && at + FRAME + length <= in.limit()
                 && in.getInt(at + FRAME - Integer.BYTES) == crc(salt, in.array(), at, length);
     }
 
@@ -271,7 +281,14 @@
                 long owner = number(items);
                 long version = number(items);
                 int length = (int) number(items);
-                visitor.put(owner, kind & ~SOLE, (kind & SOLE) != 0, version, in.array(), items.position(), length,
+                visitor.put(
+                        owner,
+                        kind & ~SOLE,
+                        (kind & SOLE) != 0,
+                        version,
+                        in.array(),
+                        items.position(),
+                        length,
                         items.position() - begin + length);
                 items.position(items.position() + length);
             }
@@ -279,7 +296,8 @@
     }
 
     /** An owner's content that was put at this place, null where it does not stand there whole. */
-    static byte[] content(byte[] segment, long salt, long record, long at, long owner, long version) throws IOException {
+    static byte[] content(byte[] segment, long salt, long record, long at, long owner, long version)
+            throws IOException {
         ByteBuffer all = ByteBuffer.wrap(segment);
         if (record < 0 || record + FRAME > segment.length || !whole(all, salt, (int) record)) {
             return null;
@@ -294,8 +312,7 @@
             }
 
             @Override
-            public void ends(List<Long> owners, int size) {
-            }
+            public void ends(List<Long> owners, int size) {}
         });
         return content[0];
     }
--- a/storage/src/main/java/amberroute/storage/SegmentLog.java
+++ b/storage/src/main/java/amberroute/storage/SegmentLog.java
@@ -36,10 +36,12 @@
     private static final String RESERVE = "reserve";
     /** Segments that are kept aside as they were found; the oldest goes first. */
     private static final int MOST_ASIDE = 2;
+
     private static final int BLOCK = 512;
     private static final long NEVER = Long.MAX_VALUE;
     /** A segment with a larger live share is not worth retiring. */
     private static final double DENSE = 0.99;
+
     private static final int ENDS_AT_ONCE = 4_096;
     /** The share of the heap that segments may take which are kept between opening and reading. */
     private static final int RETAINED_SHARE = 8;
@@ -79,7 +81,7 @@
     }
 
     /** Where a segment has bytes that could not be read, with whole records behind them; {@code to} 0 for a missing file. */
-    public record Loss(String segment, Segment.Damage damage) { }
+    public record Loss(String segment, Segment.Damage damage) {}
 
     /** Takes what the log has, in no order; the buffer is a view of the log's own bytes, for the time of the call. */
     public interface Reader {
@@ -114,6 +116,7 @@
         long sole;
         /** Contents of it on the disk, old ones and copies too. */
         int copies;
+
         boolean over;
         /** What tells that it is over, null where nothing does that is on the disk. */
         Ends endedBy;
@@ -166,6 +169,7 @@
         final long salt;
         /** The owner of each content in it, one for each copy. */
         long[] owners = new long[8];
+
         int copies;
         final Set<Ends> ends = new LinkedHashSet<>();
         private long live;
@@ -174,11 +178,13 @@
         Part keeps;
         /** A force of it has failed: what was in memory only may be gone. */
         private boolean suspect;
+
         private boolean gone;
         /** Has damage, and goes aside instead of away. */
         boolean damaged;
         /** How far copying is, whether nothing is left to copy, and the last record's number when that was found. */
         int cursor;
+
         boolean ready;
         long moved;
 
@@ -263,12 +269,14 @@
     private final TreeMap<Long, Part> parts = new TreeMap<>();
     /** Bytes of segments between opening and the one reading that follows it. */
     private final Map<Part, byte[]> retained = new HashMap<>();
+
     private long retainedBytes;
     private final List<Loss> losses = new ArrayList<>();
     private final TreeSet<String> aside = new TreeSet<>();
     private long asideBytes;
     /** Sealed segments that are not forced yet, with their parts. */
     private final Map<Part, Disk.Handle> unforced = new HashMap<>();
+
     private boolean namesUnforced;
     private Part victim;
     private byte[] victimBytes;
@@ -281,10 +289,12 @@
     private long lastNumber;
     /** The last segment that has a head, and where it ends. */
     private long previousNumber = -1;
+
     private long previousEnd = -1;
     private boolean uncertain;
     /** A file whose head may have landed though it was reported as failed. */
     private String stillborn;
+
     private long reserve;
     private boolean writable = true;
     private long copiedBytes;
@@ -343,7 +353,8 @@
         for (Part part : parts.values()) {
             try (Disk.Handle handle = disk.read(part.name)) {
                 part.bytes(handle.size());
-                Segment.Head head = Segment.read(Segment.load(handle, Segment.HEAD), part.salt, NOTHING).head();
+                Segment.Head head = Segment.read(Segment.load(handle, Segment.HEAD), part.salt, NOTHING)
+                        .head();
                 if (head.whole() && head.previousNumber() >= 0) {
                     tellers.put(head.previousNumber(), part);
                     ends.put(head.previousNumber(), head.previousEnd());
@@ -379,12 +390,10 @@
 
     private static final Segment.Visitor NOTHING = new Segment.Visitor() {
         @Override
-        public void put(long owner, int kind, boolean sole, long version, byte[] bytes, int at, int length, int size) {
-        }
+        public void put(long owner, int kind, boolean sole, long version, byte[] bytes, int at, int length, int size) {}
 
         @Override
-        public void ends(List<Long> owners, int size) {
-        }
+        public void ends(List<Long> owners, int size) {}
     };
 
     /** Takes one segment in as it is read. */
@@ -471,11 +480,12 @@
                 }
             }
         }
-        kept.values().forEach(all -> all.forEach(owned -> {
-            for (Item item : owned.items) {
-                item.told = false;
-            }
-        }));
+        kept.values()
+                .forEach(all -> all.forEach(owned -> {
+                    for (Item item : owned.items) {
+                        item.told = false;
+                    }
+                }));
         retained.clear();
         retainedBytes = 0;
     }
@@ -490,18 +500,22 @@
             }
 
             @Override
-            public void put(long owner, int kind, boolean sole, long version, byte[] bytes, int at, int length, int size)
+            public void put(
+                    long owner, int kind, boolean sole, long version, byte[] bytes, int at, int length, int size)
                     throws IOException {
                 Owned owned = owners.get(owner);
                 Item item = owned == null || owned.over ? null : owned.item(kind);
                 if (item != null && item.part == part && item.record == record[0] && item.at == at) {
-                    reader.content(owner, kind, version, ByteBuffer.wrap(bytes, at, length).slice());
+                    reader.content(
+                            owner,
+                            kind,
+                            version,
+                            ByteBuffer.wrap(bytes, at, length).slice());
                 }
             }
 
             @Override
-            public void ends(List<Long> ended, int size) {
-            }
+            public void ends(List<Long> ended, int size) {}
         });
     }
 
@@ -514,8 +528,8 @@
     // ---- What stands where. ----
 
     /** A content stands there; it is the one that counts unless a newer one is known. */
-    private void placed(Part part, long owner, int kind, boolean sole, long version, long record, long at, int length,
-            int size) {
+    private void placed(
+            Part part, long owner, int kind, boolean sole, long version, long record, long at, int length, int size) {
         nextOwner = Math.max(nextOwner, owner + 1);
         Owned owned = owners.computeIfAbsent(owner, Owned::new);
         owned.copies++;
@@ -620,8 +634,11 @@
 
     /** What is kept free for copying, for heads and for rounding: live contents may have the budget without this. */
     public long overhead() {
-        return 2 * limits.segment + limits.reserve + (limits.budget / limits.segment + 2) * (BLOCK + 2 * Segment.HEAD)
-                + MOST_ASIDE * (long) BLOCK + (long) (limits.budget * (1 - DENSE));
+        return 2 * limits.segment
+                + limits.reserve
+                + (limits.budget / limits.segment + 2) * (BLOCK + 2 * Segment.HEAD)
+                + MOST_ASIDE * (long) BLOCK
+                + (long) (limits.budget * (1 - DENSE));
     }
 
     public Limits limits() {
@@ -699,8 +716,10 @@
             int size = items.put(put.owner(), put.kind(), put.sole(), version, put.content());
             places.add(new int[] {items.size() - put.content().length, size});
         }
-        List<Long> ended = batch.ends.stream().filter(n -> owners.containsKey(n) && !owners.get(n).over
-                || batch.puts.stream().anyMatch(put -> put.owner() == n)).toList();
+        List<Long> ended = batch.ends.stream()
+                .filter(n -> owners.containsKey(n) && !owners.get(n).over
+                        || batch.puts.stream().anyMatch(put -> put.owner() == n))
+                .toList();
         int endsSize = ended.isEmpty() ? 0 : items.ends(ended);
         if (items.size() == 0) {
             return sequence;
@@ -709,8 +728,16 @@
         long at = append(items);
         for (int i = 0; i < places.size(); i++) {
             Batch.Put put = batch.puts.get(i);
-            placed(active, put.owner(), put.kind(), put.sole(), version, at, at + Segment.FRAME + places.get(i)[0],
-                    put.content().length, places.get(i)[1]);
+            placed(
+                    active,
+                    put.owner(),
+                    put.kind(),
+                    put.sole(),
+                    version,
+                    at,
+                    at + Segment.FRAME + places.get(i)[0],
+                    put.content().length,
+                    places.get(i)[1]);
         }
         if (!ended.isEmpty()) {
             takeEnds(active, ended, endsSize, false);
@@ -999,7 +1026,10 @@
             if (owned == null || owned.over || taken.contains(owned)) {
                 continue;
             }
-            int here = Arrays.stream(owned.items).filter(item -> item.part == part).mapToInt(item -> item.size).sum();
+            int here = Arrays.stream(owned.items)
+                    .filter(item -> item.part == part)
+                    .mapToInt(item -> item.size)
+                    .sum();
             full = !moved.isEmpty() && items.size() + here > limit;
             for (Item item : owned.items) {
                 if (item.part == part && !full) {
@@ -1014,8 +1044,16 @@
             long at = append(items);
             for (int i = 0; i < moved.size(); i++) {
                 Item item = moved.get(i);
-                placed(active, of.get(i).number, item.kind, item.sole, item.version, at, at + Segment.FRAME + places.get(i)[0],
-                        item.length, places.get(i)[1]);
+                placed(
+                        active,
+                        of.get(i).number,
+                        item.kind,
+                        item.sole,
+                        item.version,
+                        at,
+                        at + Segment.FRAME + places.get(i)[0],
+                        item.length,
+                        places.get(i)[1]);
             }
             copiedBytes += items.size();
         } else {
@@ -1028,7 +1066,8 @@
             throws IOException {
         byte[] content = Segment.content(bytes, item.part.salt, item.record, item.at, owned.number, item.version);
         if (content == null) {
-            throw new IOException("what owner " + owned.number + " has in " + item.part.name + " can no longer be read");
+            throw new IOException(
+                    "what owner " + owned.number + " has in " + item.part.name + " can no longer be read");
         }
         int size = items.put(owned.number, item.kind, item.sole, item.version, content);
         places.add(new int[] {items.size() - content.length, size});
--- a/storage/src/main/java/amberroute/storage/SimulatedDisk.java
+++ b/storage/src/main/java/amberroute/storage/SimulatedDisk.java
@@ -22,7 +22,15 @@
     }
 
     /** What happens at the chosen operation; the last ones only where that is a force, or a write of any kind. */
-    public enum Fault { NONE, KILL, FAIL, FAIL_AND_TRUNCATE_FAILS, FULL, READ_ONLY, FAIL_FORCES }
+    public enum Fault {
+        NONE,
+        KILL,
+        FAIL,
+        FAIL_AND_TRUNCATE_FAILS,
+        FULL,
+        READ_ONLY,
+        FAIL_FORCES
+    }
 
     /** One file's bytes; a name that goes and comes is another file. */
     private static final class Content {
@@ -40,6 +48,7 @@
     private boolean dead;
     /** All files together have room for so many bytes. */
     private long capacity = Long.MAX_VALUE;
+
     private long most;
 
     /** The next process on this disk, with its own fault. */
@@ -135,8 +144,7 @@
             throw new Killed();
         }
         operations++;
-        return fault != Fault.NONE
-                && (lasting() ? operations >= faultAt && operations < until : operations == faultAt);
+        return fault != Fault.NONE && (lasting() ? operations >= faultAt && operations < until : operations == faultAt);
     }
 
     private void simple(boolean changes) throws IOException {
@@ -163,7 +171,9 @@
     }
 
     private long size() {
-        return files.values().stream().mapToLong(f -> (f.bytes.length + 511) / 512 * 512).sum();
+        return files.values().stream()
+                .mapToLong(f -> (f.bytes.length + 511) / 512 * 512)
+                .sum();
     }
 
     @Override
@@ -239,10 +249,13 @@
             long room = capacity - SimulatedDisk.this.size() - 511;
             boolean full = from.remaining() > room;
             // The kernel may take a part at a time as well.
-            int n = struck && fault == Fault.READ_ONLY ? 0
-                    : struck ? random.nextInt(from.remaining() + 1)
-                    : full ? (int) Math.max(0, Math.min(from.remaining(), room))
-                    : random.nextInt(4) == 0 ? 1 + random.nextInt(from.remaining()) : from.remaining();
+            int n = struck && fault == Fault.READ_ONLY
+                    ? 0
+                    : struck
+                            ? random.nextInt(from.remaining() + 1)
+                            : full
+                                    ? (int) Math.max(0, Math.min(from.remaining(), room))
+                                    : random.nextInt(4) == 0 ? 1 + random.nextInt(from.remaining()) : from.remaining();
             byte[] before = content.bytes;
             byte[] after = Arrays.copyOf(before, before.length + n);
             from.get(after, before.length, n);
@@ -273,7 +286,6 @@
         }
 
         @Override
-        public void close() {
-        }
+        public void close() {}
     }
 }
--- a/storage/src/test/java/amberroute/storage/Play.java
+++ b/storage/src/test/java/amberroute/storage/Play.java
@@ -30,9 +30,11 @@
     private TreeMap<Long, TreeMap<Integer, String>> model = new TreeMap<>();
     /** The same as of the last force that succeeded, and all that may count behind a loss of power. */
     private final List<TreeMap<Long, TreeMap<Integer, String>>> sinceForced = new ArrayList<>();
+
     private TreeMap<Long, TreeMap<Integer, String>> pending;
     /** Owners that were given a last content, perhaps by a batch that failed. */
     private final Set<Long> sole = new HashSet<>();
+
     SegmentLog log;
     long failed;
     long written;
@@ -75,7 +77,8 @@
     private void put(Batch batch, long owner, int kind) {
         byte[] content = content();
         batch.put(owner, kind, content);
-        pending.computeIfAbsent(owner, o -> new TreeMap<>()).put(kind, HexFormat.of().formatHex(content));
+        pending.computeIfAbsent(owner, o -> new TreeMap<>())
+                .put(kind, HexFormat.of().formatHex(content));
     }
 
     private long any() {
@@ -217,14 +220,18 @@
         TreeMap<Long, TreeMap<Integer, String>> forced = sinceForced.get(0);
         // Batches since then may be there or not, in any selection; what nobody touched since has to be as it was.
         for (long owner : forced.keySet()) {
-            boolean touched = sinceForced.stream().anyMatch(m -> !forced.get(owner).equals(m.get(owner)))
-                    || pending != null && !forced.get(owner).equals(pending.get(owner));
-            assertTrue(touched || forced.get(owner).equals(found.get(owner)), at + ": owner " + owner + " had "
-                    + forced.get(owner) + " and has " + found.get(owner));
+            boolean touched =
+                    sinceForced.stream().anyMatch(m -> !forced.get(owner).equals(m.get(owner)))
+                            || pending != null && !forced.get(owner).equals(pending.get(owner));
+            assertTrue(
+                    touched || forced.get(owner).equals(found.get(owner)),
+                    at + ": owner " + owner + " had " + forced.get(owner) + " and has " + found.get(owner));
         }
         for (long owner : found.keySet()) {
-            assertTrue(sinceForced.stream().anyMatch(m -> m.containsKey(owner))
-                    || pending != null && pending.containsKey(owner), at + ": owner " + owner + " is back");
+            assertTrue(
+                    sinceForced.stream().anyMatch(m -> m.containsKey(owner))
+                            || pending != null && pending.containsKey(owner),
+                    at + ": owner " + owner + " is back");
         }
         model = found;
         pending = null;
@@ -235,7 +242,8 @@
     private static TreeMap<Long, TreeMap<Integer, String>> found(SegmentLog log) throws IOException {
         TreeMap<Long, TreeMap<Integer, String>> found = new TreeMap<>();
         log.read((owner, kind, version, content) -> {
-            String before = found.computeIfAbsent(owner, o -> new TreeMap<>()).put(kind, HexFormat.of().formatHex(bytes(content)));
+            String before = found.computeIfAbsent(owner, o -> new TreeMap<>())
+                    .put(kind, HexFormat.of().formatHex(bytes(content)));
             assertEquals(null, before, "owner " + owner + " has two of kind " + kind);
         });
         return found;
--- a/storage/src/test/java/amberroute/storage/SegmentLogTest.java
+++ b/storage/src/test/java/amberroute/storage/SegmentLogTest.java
@@ -17,7 +17,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.zip.CRC32C;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -57,7 +56,8 @@
     /** A write that fails leaves the log as it was; also where its torn part cannot be cut off. */
     @Test
     void afterAFailedWriteTheLogGoesOn() throws Exception {
-        for (SimulatedDisk.Fault fault : List.of(SimulatedDisk.Fault.FAIL, SimulatedDisk.Fault.FAIL_AND_TRUNCATE_FAILS)) {
+        for (SimulatedDisk.Fault fault :
+                List.of(SimulatedDisk.Fault.FAIL, SimulatedDisk.Fault.FAIL_AND_TRUNCATE_FAILS)) {
             for (long run = 0; run < 2_500; run++) {
                 Play play = new Play(SMALL, run, Play::normal);
                 play.disk.restart(run, fault, 3 + run % 160);
@@ -102,7 +102,8 @@
     void roomThatReturnsIsUsedByTheSameProcess() throws Exception {
         for (long run = 0; run < 500; run++) {
             Play play = new Play(SMALL, run, Play::normal);
-            play.disk.restart(run, run % 2 == 0 ? SimulatedDisk.Fault.FULL : SimulatedDisk.Fault.READ_ONLY, 10 + run % 100);
+            play.disk.restart(
+                    run, run % 2 == 0 ? SimulatedDisk.Fault.FULL : SimulatedDisk.Fault.READ_ONLY, 10 + run % 100);
             play.disk.until(60 + run % 100);
             play.live(200, 10, "run " + run);
             assertTrue(play.step(10), "run " + run);
@@ -161,7 +162,10 @@
             List<Long> live = new ArrayList<>();
             // As the journal does: contents are taken on as long as they leave what copying needs.
             for (int i = 0; i < 12_000; i++) {
-                byte[] body = new byte[run % 3 == 0 ? 300 : run % 3 == 1 ? random.nextInt(2_000) : random.nextInt(100) == 0 ? 65_536 : 200];
+                byte[] body = new byte
+                        [run % 3 == 0
+                                ? 300
+                                : run % 3 == 1 ? random.nextInt(2_000) : random.nextInt(100) == 0 ? 65_536 : 200];
                 if (log.liveBytes() + body.length + 60 + 40L * live.size() <= limits.budget() - log.overhead()) {
                     long owner = log.nextOwner();
                     log.write(new Batch().put(owner, 1, body));
@@ -311,7 +315,8 @@
         Files.writeString(folder.resolve("stray.seg"), "nothing");
         Files.writeString(folder.resolve("README"), "nothing");
         Files.createDirectory(folder.resolve("0000000000000001-0000000000000001.seg"));
-        List<String> names = new FolderDisk(folder).list().stream().filter(SegmentLog::isSegment).sorted().toList();
+        List<String> names = new FolderDisk(folder)
+                .list().stream().filter(SegmentLog::isSegment).sorted().toList();
         assertTrue(names.size() > 5, names.toString());
         assertEquals(400, read(new FolderDisk(folder)).size());
         Files.delete(folder.resolve(names.get(2)));
@@ -393,8 +398,10 @@
 
     private static Map<String, String> contents(SegmentLog log) throws IOException {
         Map<String, String> all = new TreeMap<>();
-        log.read((owner, kind, version, content) -> assertEquals(null,
-                all.put(owner + "/" + kind, Arrays.toString(Play.bytes(content))), "two of " + owner + "/" + kind));
+        log.read((owner, kind, version, content) -> assertEquals(
+                null,
+                all.put(owner + "/" + kind, Arrays.toString(Play.bytes(content))),
+                "two of " + owner + "/" + kind));
         return all;
     }
 }
--- a/survival/src/main/java/amberroute/survival/Group.java
+++ b/survival/src/main/java/amberroute/survival/Group.java
@@ -34,6 +34,7 @@
 
     /** The next version without one. */
     public Group without(String name) {
-        return new Group(version + 1, holders.stream().filter(h -> !h.equals(name)).toList());
+        return new Group(
+                version + 1, holders.stream().filter(h -> !h.equals(name)).toList());
     }
 }
--- a/survival/src/main/java/amberroute/survival/Holding.java
+++ b/survival/src/main/java/amberroute/survival/Holding.java
@@ -38,7 +38,8 @@
      * back: what it promised since is gone, as with one that comes without any.
      */
     public Holding reminded(long said, String by, long had) {
-        return over(said, by) || copy.compareTo(new Position(said, had)) >= 0 || had <= 0 ? this
+        return over(said, by) || copy.compareTo(new Position(said, had)) >= 0 || had <= 0
+                ? this
                 : new Holding(said, by, Position.NONE, NAMED);
     }
 
@@ -74,7 +75,8 @@
      * right there the result is this very holding: it needs the whole.
      */
     public Holding copied(long said, String by, long behind, long upTo) {
-        return over(said, by) || !copy.equals(new Position(said, behind)) || upTo < behind ? this
+        return over(said, by) || !copy.equals(new Position(said, behind)) || upTo < behind
+                ? this
                 : new Holding(said, by, new Position(said, upTo), fresh);
     }
 
@@ -84,7 +86,9 @@
      */
     public Holding whole(long said, String by, long at, boolean named) {
         Position next = new Position(said, at);
-        return over(said, by) || next.compareTo(copy) < 0 ? this : new Holding(said, by, next, term > 0 ? fresh : named ? NAMED : LEARNS);
+        return over(said, by) || next.compareTo(copy) < 0
+                ? this
+                : new Holding(said, by, next, term > 0 ? fresh : named ? NAMED : LEARNS);
     }
 
     /** The group of the copy that it has now names this holder, or does not. */
--- a/survival/src/main/java/amberroute/survival/Regrouping.java
+++ b/survival/src/main/java/amberroute/survival/Regrouping.java
@@ -13,7 +13,12 @@
  */
 public final class Regrouping {
     /** What to do with somebody; NONE names nobody. */
-    public enum Kind { NONE, WITHOUT, TEACH, WITH }
+    public enum Kind {
+        NONE,
+        WITHOUT,
+        TEACH,
+        WITH
+    }
 
     /** One step. */
     public record Step(Kind kind, String name) {
@@ -23,8 +28,12 @@
     /**
      * How others stand: taken for gone by membership, came back with nothing, has all that there is; who is there, and where.
      */
-    public record View(Predicate<String> gone, Predicate<String> fresh, Predicate<String> taught, List<String> alive,
-            UnaryOperator<String> zones) { }
+    public record View(
+            Predicate<String> gone,
+            Predicate<String> fresh,
+            Predicate<String> taught,
+            List<String> alive,
+            UnaryOperator<String> zones) {}
 
     private final String self;
     private final int size;
@@ -41,7 +50,8 @@
 
     /** The next step for a group that has settled. */
     public Step next(long now, Group group, View view) {
-        List<String> others = group.holders().stream().filter(h -> !h.equals(self)).toList();
+        List<String> others =
+                group.holders().stream().filter(h -> !h.equals(self)).toList();
         awaySince.keySet().retainAll(others);
         for (String holder : others) {
             if (view.gone().test(holder)) {
@@ -50,7 +60,9 @@
                 awaySince.remove(holder);
             }
         }
-        String away = others.stream().filter(h -> awaySince.containsKey(h) && now - awaySince.get(h) > patience).findFirst()
+        String away = others.stream()
+                .filter(h -> awaySince.containsKey(h) && now - awaySince.get(h) > patience)
+                .findFirst()
                 .orElse("");
         String fresh = others.stream().filter(view.fresh()).findFirst().orElse("");
         if (!fresh.isEmpty() && others.size() > 1) {
@@ -66,7 +78,9 @@
             return Step.NONE;
         }
         if (learner.isEmpty()) {
-            List<String> free = view.alive().stream().filter(n -> !group.holders().contains(n)).toList();
+            List<String> free = view.alive().stream()
+                    .filter(n -> !group.holders().contains(n))
+                    .toList();
             List<String> next = Steps.holders(self, view.zones().apply(self), 2, free, view.zones());
             if (next.size() < 2) {
                 return Step.NONE;
--- a/survival/src/main/java/amberroute/survival/Steps.java
+++ b/survival/src/main/java/amberroute/survival/Steps.java
@@ -12,10 +12,9 @@
      * What a holder sees of an estate's owner: whether that is itself (its process was restarted), whether membership takes
      * it for gone, and how long nothing was heard of the estate.
      */
-    public record Seen(boolean self, boolean gone, long silent) { }
+    public record Seen(boolean self, boolean gone, long silent) {}
 
-    private Steps() {
-    }
+    private Steps() {}
 
     /**
      * Whether to ask the group for the next term. {@code quiet} is how long nothing has to be heard of the estate from an owner that
@@ -29,7 +28,8 @@
      * The owner and so many less one others: those behind it in the order of names, so that each holds for about as many,
      * and as far as there are any each in a zone that has none yet. Fewer where there are no more.
      */
-    public static List<String> holders(String self, String zone, int size, List<String> others, UnaryOperator<String> zones) {
+    public static List<String> holders(
+            String self, String zone, int size, List<String> others, UnaryOperator<String> zones) {
         List<String> ring = new ArrayList<>(others);
         ring.remove(self);
         ring.sort((a, b) -> {
--- a/survival/src/main/java/amberroute/survival/Tenure.java
+++ b/survival/src/main/java/amberroute/survival/Tenure.java
@@ -16,6 +16,7 @@
     private final long term;
     /** Up to where each holder has it in this term; those without the whole are not there. */
     private final Map<String, Long> has = new HashMap<>();
+
     private Group group;
     private long groupAt;
     private long last;
@@ -83,7 +84,9 @@
     /** The highest number up to which a majority of the group has all; -1 where none has anything of this term. */
     public long agreed() {
         List<Long> numbers = group.holders().stream()
-                .map(h -> h.equals(self) ? last : has.getOrDefault(h, -1L)).sorted().toList();
+                .map(h -> h.equals(self) ? last : has.getOrDefault(h, -1L))
+                .sorted()
+                .toList();
         // Of n holders sorted upwards, more than half stand at or above this one.
         return numbers.isEmpty() || over ? -1 : numbers.get((numbers.size() - 1) / 2);
     }
--- a/survival/src/test/java/amberroute/survival/ExplorationTest.java
+++ b/survival/src/test/java/amberroute/survival/ExplorationTest.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -30,17 +29,29 @@
 class ExplorationTest {
     /** How the hosts behave; each mutant does one thing wrong and has to be found. */
     enum Host {
-        RIGHT, GRANTS_TWICE, COPIES_AFTER_GRANT, EFFECT_BEFORE_COPY, GRANTS_TO_SHORTER, FORGETS_GRANTS, COUNTS_EARLIER_TERMS,
-        SWAPS_HOLDERS, EMPTY_FOLDER_GRANTS, EMPTY_FOLDER_COUNTS
+        RIGHT,
+        GRANTS_TWICE,
+        COPIES_AFTER_GRANT,
+        EFFECT_BEFORE_COPY,
+        GRANTS_TO_SHORTER,
+        FORGETS_GRANTS,
+        COUNTS_EARLIER_TERMS,
+        SWAPS_HOLDERS,
+        EMPTY_FOLDER_GRANTS,
+        EMPTY_FOLDER_COUNTS
     }
 
-    private enum Kind { ASK, GRANT, COPY }
+    private enum Kind {
+        ASK,
+        GRANT,
+        COPY
+    }
 
     /** {@code log} are the changes up to the word's position, or what the asker has. */
-    private record Word(Kind kind, String from, String to, Position position, List<String> log, Group group) { }
+    private record Word(Kind kind, String from, String to, Position position, List<String> log, Group group) {}
 
     /** What one process has in memory: a claim (granted by these) or a tenure (held by these), or neither. */
-    private record Role(long term, boolean owner, Set<String> granted, Map<String, Long> has) { }
+    private record Role(long term, boolean owner, Set<String> granted, Map<String, Long> has) {}
 
     private record Daemon(Holding holding, List<String> log, Group group, Role role) {
         Daemon with(Holding next, List<String> changes, Group now) {
@@ -92,7 +103,11 @@
 
         @Override
         public boolean equals(Object o) {
-            return o instanceof World w && w.hash == hash && w.forgot == forgot && w.daemons.equals(daemons) && w.words.equals(words)
+            return o instanceof World w
+                    && w.hash == hash
+                    && w.forgot == forgot
+                    && w.daemons.equals(daemons)
+                    && w.words.equals(words)
                     && w.effects.equals(effects);
         }
 
@@ -156,17 +171,26 @@
         private void claim(List<World> out, World world, String name, Daemon d) {
             long term = d.holding().term() + 1;
             Holding own = d.holding().asked(term, name, d.holding().copy());
-            // With changes of the group B is as C, and A would claim what it has: that keeps their walk within its bound.
+            // With changes of the group B is as C, and A would claim what it has: that keeps their walk within its
+            // bound.
             if (!own.granted(term, name)) {
                 return;
             }
-            if (term > terms || regroups && (name.equals("A") || name.equals("B")) || !d.group().holders().contains(name) || d.holding().copy().number() == 0) {
+            if (term > terms
+                    || regroups && (name.equals("A") || name.equals("B"))
+                    || !d.group().holders().contains(name)
+                    || d.holding().copy().number() == 0) {
                 return;
             }
             List<Word> asks = new ArrayList<>();
             for (String holder : d.group().holders()) {
                 if (!holder.equals(name)) {
-                    asks.add(new Word(Kind.ASK, name, holder, new Position(term, 0), List.of(d.holding().copy().toString()),
+                    asks.add(new Word(
+                            Kind.ASK,
+                            name,
+                            holder,
+                            new Position(term, 0),
+                            List.of(d.holding().copy().toString()),
                             null));
                 }
             }
@@ -192,16 +216,25 @@
                     if (d.group().holders().size() == 3 && d.group().version() < 2) {
                         Group next = d.group().with(other);
                         if (host == Host.SWAPS_HOLDERS) {
-                            String out1 = d.group().holders().stream().filter(h -> !h.equals(name)).findFirst().orElseThrow();
+                            String out1 = d.group().holders().stream()
+                                    .filter(h -> !h.equals(name))
+                                    .findFirst()
+                                    .orElseThrow();
                             next = new Group(next.version(), next.without(out1).holders());
                         }
-                        out.add(write(world, name, d, role.term() + ".g" + (d.log().size() + 1), next));
+                        out.add(write(
+                                world, name, d, role.term() + ".g" + (d.log().size() + 1), next));
                     }
                 }
                 if (d.group().holders().size() == 4) {
                     for (String holder : d.group().holders()) {
                         if (!holder.equals(name)) {
-                            out.add(write(world, name, d, role.term() + ".g" + (d.log().size() + 1), d.group().without(holder)));
+                            out.add(write(
+                                    world,
+                                    name,
+                                    d,
+                                    role.term() + ".g" + (d.log().size() + 1),
+                                    d.group().without(holder)));
                         }
                     }
                 }
@@ -227,7 +260,9 @@
             long term = w.position().term();
             switch (w.kind()) {
                 case ASK -> {
-                    Position theirs = host == Host.GRANTS_TO_SHORTER ? new Position(Long.MAX_VALUE, 0) : position(w.log().get(0));
+                    Position theirs = host == Host.GRANTS_TO_SHORTER
+                            ? new Position(Long.MAX_VALUE, 0)
+                            : position(w.log().get(0));
                     Holding next = d.holding().asked(term, w.from(), theirs);
                     if (host == Host.EMPTY_FOLDER_GRANTS && d.holding().term() == 0) {
                         next = new Holding(term, w.from(), Position.NONE);
@@ -236,13 +271,19 @@
                             || host == Host.GRANTS_TWICE && next.term() == term && theirs.compareTo(next.copy()) >= 0;
                     if (yes) {
                         Daemon written = host == Host.FORGETS_GRANTS ? d : d.with(next, d.log(), d.group());
-                        out.add(world.with(w.to(), written, List.of(new Word(Kind.GRANT, w.to(), w.from(),
-                                new Position(term, 0), List.of(), null))));
+                        out.add(world.with(
+                                w.to(),
+                                written,
+                                List.of(new Word(
+                                        Kind.GRANT, w.to(), w.from(), new Position(term, 0), List.of(), null))));
                     }
                 }
                 case GRANT -> {
                     Role role = d.role();
-                    if (role == null || role.owner() || role.term() != term || d.holding().over(term, w.to())) {
+                    if (role == null
+                            || role.owner()
+                            || role.term() != term
+                            || d.holding().over(term, w.to())) {
                         return;
                     }
                     Claim claim = new Claim(w.to(), d.group(), d.holding());
@@ -256,18 +297,27 @@
                                 words.add(new Word(Kind.COPY, w.to(), holder, begun.copy(), d.log(), d.group()));
                             }
                         }
-                        out.add(world.with(w.to(), d.with(begun, d.log(), d.group())
-                                .as(new Role(term, true, Set.of(), Map.of())), words));
+                        out.add(world.with(
+                                w.to(),
+                                d.with(begun, d.log(), d.group()).as(new Role(term, true, Set.of(), Map.of())),
+                                words));
                     } else {
                         Set<String> granted = new TreeSet<>(role.granted());
                         granted.add(w.from());
                         out.add(world.with(w.to(), d.as(new Role(term, false, granted, Map.of())), List.of()));
                     }
                 }
-                // The whole does all that the last change alone does, and more: that is looked at here as well.
+                    // The whole does all that the last change alone does, and more: that is looked at here as well.
                 case COPY -> {
-                    boolean late = host == Host.COPIES_AFTER_GRANT && term < d.holding().term();
-                    Holding at = late ? new Holding(term, w.from(), d.holding().copy(), d.holding().fresh()) : d.holding();
+                    boolean late = host == Host.COPIES_AFTER_GRANT
+                            && term < d.holding().term();
+                    Holding at = late
+                            ? new Holding(
+                                    term,
+                                    w.from(),
+                                    d.holding().copy(),
+                                    d.holding().fresh())
+                            : d.holding();
                     long number = w.position().number();
                     boolean in = w.group().holders().contains(w.to());
                     Holding next = at.whole(term, w.from(), number, in).named(in);
@@ -282,7 +332,9 @@
                     World after = world.with(w.to(), d.with(next, w.log(), w.group()), List.of());
                     out.add(after);
                     Daemon owner = after.daemons().get(w.from());
-                    if ((next.counts() || host == Host.EMPTY_FOLDER_COUNTS) && owner.role() != null && owner.role().owner()
+                    if ((next.counts() || host == Host.EMPTY_FOLDER_COUNTS)
+                            && owner.role() != null
+                            && owner.role().owner()
                             && owner.role().term() == term) {
                         Map<String, Long> has = new TreeMap<>(owner.role().has());
                         has.merge(w.to(), number, Math::max);
@@ -299,7 +351,8 @@
         }
 
         private Tenure tenure(String name, Daemon d) {
-            // The last change of the group may be its last change at all: a tenure takes it for that, which is stricter.
+            // The last change of the group may be its last change at all: a tenure takes it for that, which is
+            // stricter.
             int groupAt = 0;
             for (int i = 0; i < d.log().size(); i++) {
                 groupAt = d.log().get(i).contains("g") ? i + 1 : groupAt;
@@ -316,14 +369,25 @@
         private World effects(World world) {
             Set<String> had = new TreeSet<>(world.effects());
             world.daemons().forEach((name, d) -> {
-                if (d.role() == null || !d.role().owner() || d.holding().over(d.role().term(), name)) {
+                if (d.role() == null
+                        || !d.role().owner()
+                        || d.holding().over(d.role().term(), name)) {
                     return;
                 }
-                long agreed = host == Host.EFFECT_BEFORE_COPY ? d.log().size() : tenure(name, d).agreed();
+                long agreed = host == Host.EFFECT_BEFORE_COPY
+                        ? d.log().size()
+                        : tenure(name, d).agreed();
                 if (host == Host.COUNTS_EARLIER_TERMS) {
                     // Whoever holds a copy of any term that is as long counts.
-                    agreed = Math.max(agreed, world.daemons().values().stream().filter(o ->
-                            d.log().size() <= o.log().size()).count() > 1 ? d.log().size() : -1);
+                    agreed = Math.max(
+                            agreed,
+                            world.daemons().values().stream()
+                                                    .filter(o -> d.log().size()
+                                                            <= o.log().size())
+                                                    .count()
+                                            > 1
+                                    ? d.log().size()
+                                    : -1);
                 }
                 for (int i = 0; i < agreed; i++) {
                     had.add(d.role().term() + "@" + d.log().get(i));
@@ -343,9 +407,11 @@
                     return "two owners of term " + d.role().term();
                 }
                 for (String effect : world.effects()) {
-                    if (Long.parseLong(effect.substring(0, effect.indexOf('@'))) < d.role().term()
+                    if (Long.parseLong(effect.substring(0, effect.indexOf('@')))
+                                    < d.role().term()
                             && !d.log().contains(effect.substring(effect.indexOf('@') + 1))) {
-                        return e.getKey() + " owns term " + d.role().term() + " and does not know of the effect of " + effect;
+                        return e.getKey() + " owns term " + d.role().term() + " and does not know of the effect of "
+                                + effect;
                     }
                 }
             }
@@ -360,8 +426,15 @@
             for (String name : regroups ? List.of("A", "B", "C", "D") : group.holders()) {
                 boolean holds = group.holders().contains(name);
                 Holding holding = holds ? new Holding(1, "A", new Position(1, 1)) : Holding.NONE;
-                begin.put(name, new Daemon(holding, holds ? base : List.of(), group, name.equals("A")
-                        ? new Role(1, true, Set.of(), new TreeMap<>(Map.of("B", 1L, "C", 1L))) : null));
+                begin.put(
+                        name,
+                        new Daemon(
+                                holding,
+                                holds ? base : List.of(),
+                                group,
+                                name.equals("A")
+                                        ? new Role(1, true, Set.of(), new TreeMap<>(Map.of("B", 1L, "C", 1L)))
+                                        : null));
             }
             World first = effects(new World(begin, Set.of(), Set.of(), false));
             Set<World> seen = new HashSet<>(Set.of(first));
@@ -412,7 +485,10 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Host.class, names = {"RIGHT", "SWAPS_HOLDERS", "COUNTS_EARLIER_TERMS"}, mode = EnumSource.Mode.EXCLUDE)
+    @EnumSource(
+            value = Host.class,
+            names = {"RIGHT", "SWAPS_HOLDERS", "COUNTS_EARLIER_TERMS"},
+            mode = EnumSource.Mode.EXCLUDE)
     void mutantsAreFound(Host mutant) {
         assertNotNull(new Exploration(mutant, 3, 2, false).explore(), mutant + " was not found");
     }
--- a/survival/src/test/java/amberroute/survival/RegroupingTest.java
+++ b/survival/src/test/java/amberroute/survival/RegroupingTest.java
@@ -3,17 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.survival.Regrouping.Kind;
+import amberroute.survival.Regrouping.Step;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.survival.Regrouping.Kind;
-import amberroute.survival.Regrouping.Step;
-
 /** Which change of a group comes next, step by step as its host carries them out. */
 class RegroupingTest {
     private static final long PATIENCE = 10;
@@ -26,8 +24,11 @@
 
     private Step next(long now) {
         List<String> alive = all.stream().filter(n -> !gone.contains(n)).toList();
-        Step step = regrouping.next(now, group,
-                new Regrouping.View(gone::contains, fresh::contains, taught::contains, alive, n -> n.equals("e") ? "far" : "near"));
+        Step step = regrouping.next(
+                now,
+                group,
+                new Regrouping.View(
+                        gone::contains, fresh::contains, taught::contains, alive, n -> n.equals("e") ? "far" : "near"));
         switch (step.kind()) {
             case WITHOUT -> {
                 group = group.without(step.name());
@@ -35,8 +36,7 @@
                 taught.remove(step.name());
             }
             case WITH -> group = group.with(step.name());
-            default -> {
-            }
+            default -> {}
         }
         return step;
     }
@@ -114,8 +114,12 @@
                 }
                 long before = group.version();
                 next(now);
-                assertTrue(group.version() <= before + 1 && group.holders().contains("a") && group.holders().size() >= 2
-                        && group.holders().size() <= 4, "seed " + seed + ": " + group);
+                assertTrue(
+                        group.version() <= before + 1
+                                && group.holders().contains("a")
+                                && group.holders().size() >= 2
+                                && group.holders().size() <= 4,
+                        "seed " + seed + ": " + group);
             }
             gone.clear();
             fresh.clear();
--- a/survival/src/test/java/amberroute/survival/StepsTest.java
+++ b/survival/src/test/java/amberroute/survival/StepsTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
 import org.junit.jupiter.api.Test;
 
 /** When to try, who is to hold, and how holders are counted. */
@@ -69,7 +68,9 @@
         tenure.wrote();
         tenure.regrouped(tenure.group().with("d"));
         assertFalse(tenure.settled());
-        assertThrows(IllegalStateException.class, () -> tenure.regrouped(tenure.group().without("c")));
+        assertThrows(
+                IllegalStateException.class,
+                () -> tenure.regrouped(tenure.group().without("c")));
         tenure.has("b", 12);
         assertFalse(tenure.settled());
         tenure.has("d", 12);
--- a/testkit/src/main/java/amberroute/testkit/Book.java
+++ b/testkit/src/main/java/amberroute/testkit/Book.java
@@ -14,16 +14,32 @@
  */
 public final class Book {
     /** How often an effect may happen. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** What is known of one message's end. */
-    public enum End { NONE, DELIVERED, RETURNED, FAILED }
+    public enum End {
+        NONE,
+        DELIVERED,
+        RETURNED,
+        FAILED
+    }
 
     /** How a hand-in was answered. */
-    public enum Answer { NONE, TAKEN, REFUSED, ERROR, SILENT }
+    public enum Answer {
+        NONE,
+        TAKEN,
+        REFUSED,
+        ERROR,
+        SILENT
+    }
 
     /** A notice may come so much behind the deadline: 300 ms, and 50 as each limit is longer on sockets. */
     public static final long NOTICE_GRACE = 350_000;
+
     private static final int MOST_COMPLAINTS = 50;
 
     /** One hand-in; a message that is handed in again is another entry with the same origin. */
@@ -45,8 +61,17 @@
         long endedAt;
         int effects;
 
-        Entry(String id, String origin, String className, Effect effect, long key, boolean ordered, int destination,
-                int sender, long deadline, long aim) {
+        Entry(
+                String id,
+                String origin,
+                String className,
+                Effect effect,
+                long key,
+                boolean ordered,
+                int destination,
+                int sender,
+                long deadline,
+                long aim) {
             this.id = id;
             this.origin = origin;
             this.className = className;
@@ -79,13 +104,31 @@
     }
 
     /** The sums; {@code taken = delivered + returned + failed + open} is checked by {@link #totals}. */
-    public record Totals(long handed, long taken, long refused, long errors, long silent, long delivered,
-            long returned, long failed, long open, long lost, long doubled, long outOfOrder, long lateNotices,
-            long inTime, long strange, long unheardEffects) {
+    public record Totals(
+            long handed,
+            long taken,
+            long refused,
+            long errors,
+            long silent,
+            long delivered,
+            long returned,
+            long failed,
+            long open,
+            long lost,
+            long doubled,
+            long outOfOrder,
+            long lateNotices,
+            long inTime,
+            long strange,
+            long unheardEffects) {
 
         /** Whether no rule was broken and the sums agree. */
         public boolean ok() {
-            return lost == 0 && doubled == 0 && outOfOrder == 0 && strange == 0 && open == 0
+            return lost == 0
+                    && doubled == 0
+                    && outOfOrder == 0
+                    && strange == 0
+                    && open == 0
                     && taken == delivered + returned + failed + open;
         }
     }
@@ -96,6 +139,7 @@
     private final Map<Long, Deque<Entry>> turns = new HashMap<>();
     /** Spans in which each sender was down or had just come back: notices are not overdue then. */
     private final Map<Integer, List<long[]>> spans = new HashMap<>();
+
     private final List<String> complaints = new ArrayList<>();
     private long doubled;
     private long outOfOrder;
@@ -114,8 +158,17 @@
     }
 
     /** A new entry; {@code aim} and {@code deadline} are moments. */
-    public Entry handIn(String id, String origin, String className, Effect effect, long key, boolean ordered,
-            int destination, int sender, long deadline, long aim) {
+    public Entry handIn(
+            String id,
+            String origin,
+            String className,
+            Effect effect,
+            long key,
+            boolean ordered,
+            int destination,
+            int sender,
+            long deadline,
+            long aim) {
         return handIn(new Entry(id, origin, className, effect, key, ordered, destination, sender, deadline, aim));
     }
 
@@ -223,8 +276,11 @@
 
     /** The same of those that were handed in from a moment on. */
     public long takenWithin(double share, long since) {
-        long[] times = entries.values().stream().filter(e -> e.answer == Answer.TAKEN && e.handedAt >= since)
-                .mapToLong(e -> e.answeredAt - e.handedAt).sorted().toArray();
+        long[] times = entries.values().stream()
+                .filter(e -> e.answer == Answer.TAKEN && e.handedAt >= since)
+                .mapToLong(e -> e.answeredAt - e.handedAt)
+                .sorted()
+                .toArray();
         return times.length == 0 ? 0 : times[(int) Math.min(times.length - 1, times.length * share)];
     }
 
@@ -235,12 +291,16 @@
 
     /** Messages taken on that were handed in from a moment on. */
     public long takenSince(long since) {
-        return entries.values().stream().filter(e -> e.answer == Answer.TAKEN && e.handedAt >= since).count();
+        return entries.values().stream()
+                .filter(e -> e.answer == Answer.TAKEN && e.handedAt >= since)
+                .count();
     }
 
     /** Messages taken on whose end is still owed. */
     public long open() {
-        return entries.values().stream().filter(e -> e.answer == Answer.TAKEN && e.end == End.NONE).count();
+        return entries.values().stream()
+                .filter(e -> e.answer == Answer.TAKEN && e.end == End.NONE)
+                .count();
     }
 
     /** All sums at this moment; what is open past its time counts as lost as well. */
@@ -252,8 +312,7 @@
                 case REFUSED -> n[1]++;
                 case ERROR -> n[2]++;
                 case SILENT -> n[3]++;
-                default -> {
-                }
+                default -> {}
             }
             if (e.answer != Answer.TAKEN) {
                 continue;
@@ -273,8 +332,23 @@
                 n[10]++;
             }
         }
-        return new Totals(entries.size(), n[0], n[1], n[2], n[3], n[4], n[5], n[6], n[7], n[8], doubled, outOfOrder,
-                n[10], n[9], strange, unheard);
+        return new Totals(
+                entries.size(),
+                n[0],
+                n[1],
+                n[2],
+                n[3],
+                n[4],
+                n[5],
+                n[6],
+                n[7],
+                n[8],
+                doubled,
+                outOfOrder,
+                n[10],
+                n[9],
+                strange,
+                unheard);
     }
 
     /** Of the messages with their aim in this span, the share that was delivered within it; 1 where there are none. */
@@ -294,15 +368,21 @@
     public List<String> lost(long now) {
         return entries.values().stream()
                 .filter(e -> e.answer == Answer.TAKEN && e.end == End.NONE && now > dueBy(e))
-                .limit(MOST_COMPLAINTS).map(e -> e.id + " (" + e.className + " at sender " + e.sender + ")").toList();
+                .limit(MOST_COMPLAINTS)
+                .map(e -> e.id + " (" + e.className + " at sender " + e.sender + ")")
+                .toList();
     }
 
     /** Messages whose notice came too late, at most 50, and by how many milliseconds. */
     public List<String> late() {
-        return entries.values().stream().filter(e -> e.answer == Answer.TAKEN
-                && (e.end == End.RETURNED || e.end == End.FAILED) && e.endedAt > dueBy(e)).limit(MOST_COMPLAINTS)
+        return entries.values().stream()
+                .filter(e -> e.answer == Answer.TAKEN
+                        && (e.end == End.RETURNED || e.end == End.FAILED)
+                        && e.endedAt > dueBy(e))
+                .limit(MOST_COMPLAINTS)
                 .map(e -> e.id + " (" + e.className + " at sender " + e.sender + ", due " + dueBy(e) / 1_000 + ", "
-                        + (e.endedAt - dueBy(e)) / 1_000 + " ms late)").toList();
+                        + (e.endedAt - dueBy(e)) / 1_000 + " ms late)")
+                .toList();
     }
 
     /** What was wrong, the first 50 in words. */
--- a/testkit/src/main/java/amberroute/testkit/Clients.java
+++ b/testkit/src/main/java/amberroute/testkit/Clients.java
@@ -1,17 +1,5 @@
 package amberroute.testkit;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -24,6 +12,17 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Stand-in clients: messages come at a rate, some in clumps for one destination, and each is handed to one of the
@@ -33,10 +32,10 @@
  */
 public final class Clients {
     /** A class of messages; spans are microseconds. */
-    public record Kind(String name, Book.Effect effect, boolean ordered, double share, long aim, long deadline) { }
+    public record Kind(String name, Book.Effect effect, boolean ordered, double share, long aim, long deadline) {}
 
     /** How much is asked: messages a second, the share of them in clumps of so many, and how many keys there are. */
-    public record Load(double perSecond, double clumps, int clumpSize, int keys, int tries) { }
+    public record Load(double perSecond, double clumps, int clumpSize, int keys, int tries) {}
 
     private static final long ANSWER_MS = 400;
     private static final long BACK_OFF_MS = 150;
@@ -49,6 +48,7 @@
     private final List<InetSocketAddress> senders;
     /** Where each key goes; there are as many as the load has keys. */
     private final Map<Long, Integer> homes = new HashMap<>();
+
     private int active;
     private final List<Kind> kinds;
     private final int destinations;
@@ -57,6 +57,7 @@
     private final long[] awayUntil;
     /** Messages of each key that wait for the one before to be answered. */
     private final Map<Long, Deque<Message>> lines = new HashMap<>();
+
     private Load load;
     private Future<?> timer;
     private long nextId;
@@ -85,8 +86,8 @@
         }
     }
 
-    public Clients(EventLoop loop, Book book, List<InetSocketAddress> senders, List<Kind> kinds, int destinations,
-            long seed) {
+    public Clients(
+            EventLoop loop, Book book, List<InetSocketAddress> senders, List<Kind> kinds, int destinations, long seed) {
         this.loop = loop;
         this.book = book;
         this.senders = List.copyOf(senders);
@@ -142,7 +143,8 @@
     }
 
     private void ask(int destination) {
-        double at = random.nextDouble() * kinds.stream().mapToDouble(Kind::share).sum();
+        double at =
+                random.nextDouble() * kinds.stream().mapToDouble(Kind::share).sum();
         Kind kind = kinds.get(kinds.size() - 1);
         for (Kind k : kinds) {
             at -= k.share();
@@ -155,8 +157,8 @@
         String origin = "m" + Long.toHexString(nextId++);
         // A key stands for one policy: all its messages go to one destination.
         int to = kind.ordered() ? 1 + (int) (key % destinations) : destination;
-        Message m = new Message(origin, kind, key, kind.effect() == Book.Effect.KEYED ? "k" + origin : "", to,
-                Stage.micros());
+        Message m = new Message(
+                origin, kind, key, kind.effect() == Book.Effect.KEYED ? "k" + origin : "", to, Stage.micros());
         handedIn++;
         working++;
         if (kind.ordered()) {
@@ -219,7 +221,10 @@
 
     private void connect(Message m, int sender) {
         Link link = new Link(sender);
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -227,7 +232,9 @@
                         link.channel = channel;
                         channel.pipeline().addLast(new LineBasedFrameDecoder(1_024), link);
                     }
-                }).connect(senders.get(sender)).addListener(done -> {
+                })
+                .connect(senders.get(sender))
+                .addListener(done -> {
                     if (done.isSuccess()) {
                         link.send(m);
                     } else {
@@ -275,8 +282,17 @@
             // Told a little less than is left, as the time on the way is the client's.
             long left = (m.deadline - now) / 1_000;
             String id = m.origin + "." + m.tries;
-            entry = book.handIn(id, m.origin, m.kind.name(), m.kind.effect(), m.key, m.kind.ordered(), m.destination,
-                    sender, now + left * 1_000, m.aim);
+            entry = book.handIn(
+                    id,
+                    m.origin,
+                    m.kind.name(),
+                    m.kind.effect(),
+                    m.key,
+                    m.kind.ordered(),
+                    m.destination,
+                    sender,
+                    now + left * 1_000,
+                    m.aim);
             StringBuilder options = new StringBuilder("c=" + m.kind.name() + ",d=" + left + ",dest=" + m.destination);
             if (!m.idempotencyKey.isEmpty()) {
                 options.append(",k=").append(m.idempotencyKey);
--- a/testkit/src/main/java/amberroute/testkit/FaultNet.java
+++ b/testkit/src/main/java/amberroute/testkit/FaultNet.java
@@ -1,12 +1,5 @@
 package amberroute.testkit;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,6 +7,12 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Every way between so many processes on loopback, each direction on its own, TCP and UDP: a process knows each other by an
@@ -38,7 +37,9 @@
             this.from = from;
             this.to = to;
             connections = new FaultProxy(loop, targets.get(to), seed + 97L * from + to).listen(port);
-            datagrams = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+            datagrams = new Bootstrap()
+                    .group(loop)
+                    .channel(NioDatagramChannel.class)
                     .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                         @Override
                         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
@@ -47,9 +48,11 @@
 
                         /** Whoever is away answers by an error of the network. */
                         @Override
-                        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                        }
-                    }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).sync().channel();
+                        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {}
+                    })
+                    .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                    .sync()
+                    .channel();
         }
 
         private void pass(DatagramPacket packet) {
@@ -60,10 +63,13 @@
             for (int copies = random.nextDouble() < weather.doubled() ? 2 : 1; copies > 0; copies--) {
                 packet.retain();
                 long delay = weather.delay() == 0 ? 0 : (long) (random.nextDouble() * weather.delay());
-                loop.schedule(() -> {
-                    Way back = ways[to][from];
-                    back.datagrams.writeAndFlush(new DatagramPacket(packet.content(), targets.get(to)));
-                }, delay, TimeUnit.MICROSECONDS);
+                loop.schedule(
+                        () -> {
+                            Way back = ways[to][from];
+                            back.datagrams.writeAndFlush(new DatagramPacket(packet.content(), targets.get(to)));
+                        },
+                        delay,
+                        TimeUnit.MICROSECONDS);
             }
         }
 
--- a/testkit/src/main/java/amberroute/testkit/FaultProxy.java
+++ b/testkit/src/main/java/amberroute/testkit/FaultProxy.java
@@ -1,15 +1,5 @@
 package amberroute.testkit;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -22,6 +12,15 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Stands between a sender and anything it talks to, and spoils connections on the way: delay, resets after so many
@@ -58,7 +57,11 @@
     }
 
     /** What {@link #cut} does to open connections and new ones. */
-    public enum Cut { NONE, RESET, SILENT }
+    public enum Cut {
+        NONE,
+        RESET,
+        SILENT
+    }
 
     private static final long MOST_WAITING = 1 << 20;
 
@@ -71,6 +74,7 @@
     private Cut cut = Cut.NONE;
     /** Whether bytes towards the target, and those back, vanish. */
     private final boolean[] muted = new boolean[2];
+
     private long accepted;
 
     public FaultProxy(EventLoop loop, InetSocketAddress target, long seed) {
@@ -86,7 +90,9 @@
 
     /** Binds this port of loopback. */
     public FaultProxy listen(int port) throws InterruptedException {
-        server = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+        server = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -101,7 +107,10 @@
                         client.pipeline().addLast(pair.side(true));
                         pair.open();
                     }
-                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).sync().channel();
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .sync()
+                .channel();
         return this;
     }
 
@@ -154,7 +163,7 @@
     }
 
     /** Bytes that are to be handed on at a moment of the monotonic clock, in nanoseconds. */
-    private record Delayed(ByteBuf bytes, long due) { }
+    private record Delayed(ByteBuf bytes, long due) {}
 
     private final class Pair {
         private final Channel client;
@@ -172,14 +181,19 @@
         }
 
         void open() {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.AUTO_READ, false)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.AUTO_READ, false)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             server = channel;
                             channel.pipeline().addLast(side(false));
                         }
-                    }).connect(target).addListener(done -> {
+                    })
+                    .connect(target)
+                    .addListener(done -> {
                         if (done.isSuccess()) {
                             client.read();
                             server.read();
@@ -215,13 +229,16 @@
                 @Override
                 public void channelInactive(ChannelHandlerContext context) {
                     // Behind all that still waits in this direction, as on a real way.
-                    loop.schedule(() -> {
-                        pairs.remove(Pair.this);
-                        Channel other = fromClient ? server : client;
-                        if (other != null && cut != Cut.SILENT && !lost) {
-                            other.close();
-                        }
-                    }, Math.max(0, lastDue[fromClient ? 0 : 1] - System.nanoTime()), TimeUnit.NANOSECONDS);
+                    loop.schedule(
+                            () -> {
+                                pairs.remove(Pair.this);
+                                Channel other = fromClient ? server : client;
+                                if (other != null && cut != Cut.SILENT && !lost) {
+                                    other.close();
+                                }
+                            },
+                            Math.max(0, lastDue[fromClient ? 0 : 1] - System.nanoTime()),
+                            TimeUnit.NANOSECONDS);
                 }
 
                 @Override
@@ -234,7 +251,9 @@
         private void take(boolean fromClient, ByteBuf bytes) {
             int side = fromClient ? 0 : 1;
             int size = bytes.readableBytes();
-            if (cut == Cut.SILENT || muted[side] || !fromClient && fault.deafAfter() >= 0 && passed[1] + size > fault.deafAfter()) {
+            if (cut == Cut.SILENT
+                    || muted[side]
+                    || !fromClient && fault.deafAfter() >= 0 && passed[1] + size > fault.deafAfter()) {
                 lost = true;
                 ReferenceCountUtil.release(bytes);
                 return;
--- a/testkit/src/main/java/amberroute/testkit/FaultScript.java
+++ b/testkit/src/main/java/amberroute/testkit/FaultScript.java
@@ -18,7 +18,20 @@
      * SLOW: stopped for nine tenths of each tenth of a second, so its processor, its disk and its answers are that much slower.
      * RELEASE: whoever has taken over what the target had is asked to let go of it.
      */
-    public enum Kind { KILL, LOSE, PAUSE, CUT, ONE_WAY, SPLIT, FLAP, STORM, OLD_FOLDER, RESTART, SLOW, RELEASE }
+    public enum Kind {
+        KILL,
+        LOSE,
+        PAUSE,
+        CUT,
+        ONE_WAY,
+        SPLIT,
+        FLAP,
+        STORM,
+        OLD_FOLDER,
+        RESTART,
+        SLOW,
+        RELEASE
+    }
 
     /** One fault: at which moment of the round it begins and how long it lasts, in milliseconds, and whom it befalls. */
     public record Fault(Kind kind, int target, long at, long lasts) {
@@ -44,7 +57,10 @@
                 // Two folders gone at once can be the majority of a group, which nothing survives.
                 continue;
             }
-            out.add(new Fault(kind, (first + i * (1 + random.nextInt(processes - 1))) % processes, random.nextInt(700),
+            out.add(new Fault(
+                    kind,
+                    (first + i * (1 + random.nextInt(processes - 1))) % processes,
+                    random.nextInt(700),
                     600 + random.nextInt(2_600)));
         }
         return new FaultScript(out);
@@ -58,7 +74,10 @@
             if (words.length != 4) {
                 throw new IllegalArgumentException("a fault is KIND:TARGET:AT:LASTS, not " + part);
             }
-            out.add(new Fault(Kind.valueOf(words[0]), Integer.parseInt(words[1]), Long.parseLong(words[2]),
+            out.add(new Fault(
+                    Kind.valueOf(words[0]),
+                    Integer.parseInt(words[1]),
+                    Long.parseLong(words[2]),
                     Long.parseLong(words[3])));
         }
         return new FaultScript(out);
@@ -67,7 +86,7 @@
     /** The same without some of its faults, as few as still fail: none of what is left can be taken away alone. */
     public FaultScript shortened(Predicate<FaultScript> fails) {
         FaultScript best = this;
-        for (int i = 0; i < best.faults.size();) {
+        for (int i = 0; i < best.faults.size(); ) {
             List<Fault> fewer = new ArrayList<>(best.faults);
             fewer.remove(i);
             FaultScript next = new FaultScript(fewer);
--- a/testkit/src/main/java/amberroute/testkit/Partner.java
+++ b/testkit/src/main/java/amberroute/testkit/Partner.java
@@ -14,7 +14,12 @@
  */
 public final class Partner {
     /** What an endpoint does with calls besides serving them. */
-    public enum Mode { UP, HANG, REFUSE, DEAD }
+    public enum Mode {
+        UP,
+        HANG,
+        REFUSE,
+        DEAD
+    }
 
     /**
      * {@code service} is the mean time of a call, spread exponentially by {@code spread} of it; {@code perSecond} limits
@@ -22,26 +27,64 @@
      * {@code coldFrom} of its capacity and has all after {@code coldSpan}; more messages than {@code fallMultiple} of
      * its present capacity within {@code fallSpan} bring it down for {@code fallFor}.
      */
-    public record Figures(int slots, int queue, long service, double spread, double itemCost, double perSecond,
-            long window, boolean tellsWait, double coldFrom, long coldSpan, double fallMultiple, long fallSpan,
-            long fallFor, long keyLife) {
+    public record Figures(
+            int slots,
+            int queue,
+            long service,
+            double spread,
+            double itemCost,
+            double perSecond,
+            long window,
+            boolean tellsWait,
+            double coldFrom,
+            long coldSpan,
+            double fallMultiple,
+            long fallSpan,
+            long fallFor,
+            long keyLife) {
 
         /** A quick partner with much room and no limit. */
         public static Figures roomy() {
-            return new Figures(64, 256, 5_000, 0.5, 0.1, 0, 0, true, 0.15, 10_000_000, 2.5, 1_500_000, 2_000_000,
-                    60_000_000);
+            return new Figures(
+                    64, 256, 5_000, 0.5, 0.1, 0, 0, true, 0.15, 10_000_000, 2.5, 1_500_000, 2_000_000, 60_000_000);
         }
 
         /** The same with this many messages a second at most. */
         public Figures limited(double most, long windowMicros) {
-            return new Figures(slots, queue, service, spread, itemCost, most, windowMicros, tellsWait, coldFrom,
-                    coldSpan, fallMultiple, fallSpan, fallFor, keyLife);
+            return new Figures(
+                    slots,
+                    queue,
+                    service,
+                    spread,
+                    itemCost,
+                    most,
+                    windowMicros,
+                    tellsWait,
+                    coldFrom,
+                    coldSpan,
+                    fallMultiple,
+                    fallSpan,
+                    fallFor,
+                    keyLife);
         }
 
         /** The same with this many slots, places to wait and time for a call. */
         public Figures sized(int calls, int waiting, long micros) {
-            return new Figures(calls, waiting, micros, spread, itemCost, perSecond, window, tellsWait, coldFrom,
-                    coldSpan, fallMultiple, fallSpan, fallFor, keyLife);
+            return new Figures(
+                    calls,
+                    waiting,
+                    micros,
+                    spread,
+                    itemCost,
+                    perSecond,
+                    window,
+                    tellsWait,
+                    coldFrom,
+                    coldSpan,
+                    fallMultiple,
+                    fallSpan,
+                    fallFor,
+                    keyLife);
         }
 
         /** Messages a second when warm. */
@@ -53,7 +96,13 @@
     /** What happens to a call: it runs for so long once begun, waits, is refused with a wait (0: none told), or hangs. */
     public record Verdict(Kind kind, long time) {
         /** How a call is received. */
-        public enum Kind { RUN, WAIT, REFUSE_LIMIT, REFUSE_FULL, SILENT }
+        public enum Kind {
+            RUN,
+            WAIT,
+            REFUSE_LIMIT,
+            REFUSE_FULL,
+            SILENT
+        }
     }
 
     private final Figures figures;
@@ -164,7 +213,7 @@
             return false;
         }
         if (keys.size() > 65_536) {
-            for (Iterator<Long> it = keys.values().iterator(); it.hasNext();) {
+            for (Iterator<Long> it = keys.values().iterator(); it.hasNext(); ) {
                 if (now - it.next() >= figures.keyLife()) {
                     it.remove();
                 }
--- a/testkit/src/main/java/amberroute/testkit/PartnerServer.java
+++ b/testkit/src/main/java/amberroute/testkit/PartnerServer.java
@@ -1,17 +1,5 @@
 package amberroute.testkit;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Locale;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -28,6 +16,17 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Serves one endpoint of a stand-in partner on loopback: {@code POST /receive} and {@code /receive-many}. What happens
@@ -38,7 +37,7 @@
     private static final int LARGEST_CALL = 8 << 20;
 
     /** One message of a call. */
-    private record Item(String id, String key) { }
+    private record Item(String id, String key) {}
 
     private final EventLoop loop;
     private final Book book;
@@ -77,8 +76,11 @@
 
     /** Binds a port of loopback, 0 for any. */
     public PartnerServer listen(int port) throws InterruptedException {
-        server = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 512).childOption(ChannelOption.TCP_NODELAY, true)
+        server = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 512)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -88,10 +90,13 @@
                         }
                         connections.add(channel);
                         channel.closeFuture().addListener(closed -> connections.remove(channel));
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST_CALL),
-                                new Handler());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST_CALL), new Handler());
                     }
-                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).sync().channel();
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .sync()
+                .channel();
         return this;
     }
 
@@ -146,8 +151,7 @@
             case WAIT -> queue.add(call);
             case REFUSE_LIMIT -> answer(call, 429, verdict.time());
             case REFUSE_FULL -> answer(call, 503, 0);
-            case SILENT -> {
-            }
+            case SILENT -> {}
         }
     }
 
@@ -187,9 +191,12 @@
         if (status == 200 && call.many) {
             call.items.forEach(item -> body.append(item.id()).append(" delivered\r\n"));
         }
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(body, StandardCharsets.ISO_8859_1));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.copiedBuffer(body, StandardCharsets.ISO_8859_1));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         if (wait > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", wait / 1e6 + 0.001));
         }
@@ -209,7 +216,8 @@
                 return;
             }
             List<Item> items = request.uri().equals("/receive-many")
-                    ? items(request.content().toString(StandardCharsets.ISO_8859_1)) : List.of();
+                    ? items(request.content().toString(StandardCharsets.ISO_8859_1))
+                    : List.of();
             Call call = new Call(context, items, true);
             if (items.isEmpty()) {
                 answer(call, 400, 0);
--- a/testkit/src/main/java/amberroute/testkit/PlatformServer.java
+++ b/testkit/src/main/java/amberroute/testkit/PlatformServer.java
@@ -1,19 +1,8 @@
 package amberroute.testkit;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -33,6 +22,15 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Stands in for discovery and for whoever is told of messages that end undelivered: the list of endpoints with its
@@ -74,16 +72,21 @@
 
     /** Binds a port of loopback, 0 for any. */
     public PlatformServer listen(int port) throws InterruptedException {
-        server = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+        server = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         connections.add(channel);
                         channel.closeFuture().addListener(closed -> connections.remove(channel));
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20),
-                                new Handler());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20), new Handler());
                     }
-                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).sync().channel();
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .sync()
+                .channel();
         loop.scheduleWithFixedDelay(() -> send("\n"), BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
         return this;
     }
@@ -142,8 +145,8 @@
 
     private void send(String line) {
         if (!silent) {
-            watches.forEach(watch -> watch.writeAndFlush(
-                    new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8))));
+            watches.forEach(watch ->
+                    watch.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8))));
         }
     }
 
@@ -156,8 +159,8 @@
                 DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
                 head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
                 context.write(head);
-                context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(silent ? "" : wholeList() + "\n",
-                        StandardCharsets.UTF_8)));
+                context.writeAndFlush(new DefaultHttpContent(
+                        Unpooled.copiedBuffer(silent ? "" : wholeList() + "\n", StandardCharsets.UTF_8)));
                 watches.add(context);
                 context.channel().closeFuture().addListener(closed -> watches.remove(context));
             } else if (request.uri().equals("/api/targets")) {
@@ -173,7 +176,10 @@
                 for (String line : body.split("\n")) {
                     JsonObject notice = JsonParser.parseString(line).getAsJsonObject();
                     noticeLines++;
-                    book.noticed(now, notice.get("id").getAsString(), notice.get("state").getAsString().equals("returned"));
+                    book.noticed(
+                            now,
+                            notice.get("id").getAsString(),
+                            notice.get("state").getAsString().equals("returned"));
                 }
                 return true;
             } catch (RuntimeException e) {
@@ -182,10 +188,13 @@
         }
 
         private void reply(ChannelHandlerContext context, int status, String body) {
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
             if (status != 204) {
-                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+                response.headers()
+                        .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
             }
             context.writeAndFlush(response);
         }
--- a/testkit/src/main/java/amberroute/testkit/RespRequest.java
+++ b/testkit/src/main/java/amberroute/testkit/RespRequest.java
@@ -5,8 +5,7 @@
 
 /** A request of the RESP2 protocol as clients write it: an array of bulk strings. */
 public final class RespRequest {
-    private RespRequest() {
-    }
+    private RespRequest() {}
 
     /** The bytes of one request; words are sent as UTF-8. */
     public static byte[] of(String... words) {
--- a/testkit/src/main/java/amberroute/testkit/Stage.java
+++ b/testkit/src/main/java/amberroute/testkit/Stage.java
@@ -1,5 +1,9 @@
 package amberroute.testkit;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,11 +16,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 /**
  * All stand-ins of one run with their book, on one event loop of their own. What is done to them from other threads goes
  * through {@link #on}. Every random choice comes from the seed; sockets and processes still make runs differ.
@@ -62,7 +61,8 @@
     }
 
     /** Adds a destination with so many endpoints of these figures, listed as ready. */
-    public Stage destination(int number, int endpoints, Partner.Figures figures, String model) throws InterruptedException {
+    public Stage destination(int number, int endpoints, Partner.Figures figures, String model)
+            throws InterruptedException {
         return destination(number, endpoints, figures, model, false);
     }
 
@@ -72,10 +72,12 @@
         Partner memory = new Partner(figures, seed);
         for (int i = 0; i < endpoints; i++) {
             String uid = "p" + number + "-" + i;
-            PartnerServer server = new PartnerServer(loop, book, number, uid,
-                    new Partner(figures, seed + 31L * number + i), memory).listen(0);
+            PartnerServer server = new PartnerServer(
+                            loop, book, number, uid, new Partner(figures, seed + 31L * number + i), memory)
+                    .listen(0);
             partners.add(server);
-            String address = !proxied ? server.address() : proxy(server.socketAddress()).address();
+            String address =
+                    !proxied ? server.address() : proxy(server.socketAddress()).address();
             run(() -> platform.list(uid, address, number, model, "Ready"));
         }
         return this;
@@ -97,7 +99,8 @@
 
     /** Stand-in clients for these senders; they ask for nothing before they are told to. */
     public Clients clients(List<InetSocketAddress> senders, List<Clients.Kind> kinds) {
-        int destinations = partners.stream().mapToInt(PartnerServer::destination).max().orElse(1);
+        int destinations =
+                partners.stream().mapToInt(PartnerServer::destination).max().orElse(1);
         clients = new Clients(loop, book, senders, kinds, destinations, seed);
         return clients;
     }
@@ -140,7 +143,10 @@
 
     /** The largest share of what a cold endpoint could stand that was used. */
     public double highestColdShare() {
-        return on(() -> partners.stream().mapToDouble(p -> p.partner().highestShare()).max().orElse(0));
+        return on(() -> partners.stream()
+                .mapToDouble(p -> p.partner().highestShare())
+                .max()
+                .orElse(0));
     }
 
     /** How often endpoints fell over. */
@@ -150,7 +156,8 @@
 
     /** The three classes that the demo and the rigs use; the sender file of {@link #senderFile} has the same. */
     public static List<Clients.Kind> kinds() {
-        return List.of(new Clients.Kind("quote-status", Book.Effect.SAFE, false, 0.45, 1_500_000, 6_000_000),
+        return List.of(
+                new Clients.Kind("quote-status", Book.Effect.SAFE, false, 0.45, 1_500_000, 6_000_000),
                 new Clients.Kind("policy-order", Book.Effect.KEYED, true, 0.35, 1_500_000, 6_000_000),
                 new Clients.Kind("premium-charge", Book.Effect.UNSAFE, false, 0.2, 2_000_000, 6_000_000));
     }
@@ -163,7 +170,11 @@
     /** The same with further keys, dotted where they belong to a table. */
     public Path senderFile(Path folder, int senders, String more) throws IOException {
         Path file = folder.resolve("amberroute.toml");
-        Files.writeString(file, String.format(Locale.ROOT, """
+        Files.writeString(
+                file,
+                String.format(
+                        Locale.ROOT,
+                        """
                 # Written for one run on stand-ins.
                 listen = "127.0.0.1:0"
                 discovery = "%s"
@@ -206,14 +217,21 @@
                 [[kind]]
                 name = "batch"
                 messages_per_call = 5
-                """, platform.address(), senders, more));
+                """,
+                        platform.address(),
+                        senders,
+                        more));
         return file;
     }
 
     /** Writes a service definition of daemons that read {@link #senderFile}; returns its path. */
     public Path fleetFile(Path folder, int daemons, int firstPort, Path jar, String more) throws IOException {
         Path file = folder.resolve("fleet.toml");
-        Files.writeString(file, String.format(Locale.ROOT, """
+        Files.writeString(
+                file,
+                String.format(
+                        Locale.ROOT,
+                        """
                 # Written for one run on stand-ins.
                 name = "stage"
                 sender = "amberroute.toml"
@@ -222,7 +240,11 @@
                 listen = "127.0.0.1:%d"
                 jar = "%s"
                 %s
-                """, daemons, firstPort, jar, more));
+                """,
+                        daemons,
+                        firstPort,
+                        jar,
+                        more));
         return file;
     }
 
@@ -247,7 +269,8 @@
 
     /** The first of so many ports in a row that are free just now; below the range that the system deals out. */
     public static int freePorts(int count, long seed) throws IOException {
-        java.util.Random random = new java.util.Random(seed ^ ProcessHandle.current().pid());
+        java.util.Random random =
+                new java.util.Random(seed ^ ProcessHandle.current().pid());
         for (int attempt = 0; attempt < 200; attempt++) {
             int first = 12_000 + random.nextInt(18_000 - count);
             if (free(first, count)) {
--- a/testkit/src/test/java/amberroute/testkit/BookTest.java
+++ b/testkit/src/test/java/amberroute/testkit/BookTest.java
@@ -4,10 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import org.junit.jupiter.api.Test;
-
 import amberroute.testkit.Book.Answer;
 import amberroute.testkit.Book.Effect;
+import org.junit.jupiter.api.Test;
 
 /** The book has to find each fault that it is for: one that sees none would make every run look good. */
 class BookTest {
--- a/testkit/src/test/java/amberroute/testkit/FaultNetTest.java
+++ b/testkit/src/test/java/amberroute/testkit/FaultNetTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.testkit.FaultScript.Fault;
+import amberroute.testkit.FaultScript.Kind;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -14,22 +16,20 @@
 import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Random;
-
 import org.junit.jupiter.api.Test;
 
-import amberroute.testkit.FaultScript.Fault;
-import amberroute.testkit.FaultScript.Kind;
-
 /** The net's ways, each direction on its own, and its scripts. */
 class FaultNetTest {
     @Test
     void aCutOfOneDirectionLetsTheOtherThrough() throws Exception {
-        try (Stage stage = new Stage(1); DatagramSocket a = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        try (Stage stage = new Stage(1);
+                DatagramSocket a = new DatagramSocket(0, InetAddress.getLoopbackAddress());
                 DatagramSocket b = new DatagramSocket(0, InetAddress.getLoopbackAddress());
                 ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            FaultNet net = stage.net(List.of(address(a.getLocalPort()), address(b.getLocalPort())), Stage.freePorts(4, 1));
-            FaultNet lines = stage.net(List.of(address(listener.getLocalPort()), address(listener.getLocalPort())),
-                    Stage.freePorts(4, 2));
+            FaultNet net =
+                    stage.net(List.of(address(a.getLocalPort()), address(b.getLocalPort())), Stage.freePorts(4, 1));
+            FaultNet lines = stage.net(
+                    List.of(address(listener.getLocalPort()), address(listener.getLocalPort())), Stage.freePorts(4, 2));
             a.setSoTimeout(5_000);
             b.setSoTimeout(5_000);
             InetSocketAddress bForA = parse(net.address(0, 1));
@@ -52,7 +52,9 @@
             receive(b);
             receive(b);
 
-            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), parse(lines.address(0, 1)).getPort());
+            try (Socket client = new Socket(
+                            InetAddress.getLoopbackAddress(),
+                            parse(lines.address(0, 1)).getPort());
                     Socket served = listener.accept()) {
                 client.getOutputStream().write('x');
                 assertEquals('x', served.getInputStream().read());
@@ -61,7 +63,8 @@
                 client.getOutputStream().write('z');
                 assertEquals('z', served.getInputStream().read());
                 client.setSoTimeout(200);
-                assertThrows(SocketTimeoutException.class, () -> client.getInputStream().read());
+                assertThrows(SocketTimeoutException.class, () -> client.getInputStream()
+                        .read());
             }
         }
     }
@@ -70,11 +73,16 @@
     void aScriptIsReadAsItIsPrintedAndShortenedToWhatFails() {
         FaultScript drawn = FaultScript.draw(new Random(3), 7, List.of(Kind.values()));
         assertEquals(drawn, FaultScript.read(drawn.toString()));
-        FaultScript all = new FaultScript(List.of(new Fault(Kind.KILL, 1, 0, 5), new Fault(Kind.CUT, 2, 1, 5),
-                new Fault(Kind.PAUSE, 3, 2, 5), new Fault(Kind.STORM, 4, 3, 5)));
+        FaultScript all = new FaultScript(List.of(
+                new Fault(Kind.KILL, 1, 0, 5),
+                new Fault(Kind.CUT, 2, 1, 5),
+                new Fault(Kind.PAUSE, 3, 2, 5),
+                new Fault(Kind.STORM, 4, 3, 5)));
         FaultScript least = all.shortened(s -> s.faults().stream().anyMatch(f -> f.kind() == Kind.CUT)
                 && s.faults().stream().anyMatch(f -> f.kind() == Kind.STORM));
-        assertEquals(List.of(Kind.CUT, Kind.STORM), least.faults().stream().map(Fault::kind).toList());
+        assertEquals(
+                List.of(Kind.CUT, Kind.STORM),
+                least.faults().stream().map(Fault::kind).toList());
         assertThrows(IllegalArgumentException.class, () -> FaultScript.read("KILL:1"));
         Random random = new Random(5);
         for (int i = 0; i < 500; i++) {
--- a/testkit/src/test/java/amberroute/testkit/FaultProxyTest.java
+++ b/testkit/src/test/java/amberroute/testkit/FaultProxyTest.java
@@ -12,7 +12,6 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -57,7 +56,8 @@
 
     private Socket open(FaultProxy.Fault fault) throws IOException {
         stage.run(() -> proxy.fault(fault));
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(),
+        Socket socket = new Socket(
+                InetAddress.getLoopbackAddress(),
                 Integer.parseInt(proxy.address().substring(proxy.address().indexOf(':') + 1)));
         socket.setSoTimeout(10_000);
         return socket;
@@ -78,8 +78,9 @@
 
     @Test
     void passesAllBytesInOrderDelayedOrNot() throws IOException {
-        for (FaultProxy.Fault fault : new FaultProxy.Fault[] {FaultProxy.Fault.NONE, FaultProxy.Fault.delayed(3_000),
-            FaultProxy.Fault.slowReads(500)}) {
+        for (FaultProxy.Fault fault : new FaultProxy.Fault[] {
+            FaultProxy.Fault.NONE, FaultProxy.Fault.delayed(3_000), FaultProxy.Fault.slowReads(500)
+        }) {
             try (Socket socket = open(fault)) {
                 for (int n : new int[] {1, 1_000, 60_000}) {
                     assertTrue(java.util.Arrays.equals(bytes(n), pass(socket, bytes(n))), fault + " " + n);
@@ -128,7 +129,8 @@
         try (Socket socket = open(FaultProxy.Fault.NONE)) {
             socket.getOutputStream().write(1);
             socket.setSoTimeout(200);
-            assertThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
+            assertThrows(
+                    SocketTimeoutException.class, () -> socket.getInputStream().read());
             stage.run(() -> proxy.cut(FaultProxy.Cut.NONE));
             socket.setSoTimeout(10_000);
             assertThrows(SocketException.class, () -> socket.getInputStream().read());
--- a/testkit/src/test/java/amberroute/testkit/PartnerTest.java
+++ b/testkit/src/test/java/amberroute/testkit/PartnerTest.java
@@ -4,10 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import org.junit.jupiter.api.Test;
-
 import amberroute.testkit.Partner.Mode;
 import amberroute.testkit.Partner.Verdict.Kind;
+import org.junit.jupiter.api.Test;
 
 class PartnerTest {
     private static final Partner.Figures FIGURES = Partner.Figures.roomy().sized(2, 1, 100_000);
--- a/testkit/src/test/java/amberroute/testkit/StageTest.java
+++ b/testkit/src/test/java/amberroute/testkit/StageTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberroute.testkit.Book.Answer;
+import amberroute.testkit.Book.Effect;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -20,16 +22,12 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-import amberroute.testkit.Book.Answer;
-import amberroute.testkit.Book.Effect;
-
 /** The stand-ins as their peers meet them: raw requests to partners and platform, a scripted sender for clients. */
 class StageTest {
     private Stage stage;
@@ -55,19 +53,23 @@
     }
 
     private static Socket connect(String address) throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(),
-                Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+        Socket socket = new Socket(
+                InetAddress.getLoopbackAddress(), Integer.parseInt(address.substring(address.indexOf(':') + 1)));
         socket.setSoTimeout(10_000);
         return socket;
     }
 
     /** One request and its whole answer, head and body. */
-    private static String http(Socket socket, String method, String path, String body, String... headers) throws IOException {
+    private static String http(Socket socket, String method, String path, String body, String... headers)
+            throws IOException {
         StringBuilder request = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: x\r\n");
         for (String header : headers) {
             request.append(header).append("\r\n");
         }
-        request.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body);
+        request.append("Content-Length: ")
+                .append(body.length())
+                .append("\r\n\r\n")
+                .append(body);
         socket.getOutputStream().write(request.toString().getBytes(StandardCharsets.ISO_8859_1));
         StringBuilder answer = new StringBuilder();
         int length = 0;
@@ -78,8 +80,12 @@
             }
             answer.append((char) b);
             if (answer.toString().endsWith("\r\n\r\n") && length == 0) {
-                length = answer.toString().lines().filter(l -> l.toLowerCase().startsWith("content-length:"))
-                        .mapToInt(l -> Integer.parseInt(l.substring(15).strip())).findFirst().orElse(0);
+                length = answer.toString()
+                        .lines()
+                        .filter(l -> l.toLowerCase().startsWith("content-length:"))
+                        .mapToInt(l -> Integer.parseInt(l.substring(15).strip()))
+                        .findFirst()
+                        .orElse(0);
             }
         }
         return answer.toString();
@@ -87,7 +93,8 @@
 
     private Book.Entry handIn(String id, Effect effect) {
         return stage.on(() -> {
-            Book.Entry entry = stage.book().handIn(id, id, "c", effect, 0, false, 1, 0, Long.MAX_VALUE / 2, Long.MAX_VALUE / 2);
+            Book.Entry entry =
+                    stage.book().handIn(id, id, "c", effect, 0, false, 1, 0, Long.MAX_VALUE / 2, Long.MAX_VALUE / 2);
             stage.book().answered(entry, Answer.TAKEN);
             return entry;
         });
@@ -105,11 +112,14 @@
         PartnerServer partner = partner(Partner.Figures.roomy());
         handIn("a", Effect.KEYED);
         try (Socket socket = connect(partner.address())) {
-            assertTrue(http(socket, "POST", "/receive", "x", "X-Request-ID: a", "Idempotency-Key: k").startsWith("HTTP/1.1 200"));
+            assertTrue(http(socket, "POST", "/receive", "x", "X-Request-ID: a", "Idempotency-Key: k")
+                    .startsWith("HTTP/1.1 200"));
             // The same key again is answered and has no second effect.
-            assertTrue(http(socket, "POST", "/receive", "x", "X-Request-ID: a", "Idempotency-Key: k").startsWith("HTTP/1.1 200"));
+            assertTrue(http(socket, "POST", "/receive", "x", "X-Request-ID: a", "Idempotency-Key: k")
+                    .startsWith("HTTP/1.1 200"));
             assertTrue(http(socket, "POST", "/receive", "x").startsWith("HTTP/1.1 400"));
-            assertTrue(http(socket, "POST", "/elsewhere", "x", "X-Request-ID: a").startsWith("HTTP/1.1 400"));
+            assertTrue(
+                    http(socket, "POST", "/elsewhere", "x", "X-Request-ID: a").startsWith("HTTP/1.1 400"));
         }
         Book.Totals totals = stage.totals();
         assertEquals(1, totals.delivered());
@@ -145,9 +155,13 @@
                 answer = http(socket, "POST", "/receive", "", "X-Request-ID: m" + sent++);
             }
             assertTrue(answer.startsWith("HTTP/1.1 429"), answer);
-            String wait = answer.lines().filter(l -> l.toLowerCase().startsWith("retry-after:")).findFirst().orElseThrow();
+            String wait = answer.lines()
+                    .filter(l -> l.toLowerCase().startsWith("retry-after:"))
+                    .findFirst()
+                    .orElseThrow();
             Thread.sleep((long) (Double.parseDouble(wait.substring(12).strip()) * 1_000) + 1);
-            assertTrue(http(socket, "POST", "/receive", "", "X-Request-ID: m" + (sent - 1)).startsWith("HTTP/1.1 200"));
+            assertTrue(http(socket, "POST", "/receive", "", "X-Request-ID: m" + (sent - 1))
+                    .startsWith("HTTP/1.1 200"));
         }
     }
 
@@ -190,16 +204,24 @@
         stage.destination(1, 1, Partner.Figures.roomy(), "std");
         handIn("a", Effect.SAFE);
         handIn("b", Effect.SAFE);
-        try (Socket watch = connect(stage.platform().address()); Socket post = connect(stage.platform().address())) {
-            watch.getOutputStream().write("GET /api/targets?follow=1&since=0 HTTP/1.1\r\nHost: x\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
-            BufferedReader lines = new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.UTF_8));
+        try (Socket watch = connect(stage.platform().address());
+                Socket post = connect(stage.platform().address())) {
+            watch.getOutputStream()
+                    .write("GET /api/targets?follow=1&since=0 HTTP/1.1\r\nHost: x\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            BufferedReader lines =
+                    new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.UTF_8));
             assertTrue(next(lines).contains("\"all\":true"));
             stage.run(() -> stage.platform().list("p1-0", "127.0.0.1:9", 1, "std", "Terminating"));
             String change = next(lines);
             assertTrue(change.contains("Terminating") && change.contains("\"all\":false"), change);
-            assertTrue(http(post, "POST", "/status", "{\"id\":\"a\",\"state\":\"returned\",\"after_ms\":5}\n"
-                    + "{\"id\":\"b\",\"state\":\"failed\"}\n").startsWith("HTTP/1.1 204"));
+            assertTrue(http(
+                            post,
+                            "POST",
+                            "/status",
+                            "{\"id\":\"a\",\"state\":\"returned\",\"after_ms\":5}\n"
+                                    + "{\"id\":\"b\",\"state\":\"failed\"}\n")
+                    .startsWith("HTTP/1.1 204"));
             assertTrue(http(post, "POST", "/status", "nonsense\n").startsWith("HTTP/1.1 400"));
             assertTrue(http(post, "GET", "/api/targets", "").contains("Terminating"));
             assertTrue(http(post, "GET", "/nowhere", "").startsWith("HTTP/1.1 404"));
@@ -254,7 +276,8 @@
 
         private void serve(Socket socket) throws IOException {
             try (socket) {
-                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
                 while ("*5".equals(in.readLine())) {
                     String[] words = new String[5];
                     for (int i = 0; i < 5; i++) {
@@ -284,8 +307,8 @@
 
     private Clients ask(Script script, Effect effect, boolean ordered, int most) throws Exception {
         stage.destination(1, 1, Partner.Figures.roomy(), "std");
-        Clients clients = stage.clients(List.of(script.address()), List.of(new Clients.Kind("c", effect, ordered, 1, 1_000_000,
-                3_000_000)));
+        Clients clients = stage.clients(
+                List.of(script.address()), List.of(new Clients.Kind("c", effect, ordered, 1, 1_000_000, 3_000_000)));
         stage.run(() -> clients.run(new Clients.Load(500, 0, 1, 1, 5)));
         await(() -> stage.on(clients::asked) >= most);
         stage.run(clients::pause);
@@ -343,7 +366,9 @@
             Clients clients = ask(script, Effect.KEYED, true, 20);
             await(() -> stage.on(clients::working) == 0);
             assertEquals(1, most[0]);
-            List<Long> numbers = script.ids.stream().map(id -> Long.parseLong(id.substring(1, id.indexOf('.')), 16)).toList();
+            List<Long> numbers = script.ids.stream()
+                    .map(id -> Long.parseLong(id.substring(1, id.indexOf('.')), 16))
+                    .toList();
             assertEquals(numbers.stream().sorted().toList(), numbers);
         }
     }
@@ -355,7 +380,8 @@
             nobody = (InetSocketAddress) probe.getLocalSocketAddress();
         }
         stage.destination(1, 1, Partner.Figures.roomy(), "std");
-        Clients clients = stage.clients(List.of(nobody), List.of(new Clients.Kind("c", Effect.UNSAFE, false, 1, 1_000, 400_000)));
+        Clients clients =
+                stage.clients(List.of(nobody), List.of(new Clients.Kind("c", Effect.UNSAFE, false, 1, 1_000, 400_000)));
         stage.run(() -> clients.run(new Clients.Load(200, 0, 1, 1, 5)));
         await(() -> stage.on(clients::asked) >= 3);
         stage.run(clients::pause);
