--- /dev/null
+++ b/sender/src/main/java/amberroute/sender/Action.java
@@ -0,0 +1,30 @@
+package amberroute.sender;
+
+import amberroute.Relay;
+
+/** What the decision module has decided in a turn, for the sender to carry out; spans in microseconds. */
+sealed interface Action {
+    /** One attempt at a message; {@code giveUpAt} on the module's clock. */
+    record Send(long id, long endpoint, long giveUpAt) implements Action {}
+
+    /** The message did not run and is handed back, with advice when to come again, 0 for none. */
+    record Refuse(long id, long retryAfter) implements Action {}
+
+    /** The message ends undelivered and may have run. */
+    record Fail(long id) implements Action {}
+
+    /** An attempt that is out is given up. */
+    record Cancel(long id, int attempt) implements Action {}
+
+    /** Connections to an endpoint that carry no call are closed. */
+    record CloseIdle(long endpoint) implements Action {}
+
+    /** What a later process is to know of a place. */
+    record Remember(Relay.Memory memory) implements Action {}
+
+    /** The module's one timer, by its token. */
+    record Wake(long delay, long token) implements Action {}
+
+    /** A line for the log. */
+    record Note(String text) implements Action {}
+}
--- a/sender/src/main/java/amberroute/sender/CallGroups.java
+++ b/sender/src/main/java/amberroute/sender/CallGroups.java
@@ -17,12 +17,12 @@
      * messages of a call one time, and where it starts two calls to one endpoint in a turn, messages that have little time
      * left must not be given up as late as the others.
      */
-    static List<List<Sender.Send>> of(List<Sender.Send> sends, LongToIntFunction messagesPerCall) {
-        List<List<Sender.Send>> groups = new ArrayList<>();
-        Map<Together, List<Sender.Send>> open = new LinkedHashMap<>();
-        for (Sender.Send s : sends) {
+    static List<List<Action.Send>> of(List<Action.Send> sends, LongToIntFunction messagesPerCall) {
+        List<List<Action.Send>> groups = new ArrayList<>();
+        Map<Together, List<Action.Send>> open = new LinkedHashMap<>();
+        for (Action.Send s : sends) {
             Together key = new Together(s.endpoint(), s.giveUpAt());
-            List<Sender.Send> group = open.get(key);
+            List<Action.Send> group = open.get(key);
             if (group == null || group.size() >= messagesPerCall.applyAsInt(s.endpoint())) {
                 group = new ArrayList<>();
                 groups.add(group);
--- a/sender/src/main/java/amberroute/sender/Predecessor.java
+++ b/sender/src/main/java/amberroute/sender/IncomingTransfer.java
@@ -22,7 +22,7 @@
  * it owns everything, and the other tells what its calls come to and what its clients still hand in. What is told before
  * {@link #open} waits until then. When the line ends, whatever was still out may have run, and nobody will tell.
  */
-final class Predecessor {
+final class IncomingTransfer {
     static final int VERSION = 1;
     private static final long ANSWER_MS = 3_000;
 
@@ -43,18 +43,18 @@
     private final CompletableFuture<JsonObject> estate = new CompletableFuture<>();
     private final Deque<JsonObject> early = new ArrayDeque<>();
     private final Set<Long> underway = new HashSet<>();
-    private final Succession.Line line = new Succession.Line(this::onWord, this::onEnd);
+    private final TransferLine.Line line = new TransferLine.Line(this::onWord, this::onEnd);
     private boolean opened;
     private boolean ended;
 
-    Predecessor(EventLoop loop, Host host) {
+    IncomingTransfer(EventLoop loop, Host host) {
         this.loop = loop;
         this.host = host;
     }
 
     /** Asks for the estate. Null where nobody gives it: then the folder's lock tells what to do. Not on the loop. */
     JsonObject take(Path state) throws IOException {
-        if (!Succession.connect(loop, state, line)) {
+        if (!TransferLine.connect(loop, state, line)) {
             return null;
         }
         JsonObject word = word("take");
--- a/sender/src/main/java/amberroute/sender/Successors.java
+++ b/sender/src/main/java/amberroute/sender/OutgoingTransfer.java
@@ -18,7 +18,7 @@
  * most {@value #MOST_ASKED} submissions wait there; a further one is refused at once. When the successor dies, what was told to
  * it and what was asked of it is still here, for whoever owns the folder next in this process ({@link #takeBack}).
  */
-final class Successors {
+final class OutgoingTransfer {
     static final int MOST_ASKED = 2_048;
 
     /** What giving away means to the sender; called on the event loop. */
@@ -53,7 +53,7 @@
     private final List<Receivers.Result> told = new ArrayList<>();
 
     private long nextAsked = 1;
-    private Succession.Line successor;
+    private TransferLine.Line successor;
     /** Its process id, 0 where it did not tell. */
     private long successorProcess;
 
@@ -61,7 +61,7 @@
     /** Nobody will answer what is asked here. */
     private boolean abandoned;
 
-    Successors(EventLoop loop, Host host) {
+    OutgoingTransfer(EventLoop loop, Host host) {
         this.loop = loop;
         this.host = host;
     }
@@ -71,9 +71,9 @@
         if (server != null) {
             server.close().awaitUninterruptibly();
         }
-        server = Succession.listen(loop, state, () -> {
-            Succession.Line[] line = new Succession.Line[1];
-            line[0] = new Succession.Line(word -> onWord(line[0], word), () -> onEnd(line[0]));
+        server = TransferLine.listen(loop, state, () -> {
+            TransferLine.Line[] line = new TransferLine.Line[1];
+            line[0] = new TransferLine.Line(word -> onWord(line[0], word), () -> onEnd(line[0]));
             return line[0];
         });
     }
@@ -91,7 +91,7 @@
         return asked.size();
     }
 
-    private void onWord(Succession.Line line, JsonObject word) {
+    private void onWord(TransferLine.Line line, JsonObject word) {
         switch (word.get("do").getAsString()) {
             case "take" -> take(line, word);
             case "cancel" -> {
@@ -110,10 +110,10 @@
         }
     }
 
-    private void take(Succession.Line line, JsonObject word) {
+    private void take(TransferLine.Line line, JsonObject word) {
         String refusal = successor != null
                 ? "given away already"
-                : word.get("v").getAsInt() != Predecessor.VERSION ? "another version of the line" : host.refusal();
+                : word.get("v").getAsInt() != IncomingTransfer.VERSION ? "another version of the line" : host.refusal();
         if (refusal != null) {
             JsonObject no = word("no");
             no.addProperty("why", refusal);
@@ -128,7 +128,7 @@
         line.say(yours);
     }
 
-    private void onEnd(Succession.Line line) {
+    private void onEnd(TransferLine.Line line) {
         if (line != successor || gone) {
             return;
         }
@@ -150,7 +150,7 @@
     Unsettled takeBack() {
         Unsettled unsettled = new Unsettled(
                 List.copyOf(told),
-                asked.values().stream().map(Successors::again).toList());
+                asked.values().stream().map(OutgoingTransfer::again).toList());
         told.clear();
         asked.clear();
         successor = null;
--- a/sender/src/main/java/amberroute/sender/Succession.java
+++ b/sender/src/main/java/amberroute/sender/TransferLine.java
@@ -27,7 +27,7 @@
  * which only its owner may open, one JSON object a line. What is said on it, and what it means, is in
  * {@code docs/replacing.md}; this class only carries lines.
  */
-final class Succession {
+final class TransferLine {
     /** Of the words between the two; the one that passes the estate on is the longest. */
     static final int LONGEST_LINE = 8 << 20;
     /** From whoever connects, before it has taken over: its words are short but for answers to clients. */
@@ -35,7 +35,7 @@
     /** A Unix socket's path may be so long on Linux. */
     private static final int LONGEST_PATH = 107;
 
-    private Succession() {}
+    private TransferLine() {}
 
     static Path socket(Path state) {
         return state.resolve("successor");
--- a/sender/src/main/java/amberroute/sender/Estate.java
+++ b/sender/src/main/java/amberroute/sender/TransferredState.java
@@ -14,7 +14,7 @@
  * still has out, and what was learned. Receivers go by their uids, as each process numbers them itself; {@code at} is the
  * system's monotonic clock in nanoseconds, which all processes of a machine read alike. Does no I/O.
  */
-record Estate(long at, JsonObject list, List<Out> out, List<Relay.Learned> learned, List<Relay.Rest> rests) {
+record TransferredState(long at, JsonObject list, List<Out> out, List<Relay.Learned> learned, List<Relay.Rest> rests) {
     /** A call that is out, with the numbers of its messages; {@code sentAgo} in microseconds at {@link #at}. */
     record Out(List<Long> numbers, String uid, long sentAgo) {}
 
@@ -52,7 +52,7 @@
     }
 
     /** Throws a RuntimeException where it cannot be read. */
-    static Estate read(JsonObject json, ToLongFunction<String> numbers) {
+    static TransferredState read(JsonObject json, ToLongFunction<String> numbers) {
         List<Out> out = new ArrayList<>();
         for (JsonElement item : json.getAsJsonArray("out")) {
             JsonObject call = item.getAsJsonObject();
@@ -73,7 +73,7 @@
                     rest.get(1).getAsLong(),
                     rest.get(2).getAsLong()));
         }
-        return new Estate(json.get("at").getAsLong(), json.getAsJsonObject("list"), out, learned, rests);
+        return new TransferredState(json.get("at").getAsLong(), json.getAsJsonObject("list"), out, learned, rests);
     }
 
     private static JsonObject write(Relay.Learned l, String uid) {
--- a/sender/src/test/java/amberroute/sender/CallGroupsTest.java
+++ b/sender/src/test/java/amberroute/sender/CallGroupsTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import amberroute.sender.Sender.Send;
+import amberroute.sender.Action.Send;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
