End in time what would run out of time while one process replaces another

Change: what has under 0.7 s left and no call out ends before the transfer, and the old process goes on posting its notices; the next one repeats them, which does no harm.

Measured: the test fails without it. Also a test that nobody takes over while calls of the process before are out (fails without that refusal).

--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -839,6 +839,9 @@
     // ---- IncomingHost another process's place, and giving it (docs/replacing.md). ----
 
     private static final long TAKE_OVER_MS = 20_000;
+    /** What has less time left when all is transferred ends before: the next process may take so long until its first turn. */
+    private static final long TRANSFER_MS = 700;
+
     private static final long LOOK_AGAIN_MS = 20;
     /** How long the list may take to come before the other process is asked to give way. */
     private static final long LIST_MS = 700;
@@ -1013,6 +1016,7 @@
         public JsonObject give() {
             // Whoever has asked gets an answer first: what is in between would be nobody's.
             turnNow();
+            endDueSoon();
             // Up to the end of the next statement nothing has changed: if it fails this process goes on.
             JsonObject passed = stateToTransfer();
             transferred = true;
@@ -1022,7 +1026,8 @@
             }
             events.clear();
             directory.stop();
-            notices.stop();
+            // Notices that are not answered yet go on from here: the next process repeats them, which does no harm, but
+            // later.
             clients.retire();
             receivers.closeIdle(endpoint -> true);
             if (endpointFile != null) {
@@ -1038,6 +1043,16 @@
             return passed;
         }
 
+        /** Nobody ends messages from here to the first turn of the next process, which may be short of CPU time. */
+        private void endDueSoon() {
+            long until = steady() + TRANSFER_MS;
+            for (Held m : List.copyOf(held.values())) {
+                if (!m.out && m.deadline < until) {
+                    endUndelivered(m);
+                }
+            }
+        }
+
         private JsonObject stateToTransfer() {
             Set<Long> called = new HashSet<>();
             receivers.out().forEach(call -> called.add(call.route.endpoint()));
@@ -1236,7 +1251,10 @@
         if (reclaim != null && reclaim.promising()) {
             return;
         }
-        boolean done = receivers.callsOut() == 0 && outgoingTransfer.waiting() == 0 && clients.open() == 0;
+        boolean done = receivers.callsOut() == 0
+                && outgoingTransfer.waiting() == 0
+                && notices.pending() == 0
+                && clients.open() == 0;
         if (parting != null && (done || parting.last(millisNow()))) {
             retired.countDown();
             stopped.complete(0);
@@ -1781,6 +1799,9 @@
     }
 
     private void onNoticeAnswered(Held m) {
+        if (transferred) {
+            return;
+        }
         tellLate(answeredLate, m);
         journal.conclude(m);
         note(new Event.Concluded(m.number));
@@ -2322,20 +2343,23 @@
     /** No call is out any more and none will be made: what is left gets its final answer now. */
     private void endAll() {
         endingAll = true;
-        for (Held m : List.copyOf(held.values())) {
-            Relay.MessageClass type = classes.type(m.type);
-            boolean returned = DrainPlan.mayReturn(
-                    m.doubtSince != 0 || m.out,
-                    type.effect() == Relay.Effect.SAFE,
-                    type.effect() == Relay.Effect.KEYED && type.keyScope() == Relay.KeyScope.DESTINATION);
-            note(new Event.Withdrawn(m.number));
-            end(m.number, returned ? m.returned(0) : m.failed(), returned ? Figures.End.SHED : Figures.End.ERRORS);
-        }
+        List.copyOf(held.values()).forEach(this::endUndelivered);
         if (handOver != null) {
             handOver.giveUp();
         }
     }
 
+    /** Ends a message of which no call is out: handed back where it surely has not run or may be repeated. */
+    private void endUndelivered(Held m) {
+        Relay.MessageClass type = classes.type(m.type);
+        boolean returned = DrainPlan.mayReturn(
+                m.doubtSince != 0 || m.out,
+                type.effect() == Relay.Effect.SAFE,
+                type.effect() == Relay.Effect.KEYED && type.keyScope() == Relay.KeyScope.DESTINATION);
+        note(new Event.Withdrawn(m.number));
+        end(m.number, returned ? m.returned(0) : m.failed(), returned ? Figures.End.SHED : Figures.End.ERRORS);
+    }
+
     /** What hand-over asks of this sender. */
     private final class HandOverHost implements HandOver.Host {
         @Override
--- a/sender/src/test/java/amberroute/sender/OwnershipTransferTest.java
+++ b/sender/src/test/java/amberroute/sender/OwnershipTransferTest.java
@@ -344,6 +344,49 @@
         assertTrue(waited >= 1_000, "called again " + waited + " ms behind a wait of 1.5 s was told");
     }
 
+    /** The next one could not know of calls that are out two processes back, and would make them a second time. */
+    @Test
+    void nobodyTakesOverWhileCallsOfTheProcessBeforeAreOut() throws Exception {
+        Sender old = start();
+        World.Client client = client();
+        world.prove(old, client);
+        Map<String, Socket> held = hold("u");
+        client.submit("unsafe", "u", NO_KEY);
+        await(() -> held.size() == 1);
+        Sender second = start();
+        JsonObject refused = say("{\"do\":\"take\",\"v\":1}", true);
+        assertEquals(
+                List.of("no", "calls of the process before this one are still out"),
+                List.of(refused.get("do").getAsString(), refused.get("why").getAsString()));
+        World.write(held.get("u"), ok(200, ""));
+        await(() -> second.owed() == 0);
+        Sender third = start();
+        assertEquals("200", ready(third));
+        assertEquals(List.of(1, List.of()), List.of(calls("u"), world.notices));
+    }
+
+    /** The next process may be short of CPU time: what would end before its first turn has its notice from the old one. */
+    @Test
+    void whatEndsWhileNobodyDecidesHasItsNoticeInTime() throws Exception {
+        Sender old = start();
+        World.Client client = client();
+        world.prove(old, client);
+        assertEquals("+OK", client.submit("unsafe", "soon", NO_KEY, 600, 8));
+        assertEquals("+OK", client.submit("unsafe", "later", NO_KEY, 60_000, 8));
+        try (SocketChannel line = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            line.connect(UnixDomainSocketAddress.of(folder.resolve("state").resolve("successor")));
+            line.write(ByteBuffer.wrap("{\"do\":\"take\",\"v\":1}\n".getBytes(StandardCharsets.UTF_8)));
+            assertTrue(new BufferedReader(Channels.newReader(line, StandardCharsets.UTF_8))
+                    .readLine()
+                    .contains("yours"));
+            await(() -> noticed("soon", "returned"));
+            assertFalse(noticed("later", "returned"));
+        }
+        await(() -> ready(old).equals("200"));
+        // Its notice is repeated, as nobody has recorded the answer.
+        await(() -> old.owed() == 1);
+    }
+
     private static String wordOf(String line) {
         return JsonParser.parseString(line).getAsJsonObject().get("do").getAsString();
     }
