Mend two comments that a rename spoilt

Cause: the rename of Taking to IncomingHost also struck the word in two section comments of Sender. Comments only; compiled, formatting checked.

--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -836,7 +836,7 @@
                 cutOff));
     }
 
-    // ---- IncomingHost another process's place, and giving it (docs/replacing.md). ----
+    // ---- Ownership transfer: taking another process's place, and giving it (docs/replacing.md). ----
 
     private static final long TAKE_OVER_MS = 20_000;
     /** What has less time left when all is transferred ends before: the next process may take so long until its first turn. */
@@ -1448,7 +1448,7 @@
         }
     }
 
-    // ---- IncomingHost over the folder of a process that is gone (docs/adoption.md). ----
+    // ---- Taking over the folder of a process that is gone (docs/adoption.md). ----
 
     /**
      * Takes over all that an orphaned state folder owes. Where its process still holds the lock that is refused, unless
