End a process that owns its folder again and cannot go on with it

Cause, by reading: an exception on the event loop behind the lock was taken for a folder that cannot be opened; the next try met this process's own lock, took it for another's, and the process kept the folder without serving. Change: it logs why and ends with 1, so that the next start goes on. Measured: OwnershipTransferTest and the kills of ProcessReplacementTest pass; no test forces the exception, and the whole suite was not run again.

--- a/sender/src/main/java/amberroute/sender/FolderReclaim.java
+++ b/sender/src/main/java/amberroute/sender/FolderReclaim.java
@@ -27,7 +27,7 @@
         /** Another process may work on the same messages: nothing of them may go on here. */
         void abandon();
 
-        /** Nobody has the folder, and it cannot be opened. */
+        /** Nobody else has the folder, and it cannot be opened, or not be gone on with. */
         void hopeless();
     }
 
@@ -68,7 +68,7 @@
         while (!cancelled) {
             try {
                 if (host.own()) {
-                    loop.submit(host::resume).syncUninterruptibly();
+                    resume();
                     return;
                 }
                 failingSince = 0;
@@ -88,6 +88,15 @@
         }
     }
 
+    /** One that owns the folder and does not serve would keep it from all others: it ends, and the next start goes on. */
+    private void resume() {
+        Throwable failure = loop.submit(host::resume).awaitUninterruptibly().cause();
+        if (failure != null) {
+            Log.warn("reclaim: owns the folder and cannot go on with it: " + failure);
+            loop.execute(host::hopeless);
+        }
+    }
+
     private void abandon() {
         if (!abandoned) {
             Log.warn(
