--- a/overload/src/test/java/amberroute/overload/FleetPlay.java
+++ b/overload/src/test/java/amberroute/overload/FleetPlay.java
@@ -70,7 +70,7 @@
     long dropped;
     long bytes;
     private double weights;
-    /** The most that the parts in use added up to at any round. */
+    /** The most that the parts in use added up to, behind the rounds and behind the deliveries of any step. */
     double mostParts;
 
     /** {@code skewed}: half of the senders are asked for a tenth of what the rest is; of twelve, one for as much as all others. */
@@ -103,6 +103,7 @@
                     round(senders.get(i));
                 }
             }
+            observeParts();
             while (!ways.isEmpty() && ways.peek().at() <= now) {
                 Flying f = ways.poll();
                 Overload.Out answer = senders.get(f.to()).overload.heard(now, f.digest());
@@ -110,6 +111,7 @@
                     send(answer);
                 }
             }
+            observeParts();
             int first = random.nextInt(senders.size());
             for (int i = 0; i < senders.size(); i++) {
                 call(senders.get((first + i) % senders.size()));
@@ -128,9 +130,18 @@
             s.overload.asks(now).forEach(this::send);
         }
         s.overload.tell(now).forEach(this::send);
-        mostParts = Math.max(
-                mostParts,
-                senders.stream().mapToDouble(each -> each.overload.part(now, 1)).sum());
+    }
+
+    /**
+     * Looks at the sum of the parts in use. A part changes with time and with what a sender hears, so a look behind the
+     * rounds and one behind the deliveries of each step sees every sum.
+     */
+    private void observeParts() {
+        double sum = 0;
+        for (Sender sender : senders) {
+            sum += sender.overload.part(now, 1);
+        }
+        mostParts = Math.max(mostParts, sum);
     }
 
     private void send(Overload.Out out) {
