Drop requests of clients that gave up in the accept queue before they are handed on

Behind a kill on the inherited socket 100 to 180 connections wait to be accepted, and most of their clients gave up after 400 ms. So the queue took 3 to 4 s to drain, everybody in it gave up in turn, and live ones were read seconds behind their time.

Change: a request that may have waited as long as clients wait is handed on one pass of the loop later, and only if its connection has not ended by then. Behind an inherited socket the queue counts as older than the process.

Measured: AcceptQueueTest failed without (123 handed on instead of 3; 7,991 ms left instead of 7,600) and passes; ReadingLag, BadClients, ClientEndings and ShortOfCpu tests pass.

--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -125,6 +125,8 @@
     private boolean shutting;
     /** How many were ever accepted. */
     private long accepted;
+    /** Requests that were read and not handed on, as their clients had given up waiting and closed. */
+    private long abandoned;
 
     ClientServer(EventLoop loop, Acceptor acceptor, int mostConnections, long roomBytes) {
         this.loop = loop;
@@ -154,9 +156,13 @@
         return listening();
     }
 
-    /** Takes clients from a socket that listens already, perhaps for other processes too. */
+    /**
+     * Takes clients from a socket that listens already, perhaps for other processes too. Its queue outlives processes, so those in it
+     * may have waited since before this one began.
+     */
     InetSocketAddress listen(ServerSocketChannel inherited) throws InterruptedException {
         passedDown = true;
+        lag = new ReadingLag(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ReadingLag.PATIENCE_MS));
         server = bootstrap()
                 .channelFactory(() -> new NioServerSocketChannel(inherited))
                 .register()
@@ -347,6 +353,11 @@
                 .leave();
     }
 
+    /** Requests so far whose clients had given up before they were read. */
+    long abandoned() {
+        return abandoned;
+    }
+
     /** Connections that are served. */
     int connections() {
         return unproven.size() + usual.size();
@@ -523,9 +534,14 @@
                         reply.line("+PONG\r\n");
                     }
                     case "SUBMIT" -> {
-                        Submission submission = parse(values, lag.millis(unread, System.nanoTime()));
+                        long waited = lag.millis(unread, System.nanoTime());
+                        Submission submission = parse(values, waited);
                         good();
-                        acceptor.submitted(submission, reply);
+                        if (waited < ReadingLag.PATIENCE_MS) {
+                            acceptor.submitted(submission, reply);
+                        } else {
+                            submitIfStillConnected(submission, reply);
+                        }
                     }
                     default -> throw new IllegalArgumentException("unknown command");
                 }
@@ -534,6 +550,24 @@
             }
         }
 
+        /**
+         * Hands a request on whose client has probably given up: behind a restart most of the accept queue is such connections, and
+         * work on them would keep those behind them waiting until they give up too. The end of a connection is read one pass of the
+         * loop behind its last request; the inner task runs in the next pass, behind what that one reads.
+         */
+        private void submitIfStillConnected(Submission submission, Reply reply) {
+            loop.execute(() -> loop.schedule(
+                    () -> {
+                        if (reply.wanted()) {
+                            acceptor.submitted(submission, reply);
+                        } else {
+                            abandoned++;
+                        }
+                    },
+                    0,
+                    TimeUnit.MILLISECONDS));
+        }
+
         private void good() {
             bad = 0;
             lastUse = System.nanoTime();
--- /dev/null
+++ b/sender/src/test/java/amberroute/sender/AcceptQueueTest.java
@@ -0,0 +1,134 @@
+package amberroute.sender;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections that waited in the accept queue while no process accepted them, as behind the kill of a process on a passed socket. */
+@Timeout(60)
+class AcceptQueueTest {
+    private static final int GAVE_UP_BEFORE_EACH = 40;
+    private static final int STILL_THERE = 3;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final LinkedBlockingQueue<ClientServer.Submission> submitted = new LinkedBlockingQueue<>();
+    private final List<Socket> clients = new ArrayList<>();
+    private ServerSocketChannel listening;
+
+    @BeforeEach
+    void listen() throws IOException {
+        listening = ServerSocketChannel.open();
+        listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 512);
+        listening.configureBlocking(false);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (Socket client : clients) {
+            client.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        listening.close();
+    }
+
+    @Test
+    void requestsOfClientsThatGaveUpAreNotHandedOn() throws Exception {
+        List<String> stillThere = new ArrayList<>();
+        for (int i = 0; i < STILL_THERE; i++) {
+            for (int j = 0; j < GAVE_UP_BEFORE_EACH; j++) {
+                submit("gave-up-" + i + "-" + j).close();
+            }
+            clients.add(submit("there-" + i));
+            stillThere.add("there-" + i);
+        }
+        ClientServer server = serve();
+        for (Socket client : clients) {
+            assertEquals("+OK", answer(client));
+        }
+        int gaveUp = STILL_THERE * GAVE_UP_BEFORE_EACH;
+        while (loop.submit(server::abandoned).sync().getNow() < gaveUp && submitted.size() <= STILL_THERE) {
+            Thread.sleep(5);
+        }
+        assertEquals(
+                stillThere, submitted.stream().map(ClientServer.Submission::id).toList());
+        assertEquals(gaveUp, loop.submit(server::abandoned).sync().getNow());
+    }
+
+    /** However soon the process accepts: the queue is older than the process. */
+    @Test
+    void allThatClientsMayHaveWaitedIsOffTheTimeLeft() throws Exception {
+        clients.add(submit("there"));
+        serve();
+        assertEquals("+OK", answer(clients.get(0)));
+        assertEquals(8_000 - ReadingLag.PATIENCE_MS, submitted.take().timeLeft());
+    }
+
+    /** What comes later on the same connections, and on new ones, is not taken for old. */
+    @Test
+    void laterRequestsAreHandedOnAtOnce() throws Exception {
+        clients.add(submit("first"));
+        ClientServer server = serve();
+        assertEquals("+OK", answer(clients.get(0)));
+        write(clients.get(0), "second");
+        assertEquals("+OK", answer(clients.get(0)));
+        clients.add(submit("other"));
+        assertEquals("+OK", answer(clients.get(1)));
+        assertEquals(
+                List.of("first", "second", "other"),
+                submitted.stream().map(ClientServer.Submission::id).toList());
+        assertEquals(0L, loop.submit(server::abandoned).sync().getNow());
+    }
+
+    private ClientServer serve() throws InterruptedException {
+        ClientServer server = new ClientServer(
+                loop,
+                (submission, answer) -> {
+                    submitted.add(submission);
+                    answer.ok();
+                },
+                1_000,
+                1 << 20);
+        server.classes(Set.of("safe"));
+        server.listen(listening);
+        return server;
+    }
+
+    private Socket submit(String id) throws IOException {
+        Socket client = new Socket();
+        client.connect(listening.getLocalAddress());
+        write(client, id);
+        return client;
+    }
+
+    private static void write(Socket client, String id) throws IOException {
+        StringBuilder text = new StringBuilder("*5\r\n");
+        for (String word : List.of("SUBMIT", "0000000000000000", id, "c=safe,d=8000,dest=1", "body")) {
+            text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        client.getOutputStream().write(text.toString().getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String answer(Socket client) throws IOException {
+        return new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+    }
+}
