Count the time that a message waited in its client behind an outage of its key

Change: OutageBacklog, without I/O, in force on a passed socket only: what comes within 200 ms of its key's answer may be as old as the outage, until 2.5 s behind the last request that waited as long as clients do. A process that another one gave the socket to counts from the transfer.

OutageBacklog, AcceptQueue, ProcessReplacement and OwnershipTransfer tests pass.

--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -109,6 +110,8 @@
     private Set<String> classNames = Set.of();
     private final Resp.Room room;
     private ReadingLag lag;
+    /** Null where this process listens itself: clients were refused while nobody did. */
+    private OutageBacklog backlog;
     /** Those that have sent a good request, in the order of last use, and those that have not, by age. */
     private final Set<Session> usual = new LinkedHashSet<>();
 
@@ -123,6 +126,10 @@
     private boolean parted;
     /** Nobody is accepted any more but those who wait already. */
     private boolean shutting;
+
+    private final long created = System.nanoTime();
+    /** Up to when another process served the same socket, where that is known. */
+    private OptionalLong servedUntil = OptionalLong.empty();
     /** How many were ever accepted. */
     private long accepted;
     /** Requests that were read and not handed on, as their clients had given up waiting and closed. */
@@ -156,6 +163,11 @@
         return listening();
     }
 
+    /** To be called before {@link #listen(ServerSocketChannel)}: another process served clients up to this monotonic moment, in nanoseconds. */
+    void servedUntil(long moment) {
+        servedUntil = OptionalLong.of(moment);
+    }
+
     /**
      * Takes clients from a socket that listens already, perhaps for other processes too. Its queue outlives processes, so those in it
      * may have waited since before this one began.
@@ -163,6 +175,8 @@
     InetSocketAddress listen(ServerSocketChannel inherited) throws InterruptedException {
         passedDown = true;
         lag = new ReadingLag(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ReadingLag.PATIENCE_MS));
+        backlog = new OutageBacklog(created);
+        servedUntil.ifPresent(backlog::servedUntil);
         server = bootstrap()
                 .channelFactory(() -> new NioServerSocketChannel(inherited))
                 .register()
@@ -373,6 +387,8 @@
         private final Session session;
         private String text;
         private boolean last;
+        /** Of the message that this answers, 0 for none. */
+        private long key;
 
         Reply(Session session) {
             this.session = session;
@@ -386,6 +402,7 @@
         @Override
         void line(String answer) {
             text = answer;
+            session.answered(key);
             session.flush();
         }
     }
@@ -536,10 +553,12 @@
                     case "SUBMIT" -> {
                         long waited = lag.millis(unread, System.nanoTime());
                         Submission submission = parse(values, waited);
+                        reply.key = submission.key();
                         good();
                         if (waited < ReadingLag.PATIENCE_MS) {
                             acceptor.submitted(submission, reply);
                         } else {
+                            outageStillFelt();
                             submitIfStillConnected(submission, reply);
                         }
                     }
@@ -602,6 +621,18 @@
             channel.config().setAutoRead(false);
         }
 
+        private void answered(long key) {
+            if (backlog != null) {
+                backlog.answered(System.nanoTime(), key);
+            }
+        }
+
+        private void outageStillFelt() {
+            if (backlog != null) {
+                backlog.stillFelt(System.nanoTime());
+            }
+        }
+
         private void flush() {
             boolean wrote = false;
             boolean last = false;
@@ -657,10 +688,12 @@
         require(classNames.contains(className), "unknown class");
         String idempotencyKey = options.getOrDefault("k", "");
         require(printable(idempotencyKey), "bad idempotency key");
-        long timeLeft = Math.max(0, number(options.get("d"), "d", Integer.MAX_VALUE) - waited);
+        long key = key(text(values.get(1)));
+        long waitedInClient = backlog == null ? 0 : backlog.millis(System.nanoTime(), key);
+        long told = number(options.get("d"), "d", Integer.MAX_VALUE);
+        long timeLeft = Math.max(0, told - Math.max(waited, waitedInClient));
         int destination = (int) number(options.get("dest"), "dest", 0xffff);
-        return new Submission(
-                key(text(values.get(1))), id, className, timeLeft, destination, idempotencyKey, values.get(4));
+        return new Submission(key, id, className, timeLeft, destination, idempotencyKey, values.get(4));
     }
 
     private static String text(byte[] value) {
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -904,6 +904,7 @@
     private void readEstate(JsonObject passed) {
         try {
             transferredState = TransferredState.read(passed, directory::number);
+            clients.servedUntil(transferredState.at());
         } catch (RuntimeException e) {
             Log.warn("what the other process passed on cannot be read: " + e);
             incomingTransfer.close();
--- a/sender/src/test/java/amberroute/sender/AcceptQueueTest.java
+++ b/sender/src/test/java/amberroute/sender/AcceptQueueTest.java
@@ -1,6 +1,7 @@
 package amberroute.sender;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -28,6 +29,8 @@
 class AcceptQueueTest {
     private static final int GAVE_UP_BEFORE_EACH = 40;
     private static final int STILL_THERE = 3;
+    private static final String NO_KEY = "0000000000000000";
+    private static final String KEY = "000000000000000a";
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -89,7 +92,7 @@
         clients.add(submit("first"));
         ClientServer server = serve();
         assertEquals("+OK", answer(clients.get(0)));
-        write(clients.get(0), "second");
+        write(clients.get(0), "second", NO_KEY);
         assertEquals("+OK", answer(clients.get(0)));
         clients.add(submit("other"));
         assertEquals("+OK", answer(clients.get(1)));
@@ -99,6 +102,19 @@
         assertEquals(0L, loop.submit(server::abandoned).sync().getNow());
     }
 
+    /** Its client may have had it ready all through the outage, and sent it when the message before had its answer. */
+    @Test
+    void whatFollowsTheAnswerOfItsKeyMayBeAsOldAsTheOutage() throws Exception {
+        clients.add(submit("before", KEY));
+        serve();
+        assertEquals("+OK", answer(clients.get(0)));
+        write(clients.get(0), "behind", KEY);
+        assertEquals("+OK", answer(clients.get(0)));
+        assertEquals(8_000 - ReadingLag.PATIENCE_MS, submitted.take().timeLeft());
+        long left = submitted.take().timeLeft();
+        assertTrue(left <= 8_000 - OutageBacklog.UNSEEN_MS, left + " ms left");
+    }
+
     private ClientServer serve() throws InterruptedException {
         ClientServer server = new ClientServer(
                 loop,
@@ -114,15 +130,19 @@
     }
 
     private Socket submit(String id) throws IOException {
+        return submit(id, NO_KEY);
+    }
+
+    private Socket submit(String id, String key) throws IOException {
         Socket client = new Socket();
         client.connect(listening.getLocalAddress());
-        write(client, id);
+        write(client, id, key);
         return client;
     }
 
-    private static void write(Socket client, String id) throws IOException {
+    private static void write(Socket client, String id, String key) throws IOException {
         StringBuilder text = new StringBuilder("*5\r\n");
-        for (String word : List.of("SUBMIT", "0000000000000000", id, "c=safe,d=8000,dest=1", "body")) {
+        for (String word : List.of("SUBMIT", key, id, "c=safe,d=8000,dest=1", "body")) {
             text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
         }
         client.getOutputStream().write(text.toString().getBytes(StandardCharsets.US_ASCII));
