Play short reads and writes, and connections that break as ETIMEDOUT or EHOSTUNREACH

Change: the preloaded library can fail reads of one peer's connections and cap each read and write of a socket; a safe message is called again and an unsafe one ends as perhaps run, once; with pieces of 1 and 7 bytes calls, answers and notices are whole.

--- a/sender/src/test/java/amberroute/sender/SystemCallTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/SystemCallTroubleTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Real processes whose system calls fail for a while. */
 class SystemCallTroubleTest {
@@ -175,4 +176,61 @@
         assertTrue(calls.used(Call.CONNECT));
         assertTrue(since(begun) < 4_000, "called after " + since(begun) + " ms");
     }
+
+    /**
+     * The connection of a call breaks while its answer is awaited, which Linux may tell by other errors than a reset: what may be
+     * repeated is, what may not ends as perhaps run and is called once.
+     */
+    @ParameterizedTest
+    @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH"})
+    void aBrokenConnectionShowsByAnotherError(Errno error) throws Exception {
+        try (World.Client client = new World.Client(process.port())) {
+            assertEquals("+OK", client.submit("safe", "answered", NO_KEY));
+            await(() -> callsFor("answered") == 1);
+            breakAtTheNextAnswer(error);
+            assertEquals("+OK", client.submit("safe", "repeated", NO_KEY));
+            await(() -> callsFor("repeated") == 2);
+            breakAtTheNextAnswer(error);
+            assertEquals("+OK", client.submit("unsafe", "once", NO_KEY));
+            await(() -> noticed("once"));
+        }
+        assertTrue(calls.used(Call.READ));
+        assertEquals(1, callsFor("once"));
+        assertEquals(2, callsFor("repeated"));
+        assertFalse(noticed("repeated"));
+    }
+
+    private void breakAtTheNextAnswer(Errno error) {
+        world.receiver.answers = request -> {
+            world.receiver.answers = r -> World.ok(200, "");
+            try {
+                calls.failReads(world.receiver.port(), error, 1);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+            return World.ok(200, "");
+        };
+    }
+
+    /** Whatever the size of the pieces, requests, calls, answers and notices are whole. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7})
+    void readsAndWritesAreShort(int mostBytes) throws Exception {
+        calls.shorten(mostBytes);
+        try (World.Client client = new World.Client(process.port())) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals("+OK", client.submit("safe", "piece" + i, NO_KEY));
+            }
+            assertEquals("+PONG", client.ask("PING"));
+            world.receiver.answers = r -> World.ok(500, "");
+            assertEquals("+OK", client.submit("unsafe", "failed", NO_KEY));
+        }
+        for (int i = 0; i < 5; i++) {
+            String id = "piece" + i;
+            await(() -> callsFor(id) == 1);
+        }
+        await(() -> noticed("failed"));
+        assertEquals(1, callsFor("failed"));
+        assertTrue(calls.shortened() > 100, calls.shortened() + " reads and writes were short");
+    }
 }
--- a/sender/src/test/java/amberroute/sender/World.java
+++ b/sender/src/test/java/amberroute/sender/World.java
@@ -82,7 +82,11 @@
         }
 
         String address() {
-            return "127.0.0.1:" + server.getLocalPort();
+            return "127.0.0.1:" + port();
+        }
+
+        int port() {
+            return server.getLocalPort();
         }
 
         private void accept() {
