Name queueing delay and connection draining so, and move the SUBMIT words out of ClientServer

Change: ReadingLag is QueueingDelay, Parting is ConnectionDraining, PATIENCE_MS is CLIENT_TIMEOUT_MS; SubmitCommand reads the words of a SUBMIT, Submission.after takes time off in one place instead of two. The log line 'parted from all clients' is now 'draining: all connections of clients are closed'. No behaviour changes.

Measured: AcceptQueue, OutageBacklog, QueueingDelay, BadClients, ClientEndings, ConnectionDraining and OwnershipTransfer tests pass.

--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -17,11 +17,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -29,7 +27,6 @@
 
 /** Serves clients: reads what they hand in and gives each request its answer, in order. */
 final class ClientServer {
-    private static final int LONGEST_NAME = 128;
     /** Share of the connections that those have which have not sent a good request yet. */
     private static final double NEWCOMERS = 0.25;
     /** With so many requests unanswered a connection is not read on; with more, all from one read, it ends. */
@@ -51,7 +48,7 @@
     private static final long SPARED_MS = 250;
     private static final long SWEEP_MS = 100;
     /** Connections in use so lately are closed behind their next answer rather than at once: that request may be on its way. */
-    private static final long PARTING_IDLE_MS = 250;
+    private static final long DRAINING_IDLE_MS = 250;
     /** After a request that makes no sense the next is read only after a pause, doubled with each in a row. */
     private static final long PAUSE_MS = 50;
     /** Until accepting is tried again behind a failure: short beside what clients wait, long beside what a try costs. */
@@ -67,13 +64,13 @@
 
     /** A message as handed in; {@code timeLeft} in milliseconds, as of now: what it may have waited unread is off. */
     record Submission(
-            long key,
-            String id,
-            String className,
-            long timeLeft,
-            int destination,
-            String idempotencyKey,
-            byte[] body) {}
+            long key, String id, String className, long timeLeft, int destination, String idempotencyKey, byte[] body) {
+        /** The same so many milliseconds later. */
+        Submission after(long passed) {
+            return new Submission(
+                    key, id, className, Math.max(0, timeLeft - passed), destination, idempotencyKey, body);
+        }
+    }
 
     /** Takes submissions on; each gets exactly one answer. */
     interface Acceptor {
@@ -109,7 +106,7 @@
     private final OrderlyClose closing;
     private Set<String> classNames = Set.of();
     private final Resp.Room room;
-    private ReadingLag lag;
+    private QueueingDelay queueingDelay;
     /** Null where this process listens itself: clients were refused while nobody did. */
     private OutageBacklog backlog;
     /** Those that have sent a good request, in the order of last use, and those that have not, by age. */
@@ -123,7 +120,7 @@
     private boolean accepting = true;
 
     private boolean retiring;
-    private boolean parted;
+    private boolean drained;
     /** Nobody is accepted any more but those who wait already. */
     private boolean shutting;
 
@@ -142,7 +139,7 @@
         this.mostConnections = Math.max(1, mostConnections - mostConnections / LINGERING);
         closing = new OrderlyClose(loop);
         room = new Resp.Room(roomBytes);
-        lag = new ReadingLag(System.nanoTime());
+        queueingDelay = new QueueingDelay(System.nanoTime());
     }
 
     /** Messages of these classes are taken from now on. */
@@ -153,7 +150,7 @@
     /** Binds; from then on the sender is ready. Returns the address bound, as port 0 takes any. */
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
         // Nobody can have waited before there was anywhere to connect to.
-        lag = new ReadingLag(System.nanoTime());
+        queueingDelay = new QueueingDelay(System.nanoTime());
         server = bootstrap()
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 512)
@@ -174,7 +171,8 @@
      */
     InetSocketAddress listen(ServerSocketChannel inherited) throws InterruptedException {
         passedDown = true;
-        lag = new ReadingLag(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ReadingLag.PATIENCE_MS));
+        queueingDelay =
+                new QueueingDelay(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(QueueingDelay.CLIENT_TIMEOUT_MS));
         backlog = new OutageBacklog(created);
         servedUntil.ifPresent(backlog::servedUntil);
         server = bootstrap()
@@ -194,7 +192,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         Resp resp = new Resp(room);
-                        channel.pipeline().addLast(resp, new Session(resp, lag.accepted()));
+                        channel.pipeline().addLast(resp, new Session(resp, queueingDelay.accepted()));
                     }
                 });
     }
@@ -221,14 +219,17 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            lag.batchDone(context.channel().metadata().defaultMaxMessagesPerRead());
+            queueingDelay.batchDone(context.channel().metadata().defaultMaxMessagesPerRead());
             context.fireChannelReadComplete();
         }
     }
 
     private InetSocketAddress listening() {
         loop.scheduleWithFixedDelay(
-                () -> lag.tick(System.nanoTime()), ReadingLag.TICK_MS, ReadingLag.TICK_MS, TimeUnit.MILLISECONDS);
+                () -> queueingDelay.tick(System.nanoTime()),
+                QueueingDelay.TICK_MS,
+                QueueingDelay.TICK_MS,
+                TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) server.localAddress();
     }
@@ -273,9 +274,9 @@
                 .forEach(Session::leave);
     }
 
-    /** To be called again and again while the process ends: lets go of connections as {@code parting} says. */
-    void part(Parting parting, long now) {
-        if (!parting.begun(now) || parted) {
+    /** To be called again and again while the process ends: lets go of connections as {@code draining} says. */
+    void drain(ConnectionDraining draining, long now) {
+        if (!draining.begun(now) || drained) {
             return;
         }
         if (passedDown) {
@@ -285,18 +286,18 @@
             closeDoor();
         }
         retiring = true;
-        if (parting.over(now)) {
+        if (draining.over(now)) {
             // What has come of a next request cannot be answered any more; its client sends it once more.
             Stream.concat(unproven.stream(), usual.stream())
                     .filter(s -> s.waiting.isEmpty())
                     .toList()
                     .forEach(Session::leave);
-            parted = connections() == 0;
-            if (parted) {
-                Log.warn("parted from all clients");
+            drained = connections() == 0;
+            if (drained) {
+                Log.warn("draining: all connections of clients are closed");
             }
         } else {
-            retireSome(parting.surplus(now, connections()), PARTING_IDLE_MS);
+            retireSome(draining.surplus(now, connections()), DRAINING_IDLE_MS);
         }
     }
 
@@ -544,18 +545,21 @@
 
         private void command(List<byte[]> values, Reply reply) {
             try {
-                String name = values.isEmpty() ? "" : text(values.get(0)).toUpperCase(Locale.ROOT);
+                String name = values.isEmpty()
+                        ? ""
+                        : SubmitCommand.text(values.get(0)).toUpperCase(Locale.ROOT);
                 switch (name) {
                     case "PING" -> {
                         good();
                         reply.line("+PONG\r\n");
                     }
                     case "SUBMIT" -> {
-                        long waited = lag.millis(unread, System.nanoTime());
-                        Submission submission = parse(values, waited);
+                        long waited = queueingDelay.millis(unread, System.nanoTime());
+                        Submission told = SubmitCommand.parse(values, classNames);
+                        Submission submission = told.after(Math.max(waited, waitedInClient(told.key())));
                         reply.key = submission.key();
                         good();
-                        if (waited < ReadingLag.PATIENCE_MS) {
+                        if (waited < QueueingDelay.CLIENT_TIMEOUT_MS) {
                             acceptor.submitted(submission, reply);
                         } else {
                             outageStillFelt();
@@ -627,6 +631,10 @@
             }
         }
 
+        private long waitedInClient(long key) {
+            return backlog == null ? 0 : backlog.millis(System.nanoTime(), key);
+        }
+
         private void outageStillFelt() {
             if (backlog != null) {
                 backlog.stillFelt(System.nanoTime());
@@ -671,58 +679,4 @@
             context.close();
         }
     }
-
-    // ---- SUBMIT. ----
-
-    private Submission parse(List<byte[]> values, long waited) {
-        require(values.size() == 5, "SUBMIT takes key, id, names and values, body");
-        String id = text(values.get(2));
-        require(!id.isEmpty() && printable(id), "bad id");
-        Map<String, String> options = new HashMap<>();
-        for (String pair : text(values.get(3)).split(",")) {
-            int eq = pair.indexOf('=');
-            require(eq > 0, "bad option " + (printable(pair) ? pair : ""));
-            options.put(pair.substring(0, eq), pair.substring(eq + 1));
-        }
-        String className = options.getOrDefault("c", "");
-        require(classNames.contains(className), "unknown class");
-        String idempotencyKey = options.getOrDefault("k", "");
-        require(printable(idempotencyKey), "bad idempotency key");
-        long key = key(text(values.get(1)));
-        long waitedInClient = backlog == null ? 0 : backlog.millis(System.nanoTime(), key);
-        long told = number(options.get("d"), "d", Integer.MAX_VALUE);
-        long timeLeft = Math.max(0, told - Math.max(waited, waitedInClient));
-        int destination = (int) number(options.get("dest"), "dest", 0xffff);
-        return new Submission(key, id, className, timeLeft, destination, idempotencyKey, values.get(4));
-    }
-
-    private static String text(byte[] value) {
-        require(value.length <= 1_024, "too long a word");
-        return new String(value, StandardCharsets.ISO_8859_1);
-    }
-
-    /** What may stand in a header or on a line: at most 128 visible characters of ASCII. */
-    static boolean printable(String word) {
-        return word.length() <= LONGEST_NAME && word.chars().allMatch(c -> c > ' ' && c < 127);
-    }
-
-    private static long key(String text) {
-        try {
-            return Long.parseUnsignedLong(text, 16);
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("bad key");
-        }
-    }
-
-    private static long number(String text, String name, long most) {
-        double value = Decimals.parse(text);
-        require(value >= 0 && value <= most, "bad number " + name);
-        return (long) value;
-    }
-
-    private static void require(boolean holds, String reason) {
-        if (!holds) {
-            throw new IllegalArgumentException(reason);
-        }
-    }
 }
--- a/sender/src/main/java/amberroute/sender/Parting.java
+++ b/sender/src/main/java/amberroute/sender/ConnectionDraining.java
@@ -6,7 +6,7 @@
  * before the kill no connection may be left. One that is closed between requests does no harm: a request that crosses that is
  * sent once more, to whoever takes clients. Decides only; times are milliseconds of one monotonic clock.
  */
-final class Parting {
+final class ConnectionDraining {
     /** Connections are closed so far apart that their clients do not rush to others in one moment. */
     static final long SPREAD_MS = 600;
 
@@ -17,11 +17,11 @@
 
     /**
      * Told to end at {@code now}, killed {@code within} later at the soonest. Whoever asked before {@link #over} has an answer, or
-     * is gone, when that comes: clients wait no longer than {@link ReadingLag#PATIENCE_MS}.
+     * is gone, when that comes: clients wait no longer than {@link QueueingDelay#CLIENT_TIMEOUT_MS}.
      */
-    Parting(long now, long within) {
+    ConnectionDraining(long now, long within) {
         last = now + within;
-        over = last - Math.min(within, ReadingLag.PATIENCE_MS);
+        over = last - Math.min(within, QueueingDelay.CLIENT_TIMEOUT_MS);
         begin = Math.max(now, over - SPREAD_MS);
     }
 
--- a/sender/src/main/java/amberroute/sender/OutgoingTransfer.java
+++ b/sender/src/main/java/amberroute/sender/OutgoingTransfer.java
@@ -160,18 +160,8 @@
     }
 
     private static Resubmission again(Asked one) {
-        ClientServer.Submission s = one.submission();
         long passed = (System.nanoTime() - one.at()) / 1_000_000;
-        return new Resubmission(
-                new ClientServer.Submission(
-                        s.key(),
-                        s.id(),
-                        s.className(),
-                        Math.max(0, s.timeLeft() - passed),
-                        s.destination(),
-                        s.idempotencyKey(),
-                        s.body()),
-                one.answer());
+        return new Resubmission(one.submission().after(passed), one.answer());
     }
 
     /** Passes a submission on, whose answer follows; false where there is no room or nobody to ask. */
--- a/sender/src/main/java/amberroute/sender/PeerLine.java
+++ b/sender/src/main/java/amberroute/sender/PeerLine.java
@@ -190,8 +190,8 @@
         m.doubtAt = json.get("doubt_at").getAsString();
         m.adopted = true;
         boolean good = !m.id.isEmpty()
-                && ClientServer.printable(m.id)
-                && ClientServer.printable(m.idempotencyKey)
+                && SubmitCommand.printable(m.id)
+                && SubmitCommand.printable(m.idempotencyKey)
                 && m.doubtAt.length() <= 128
                 && m.body.length <= Resp.LARGEST_VALUE
                 && m.attempts >= 0
--- a/sender/src/main/java/amberroute/sender/ReadingLag.java
+++ b/sender/src/main/java/amberroute/sender/QueueingDelay.java
@@ -10,11 +10,11 @@
  * ticks. New connections are taken a batch at a time: as long as batches are full the queue may hold some from before the
  * first. Times are of one monotonic clock, in nanoseconds. Reads no clock.
  */
-final class ReadingLag {
+final class QueueingDelay {
     /** Small beside what times are told in, large beside what a tick costs (some 0.3% of half a core). */
     static final long TICK_MS = 20;
     /** Clients wait no longer for an answer: who has waited longer is gone, and its message counts for nothing. */
-    static final long PATIENCE_MS = 400;
+    static final long CLIENT_TIMEOUT_MS = 400;
 
     private long tick;
     private long before;
@@ -22,7 +22,7 @@
     private int batch;
     private boolean full;
 
-    ReadingLag(long now) {
+    QueueingDelay(long now) {
         tick = now;
         before = now;
         queued = now;
@@ -51,6 +51,6 @@
     /** Milliseconds for which a request may have waited; {@code since} is its connection's first wait, 0 once it was read. */
     long millis(long since, long now) {
         long from = since != 0 && since - before < 0 ? since : before;
-        return Math.max(0, Math.min(PATIENCE_MS, (now - from) / 1_000_000));
+        return Math.max(0, Math.min(CLIENT_TIMEOUT_MS, (now - from) / 1_000_000));
     }
 }
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -115,7 +115,7 @@
     /** All was given to another process: this one only ends its calls and passes on what its clients still ask. */
     private boolean transferred;
     /** How clients are let go of, null until the process is told to end. */
-    private volatile Parting parting;
+    private volatile ConnectionDraining draining;
 
     private final CountDownLatch retired = new CountDownLatch(1);
     /** Null while another process still has the state folder, and from when one has it again. */
@@ -1186,13 +1186,13 @@
         }
 
         private void serveAgain() {
-            if (parting == null || !parting.begun(millisNow())) {
+            if (draining == null || !draining.begun(millisNow())) {
                 clients.resume();
             }
             followEndpointFile();
             enter(Phase.READY);
-            if (parting != null) {
-                stopWithin(parting.left(millisNow()));
+            if (draining != null) {
+                stopWithin(draining.left(millisNow()));
             }
             if (environment != null && Config.fingerprint(environment) != configurationRead) {
                 // The one that is gone may have been told of it.
@@ -1233,13 +1233,13 @@
     }
 
     /** The process is killed so many milliseconds from now at the soonest, or ends by itself then. */
-    private void part(long within) {
-        if (parting != null) {
+    private void drainConnections(long within) {
+        if (draining != null) {
             return;
         }
-        Parting begun = new Parting(millisNow(), within);
-        parting = begun;
-        loop.scheduleWithFixedDelay(() -> clients.part(begun, millisNow()), 0, RETIRE_STEP_MS, TimeUnit.MILLISECONDS);
+        ConnectionDraining begun = new ConnectionDraining(millisNow(), within);
+        draining = begun;
+        loop.scheduleWithFixedDelay(() -> clients.drain(begun, millisNow()), 0, RETIRE_STEP_MS, TimeUnit.MILLISECONDS);
     }
 
     private static long millisNow() {
@@ -1256,7 +1256,7 @@
                 && outgoingTransfer.waiting() == 0
                 && notices.pending() == 0
                 && clients.open() == 0;
-        if (parting != null && (done || parting.last(millisNow()))) {
+        if (draining != null && (done || draining.last(millisNow()))) {
             retired.countDown();
             stopped.complete(0);
         }
@@ -2239,7 +2239,7 @@
             return;
         }
         if (transferred) {
-            part(within);
+            drainConnections(within);
             return;
         }
         if (drain != null
@@ -2558,7 +2558,7 @@
     private void terminate() {
         Log.warn("the process ends soon; "
                 + (transferred ? "another one owns what was held" : "what is held will be resumed"));
-        part(LAST_MS);
+        drainConnections(LAST_MS);
         loop.execute(() -> note(new Event.Stopping(UNTIL_KILLED)));
         try {
             retired.await(1, TimeUnit.HOURS);
--- a/sender/src/test/java/amberroute/sender/AcceptQueueTest.java
+++ b/sender/src/test/java/amberroute/sender/AcceptQueueTest.java
@@ -83,7 +83,7 @@
         clients.add(submit("there"));
         serve();
         assertEquals("+OK", answer(clients.get(0)));
-        assertEquals(8_000 - ReadingLag.PATIENCE_MS, submitted.take().timeLeft());
+        assertEquals(8_000 - QueueingDelay.CLIENT_TIMEOUT_MS, submitted.take().timeLeft());
     }
 
     /** What comes later on the same connections, and on new ones, is not taken for old. */
@@ -110,7 +110,7 @@
         assertEquals("+OK", answer(clients.get(0)));
         write(clients.get(0), "behind", KEY);
         assertEquals("+OK", answer(clients.get(0)));
-        assertEquals(8_000 - ReadingLag.PATIENCE_MS, submitted.take().timeLeft());
+        assertEquals(8_000 - QueueingDelay.CLIENT_TIMEOUT_MS, submitted.take().timeLeft());
         long left = submitted.take().timeLeft();
         assertTrue(left <= 8_000 - OutageBacklog.UNSEEN_MS, left + " ms left");
     }
--- a/sender/src/test/java/amberroute/sender/ClientEndingsTest.java
+++ b/sender/src/test/java/amberroute/sender/ClientEndingsTest.java
@@ -88,7 +88,7 @@
     private void end(String how) throws Exception {
         switch (how) {
             case "pushed over to another process" -> server.retireSome(PLACES);
-            case "let go of before the kill" -> server.part(new Parting(0, 0), 1);
+            case "let go of before the kill" -> server.drain(new ConnectionDraining(0, 0), 1);
             case "stopped for good" -> server.closeIdle();
             default -> throw new IllegalArgumentException(how);
         }
--- a/sender/src/test/java/amberroute/sender/PartingTest.java
+++ b/sender/src/test/java/amberroute/sender/ConnectionDrainingTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** From SIGTERM to SIGKILL: clients send on every connection that stays open, and each request needs its whole answer. */
-class PartingTest {
+class ConnectionDrainingTest {
     private static final String NO_KEY = "0000000000000000";
 
     @TempDir
@@ -46,7 +46,7 @@
 
     @Test
     void closesAllSoonEnoughForTheLastAnswers() {
-        Parting parting = new Parting(10_000, 3_450);
+        ConnectionDraining parting = new ConnectionDraining(10_000, 3_450);
         assertFalse(parting.begun(12_449));
         assertEquals(0, parting.surplus(12_449, 60));
         assertTrue(parting.begun(12_450));
@@ -54,7 +54,8 @@
         assertEquals(30, parting.surplus(12_750, 60));
         assertEquals(10, parting.surplus(12_750, 40), "what clients close themselves counts");
         assertFalse(parting.over(13_049));
-        assertTrue(parting.over(13_450 - ReadingLag.PATIENCE_MS), "who asked last would still wait at the kill");
+        assertTrue(
+                parting.over(13_450 - QueueingDelay.CLIENT_TIMEOUT_MS), "who asked last would still wait at the kill");
         assertEquals(7, parting.surplus(13_050, 7));
         assertFalse(parting.last(13_449));
         assertTrue(parting.last(13_450));
@@ -62,7 +63,7 @@
 
     @Test
     void aShortTimeIsAllForTheLastAnswers() {
-        Parting parting = new Parting(0, 300);
+        ConnectionDraining parting = new ConnectionDraining(0, 300);
         assertTrue(parting.begun(0) && parting.over(0));
         assertEquals(9, parting.surplus(0, 9));
     }
@@ -99,7 +100,7 @@
             assertThrows(IOException.class, half::answer);
             assertThrows(IOException.class, () -> new World.Client(process.port()), "the door stayed open");
         }
-        await(() -> process.logged("parted from all clients"));
+        await(() -> process.logged("draining: all connections of clients are closed"));
         assertTrue(process.alive(), "it ended, and nobody had the time to see it off");
         assertTrue(takenBehind.get() > 6, "nothing was taken any more behind SIGTERM");
         assertEquals(List.of(), spoilt);
--- a/sender/src/test/java/amberroute/sender/ReadingLagTest.java
+++ b/sender/src/test/java/amberroute/sender/QueueingDelayTest.java
@@ -20,7 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-class ReadingLagTest {
+class QueueingDelayTest {
     private static final long MS = 1_000_000;
 
     /**
@@ -33,8 +33,8 @@
             SplittableRandom random = new SplittableRandom(seed);
             boolean stops = seed % 3 != 0;
             long now = 5_000 * MS;
-            ReadingLag lag = new ReadingLag(now);
-            long nextTick = now + ReadingLag.TICK_MS * MS;
+            QueueingDelay lag = new QueueingDelay(now);
+            long nextTick = now + QueueingDelay.TICK_MS * MS;
             ArrayDeque<Long> arrived = new ArrayDeque<>();
             long nextArrival = now;
             long most = 0;
@@ -53,24 +53,24 @@
                 for (long at : read) {
                     now += 10_000 + (stops && random.nextInt(20) == 0 ? random.nextLong(300 * MS) : 0);
                     long said = lag.millis(0, now);
-                    long waited = Math.min(ReadingLag.PATIENCE_MS, (now - at) / MS);
+                    long waited = Math.min(QueueingDelay.CLIENT_TIMEOUT_MS, (now - at) / MS);
                     assertTrue(said >= waited, "seed " + seed + ": waited " + waited + ", said " + said);
                     most = Math.max(most, said);
                 }
                 now += stops && random.nextInt(50) == 0 ? random.nextLong(300 * MS) : 0;
                 if (now >= nextTick) {
                     lag.tick(now);
-                    nextTick = now + ReadingLag.TICK_MS * MS;
+                    nextTick = now + QueueingDelay.TICK_MS * MS;
                 }
             }
-            assertTrue(stops || most <= 2 * ReadingLag.TICK_MS + 1, "seed " + seed + " says " + most + " on time");
+            assertTrue(stops || most <= 2 * QueueingDelay.TICK_MS + 1, "seed " + seed + " says " + most + " on time");
         }
     }
 
     /** Batches that are full may leave others in the queue: those have waited as long as the first. */
     @Test
     void whoWaitsBehindAFullBatchHasWaitedAsLong() {
-        ReadingLag lag = new ReadingLag(0);
+        QueueingDelay lag = new QueueingDelay(0);
         lag.tick(100 * MS);
         lag.tick(120 * MS);
         for (int i = 0; i < 16; i++) {
@@ -85,7 +85,7 @@
         lag.batchDone(16);
         assertEquals(160 * MS, lag.accepted());
         assertEquals(35, lag.millis(0, 195 * MS));
-        assertEquals(ReadingLag.PATIENCE_MS, lag.millis(0, 9_000 * MS));
+        assertEquals(QueueingDelay.CLIENT_TIMEOUT_MS, lag.millis(0, 9_000 * MS));
     }
 
     /** On sockets: what lay unread while the loop stood still is off the message's time, on old and new connections. */
@@ -125,14 +125,14 @@
             submit(fresh, "fresh");
             long written = System.nanoTime();
             Thread.sleep(150);
-            long waited = Math.min(ReadingLag.PATIENCE_MS, (System.nanoTime() - written) / MS);
+            long waited = Math.min(QueueingDelay.CLIENT_TIMEOUT_MS, (System.nanoTime() - written) / MS);
             goesOn.countDown();
             for (int i = 0; i < 2; i++) {
                 ClientServer.Submission submission = read.poll(10, TimeUnit.SECONDS);
                 assertTrue(
                         submission.timeLeft() <= 8_000 - waited,
                         submission.id() + " has " + submission.timeLeft() + " ms after " + waited);
-                assertTrue(submission.timeLeft() >= 8_000 - ReadingLag.PATIENCE_MS, submission.id());
+                assertTrue(submission.timeLeft() >= 8_000 - QueueingDelay.CLIENT_TIMEOUT_MS, submission.id());
             }
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
--- a/sender/src/test/java/amberroute/sender/SystemCallTroubleTest.java
+++ b/sender/src/test/java/amberroute/sender/SystemCallTroubleTest.java
@@ -21,7 +21,7 @@
 class SystemCallTroubleTest {
     private static final String NO_KEY = "0000000000000000";
     /** Clients wait no longer for an answer. */
-    private static final long PATIENCE_MS = 400;
+    private static final long CLIENT_TIMEOUT_MS = 400;
     /** What is owed may be so late. */
     private static final long SLACK_MS = 500;
 
@@ -75,7 +75,7 @@
         }
         long took = since(begun);
         assertTrue(calls.used(Call.ACCEPT));
-        assertTrue(took < PATIENCE_MS, "answered after " + took + " ms");
+        assertTrue(took < CLIENT_TIMEOUT_MS, "answered after " + took + " ms");
         await(() -> callsFor("one") == 1);
         // For good: what comes once the trouble is over finds an open door.
         try (World.Client client = new World.Client(process.port())) {
