Count the outage's end from when the process accepts clients, not from its start

Change: OutageBacklog takes both moments.

Measured: the new test failed before (0 instead of 6,610 ms) and passes; OutageBacklog, AcceptQueue, QueueingDelay and FolderReclaim tests pass.

--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -171,9 +171,9 @@
      */
     InetSocketAddress listen(ServerSocketChannel inherited) throws InterruptedException {
         passedDown = true;
-        queueingDelay =
-                new QueueingDelay(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(QueueingDelay.CLIENT_TIMEOUT_MS));
-        backlog = new OutageBacklog(created);
+        long now = System.nanoTime();
+        queueingDelay = new QueueingDelay(now - TimeUnit.MILLISECONDS.toNanos(QueueingDelay.CLIENT_TIMEOUT_MS));
+        backlog = new OutageBacklog(created, now);
         servedUntil.ifPresent(backlog::servedUntil);
         server = bootstrap()
                 .channelFactory(() -> new NioServerSocketChannel(inherited))
--- a/sender/src/main/java/amberroute/sender/OutageBacklog.java
+++ b/sender/src/main/java/amberroute/sender/OutageBacklog.java
@@ -32,9 +32,10 @@
     private long since;
     private long settledAt;
 
-    OutageBacklog(long now) {
-        since = now - UNSEEN_MS * NANOS_PER_MS;
-        settledAt = now + SETTLED_MS * NANOS_PER_MS;
+    /** Of a process that first looked at the clock at {@code started} and accepts clients from {@code listening} on. */
+    OutageBacklog(long started, long listening) {
+        since = started - UNSEEN_MS * NANOS_PER_MS;
+        settledAt = listening + SETTLED_MS * NANOS_PER_MS;
     }
 
     /** Another process served the socket up to this moment. */
--- a/sender/src/test/java/amberroute/sender/OutageBacklogTest.java
+++ b/sender/src/test/java/amberroute/sender/OutageBacklogTest.java
@@ -9,7 +9,7 @@
     private static final long STARTED = 50_000 * MS;
     private static final long KEY = 7;
 
-    private final OutageBacklog backlog = new OutageBacklog(STARTED);
+    private final OutageBacklog backlog = new OutageBacklog(STARTED, STARTED);
 
     @Test
     void whatComesRightBehindTheAnswerOfItsKeyMayBeAsOldAsTheOutage() {
@@ -54,6 +54,15 @@
         assertEquals(0, backlog.millis(end + 3 * MS, KEY));
     }
 
+    /** However long the start takes, clients come again only when somebody accepts them. */
+    @Test
+    void aSlowStartDoesNotEndTheOutage() {
+        long listening = STARTED + 2 * OutageBacklog.SETTLED_MS * MS;
+        OutageBacklog slow = new OutageBacklog(STARTED, listening);
+        slow.answered(listening + 100 * MS, KEY);
+        assertEquals(5_110 + OutageBacklog.UNSEEN_MS, slow.millis(listening + 110 * MS, KEY));
+    }
+
     @Test
     void theKeysAnsweredLastAreKept() {
         for (long key = 1; key <= OutageBacklog.MOST_KEYS + 1; key++) {
