Take the wait for a client's end off its message's time

Cause: ShortOfCpuTest failed once in the whole suite (an end 3,075 ms behind a message of 2,500; 3,000 allowed): a request that may have waited 400 ms is handed on one pass of the loop later, and that pass may come 0.2 s later in a process that stands still in between.

Change: what passes until it is handed on is off its time too.

--- a/sender/src/main/java/amberroute/sender/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/ClientServer.java
@@ -579,10 +579,12 @@
          * loop behind its last request; the inner task runs in the next pass, behind what that one reads.
          */
         private void submitIfStillConnected(Submission submission, Reply reply) {
+            long read = System.nanoTime();
             loop.execute(() -> loop.schedule(
                     () -> {
                         if (reply.wanted()) {
-                            acceptor.submitted(submission, reply);
+                            long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - read);
+                            acceptor.submitted(submission.after(passed), reply);
                         } else {
                             abandoned++;
                         }
