--- a/sender/src/main/java/amberroute/sender/MessageRecovery.java
+++ b/sender/src/main/java/amberroute/sender/MessageRecovery.java
@@ -12,6 +12,7 @@
 import com.google.gson.JsonArray;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -80,14 +81,26 @@
         folder.journal().classes().forEach(messages.classes()::restore);
         settings.run();
         folder.journal().expireKeyHolds(folder.steadyMillis());
-        keyHolds.block(folder.journal().keyHolds().heldKeys());
-        List.copyOf(folder.journal().pendingMessages()).forEach(this::restoreMessage);
+        restoreMessages();
         if (transfers.state() != null) {
             resumeCalls();
             endpoints.release(leaving);
         }
     }
 
+    /** A hold stands in its key's order where it came: messages accepted before it do not wait for it. */
+    private void restoreMessages() {
+        Map<Long, Long> holdRanks = folder.journal().keyHoldRanks();
+        for (AcceptedMessage message : List.copyOf(folder.journal().pendingMessages())) {
+            Long holdRank = holdRanks.get(message.key);
+            if (holdRank != null && holdRank < message.rank) {
+                keyHolds.block(List.of(message.key));
+            }
+            restoreMessage(message);
+        }
+        keyHolds.block(holdRanks.keySet());
+    }
+
     private void restoreHealth() {
         folder.journal()
                 .healthRecords()
--- a/sender/src/main/java/amberroute/sender/journal/Journal.java
+++ b/sender/src/main/java/amberroute/sender/journal/Journal.java
@@ -472,6 +472,11 @@
         return contents.keyHolds;
     }
 
+    /** For each held key the rank of its first hold: messages of a lower rank were accepted before it. */
+    public Map<Long, Long> keyHoldRanks() {
+        return keyHolds.ranks();
+    }
+
     /** Writes that the origin holds these keys; false where there is no room for it, or for some of them. */
     public boolean holdKeys(String origin, List<Long> keys, long untilMillis) {
         return keyHolds.hold(origin, keys, untilMillis);
--- a/sender/src/main/java/amberroute/sender/journal/JournalImport.java
+++ b/sender/src/main/java/amberroute/sender/journal/JournalImport.java
@@ -25,8 +25,12 @@
     void applyTo(JournalContents contents, SegmentLog log) {
         classes.forEach(contents::putClass);
         health.forEach(contents::putHealth);
-        keyHolds.allHolds().forEach(hold -> contents.holdKeys(hold.origin(), List.of(hold.key()), hold.untilMillis()));
         long rank = firstFreeNumber;
+        // Which messages came before a hold is not known, so all of its key wait.
+        for (KeyHolds.KeyHold hold : keyHolds.allHolds()) {
+            contents.owners.recovered(OwnerNumbers.keyHold(hold.origin(), hold.key()), rank++);
+            contents.holdKeys(hold.origin(), List.of(hold.key()), hold.untilMillis());
+        }
         for (AcceptedMessage message : messages) {
             message.rank = rank++;
             contents.add(message);
--- a/sender/src/main/java/amberroute/sender/journal/KeyHoldJournal.java
+++ b/sender/src/main/java/amberroute/sender/journal/KeyHoldJournal.java
@@ -1,9 +1,12 @@
 package amberroute.sender.journal;
 
 import amberroute.handoff.KeyHolds;
+import amberroute.sender.message.AcceptedMessage;
 import amberroute.storage.Batch;
 import amberroute.storage.LogLimits;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Journals the ordered keys that other daemons hold: messages of such a key wait here until the hold is released or expires.
@@ -71,6 +74,19 @@
         return contents.releaseKeys(origin, keys);
     }
 
+    /**
+     * For each key that is held the rank of its first hold, comparable with {@link AcceptedMessage#rank}: the messages of the key
+     * with a lower rank were accepted before it.
+     */
+    Map<Long, Long> ranks() {
+        Map<Long, Long> ranks = new HashMap<>();
+        for (KeyHolds.KeyHold hold : contents.keyHolds.allHolds()) {
+            Long rank = contents.owners.find(OwnerNumbers.keyHold(hold.origin(), hold.key()));
+            ranks.merge(hold.key(), rank == null ? 0 : rank, Math::min);
+        }
+        return ranks;
+    }
+
     /** Ends expired holds and returns the keys that nobody holds any more; a hold's expiry is on disk with it. */
     List<Long> expire(long wallMillis) {
         List<KeyHolds.KeyHold> expired = contents.keyHolds.allHolds().stream()
--- a/sender/src/test/java/amberroute/sender/journal/JournalHandoffTest.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalHandoffTest.java
@@ -239,4 +239,20 @@
             assertTrue(journal.pendingMessages().stream().allMatch(m -> m.pendingNotification != null));
         }
     }
+
+    /** Guards against messages that overtake another daemon's: a repair writes holds anew, and must not put them last. */
+    @Test
+    void aRepairedJournalHasHoldsAheadOfTheMessagesOfTheirKeys() throws IOException {
+        Path copy = folder.resolve("copy");
+        try (Journal journal = open()) {
+            journal.holdKeys("leaver", List.of(7L), SOON);
+            acceptTwo(journal);
+        }
+        JournalRepair.run(folder, copy);
+        try (Journal repaired = Journal.open(copy, 3_000_000)) {
+            long holdRank = repaired.keyHoldRanks().get(7L);
+            assertEquals(2, repaired.pendingMessages().size());
+            repaired.pendingMessages().forEach(message -> assertTrue(holdRank < message.rank));
+        }
+    }
 }
