Leave out keys that a peer may have adopted where a hold is repeated to it

What callers saw: later messages of a key that had moved waited at the adopter, for up to the last moved message's deadline and a second where the source had ended by then.

Cause: a leaving sender repeats its unacknowledged HOLD every 250 ms, whole. Behind the adoption of a key, which ends the hold, the repetition set it anew.

Evidence: the trace of the failing HandoffTest pair has the hold on the adopter's disk behind the adoption; with a peer that takes offers and acknowledges no hold the repetition names the adopted key.

Fix: OfferedKeys knows what a peer may have adopted. A batch waits while an offer of one of its keys to that peer is unanswered, and leaves adopted keys out. On one connection a hold then never comes behind its key's offer.

--- a/handoff/src/main/java/amberroute/handoff/KeyHoldAnnouncement.java
+++ b/handoff/src/main/java/amberroute/handoff/KeyHoldAnnouncement.java
@@ -62,12 +62,17 @@
         batches.add(new KeyBatch(number, keys, latestEndMillis + CLOCK_SKEW_MILLIS));
     }
 
-    /** What this peer has not acknowledged yet, without finished keys: to be sent, and sent again. */
-    public List<KeyBatch> unacknowledgedBatches(String peer) {
+    /**
+     * What this peer has not acknowledged yet, to be sent, and sent again: without finished keys and without those that the peer has
+     * adopted. A batch with a key that the peer may have adopted waits for the answer to that offer.
+     */
+    public List<KeyBatch> batchesToSend(String peer, OfferedKeys offeredKeys) {
         return batches.stream()
-                .filter(batch ->
-                        unacknowledgedByPeer.getOrDefault(peer, Set.of()).contains(batch.number()))
+                .filter(batch -> unacknowledged(peer).contains(batch.number()))
                 .map(this::withoutFinishedKeys)
+                .filter(batch -> batch.keys().stream()
+                        .noneMatch(key -> offeredKeys.status(peer, key) == OfferedKeys.Status.UNANSWERED))
+                .map(batch -> withoutAdoptedKeys(batch, peer, offeredKeys))
                 .toList();
     }
 
@@ -77,6 +82,22 @@
         return new KeyBatch(batch.number(), open, batch.untilMillis());
     }
 
+    private static KeyBatch withoutAdoptedKeys(KeyBatch batch, String peer, OfferedKeys offeredKeys) {
+        List<Long> others = batch.keys().stream()
+                .filter(key -> offeredKeys.status(peer, key) != OfferedKeys.Status.ADOPTED)
+                .toList();
+        return new KeyBatch(batch.number(), others, batch.untilMillis());
+    }
+
+    private Set<Integer> unacknowledged(String peer) {
+        return unacknowledgedByPeer.getOrDefault(peer, Set.of());
+    }
+
+    /** Whether the peer has acknowledged all batches. */
+    public boolean isAcknowledgedBy(String peer) {
+        return unacknowledged(peer).isEmpty();
+    }
+
     /** The peer has the keys of this batch on disk as held. */
     public void acknowledge(String peer, int batchNumber) {
         unacknowledgedByPeer.getOrDefault(peer, new HashSet<>()).remove(batchNumber);
--- a/handoff/src/test/java/amberroute/handoff/KeyHoldAnnouncementTest.java
+++ b/handoff/src/test/java/amberroute/handoff/KeyHoldAnnouncementTest.java
@@ -14,6 +14,8 @@
 
 /** Which clients may go elsewhere while peers acknowledge the keys that they hold. */
 class KeyHoldAnnouncementTest {
+    private static final OfferedKeys NOTHING_OFFERED = new OfferedKeys();
+
     @Test
     void clientsMayGoOnlyWhenAllPeersHold() {
         KeyHoldAnnouncement naming = new KeyHoldAnnouncement(1_000, List.of("a", "b"), Map.of(7L, 9_000L), 400);
@@ -33,7 +35,7 @@
     @Test
     void aHoldOutlastsItsMessages() {
         KeyHoldAnnouncement naming = new KeyHoldAnnouncement(0, List.of("a"), Map.of(1L, 5_000L, 2L, 6_000L), 400);
-        assertTrue(naming.unacknowledgedBatches("a").get(0).untilMillis()
+        assertTrue(naming.batchesToSend("a", NOTHING_OFFERED).get(0).untilMillis()
                 >= 6_000 + KeyHoldAnnouncement.CLOCK_SKEW_MILLIS);
         naming.keysDone(List.of(2L));
         assertFalse(naming.isAnnounced(2));
@@ -47,17 +49,42 @@
             ends.put(key, 10_000L + key);
         }
         KeyHoldAnnouncement naming = new KeyHoldAnnouncement(0, List.of("a"), ends, 400);
-        List<KeyHoldAnnouncement.KeyBatch> batches = naming.unacknowledgedBatches("a");
+        List<KeyHoldAnnouncement.KeyBatch> batches = naming.batchesToSend("a", NOTHING_OFFERED);
         Set<Long> named = new HashSet<>();
         batches.forEach(b -> named.addAll(b.keys()));
         assertEquals(ends.keySet(), named);
         naming.acknowledge("a", batches.get(0).number());
-        assertEquals(batches.size() - 1, naming.unacknowledgedBatches("a").size());
+        assertEquals(
+                batches.size() - 1, naming.batchesToSend("a", NOTHING_OFFERED).size());
         for (long key : ends.keySet()) {
             assertEquals(batches.get(0).keys().contains(key), naming.retryElsewhereDelayMillis(1, key) == 0);
         }
     }
 
+    /** Failure: a hold repeated behind the adoption of its key kept later messages of the key waiting at the adopter. */
+    @Test
+    void aPeerIsNotAskedToHoldWhatItMayHaveAdopted() {
+        KeyHoldAnnouncement announcement =
+                new KeyHoldAnnouncement(0, List.of("a", "b"), Map.of(1L, 5_000L, 2L, 5_000L), 400);
+        OfferedKeys offered = new OfferedKeys();
+        offered.offered("a", List.of(1L));
+        assertEquals(List.of(), announcement.batchesToSend("a", offered), "the answer may be a refusal");
+        assertEquals(Set.of(1L, 2L), keysToSend(announcement, "b", offered));
+        assertFalse(announcement.isAcknowledgedBy("a"));
+        offered.forget(List.of(1L));
+        assertEquals(Set.of(1L, 2L), keysToSend(announcement, "a", offered), "it was refused");
+        offered.offered("a", List.of(1L));
+        offered.adopted("a", List.of(1L));
+        assertEquals(Set.of(2L), keysToSend(announcement, "a", offered));
+        assertEquals(Set.of(1L, 2L), keysToSend(announcement, "b", offered), "its clients may come to b");
+    }
+
+    private static Set<Long> keysToSend(KeyHoldAnnouncement announcement, String peer, OfferedKeys offered) {
+        Set<Long> keys = new HashSet<>();
+        announcement.batchesToSend(peer, offered).forEach(batch -> keys.addAll(batch.keys()));
+        return keys;
+    }
+
     /** Holds and their ends against a plain list of them. */
     @Test
     void holdsAreThoseThatWereAskedForAndNotReleased() {
--- a/sender/src/main/java/amberroute/sender/peer/HandoffCoordinator.java
+++ b/sender/src/main/java/amberroute/sender/peer/HandoffCoordinator.java
@@ -2,6 +2,7 @@
 
 import amberroute.handoff.HandoffPlacement;
 import amberroute.handoff.KeyHoldAnnouncement;
+import amberroute.handoff.OfferedKeys;
 import amberroute.handoff.Ownership;
 import amberroute.sender.journal.Journal;
 import amberroute.sender.message.AcceptedMessage;
@@ -123,9 +124,10 @@
         adoptedKeys = new AdoptedKeys(context.maxPeers());
         channels = new PeerChannels(context.maxPeers(), codec);
         connections = new PeerConnections(loop, others, codec, new ConnectionEvents());
-        outgoing = new OutgoingOffers(context, connections, placement, adoptedKeys);
+        OfferedKeys offeredKeys = new OfferedKeys();
+        outgoing = new OutgoingOffers(context, connections, placement, adoptedKeys, offeredKeys);
         incoming = new IncomingOffers(context, adoptedKeys, codec);
-        keyHolds = new KeyHoldCoordinator(context, connections, channels, adoptedKeys, codec);
+        keyHolds = new KeyHoldCoordinator(context, connections, channels, adoptedKeys, offeredKeys, codec);
         server = new PeerServer(loop, context.maxPeers(), MAX_LINE_BYTES, this::requestHandler);
     }
 
--- a/sender/src/main/java/amberroute/sender/peer/KeyHoldCoordinator.java
+++ b/sender/src/main/java/amberroute/sender/peer/KeyHoldCoordinator.java
@@ -2,6 +2,7 @@
 
 import amberroute.handoff.KeyHoldAnnouncement;
 import amberroute.handoff.KeyHolds;
+import amberroute.handoff.OfferedKeys;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.peer.HandoffProtocolMessage.KeyHoldReply;
 import amberroute.sender.peer.HandoffProtocolMessage.KeyHoldRequest;
@@ -35,6 +36,8 @@
     private final Set<String> absentPeers = new HashSet<>();
     /** Keys that were requested of their origins, each once. */
     private final Set<Long> requestedKeys = new HashSet<>();
+
+    private final OfferedKeys offeredKeys;
     /** Null until this daemon leaves. */
     private KeyHoldAnnouncement announcement;
     /** Null where nothing is replicated. */
@@ -45,11 +48,13 @@
             PeerConnections connections,
             PeerChannels channels,
             AdoptedKeys adoptedKeys,
+            OfferedKeys offeredKeys,
             HandoffCodec codec) {
         this.context = context;
         this.connections = connections;
         this.channels = channels;
         this.adoptedKeys = adoptedKeys;
+        this.offeredKeys = offeredKeys;
         this.codec = codec;
     }
 
@@ -76,7 +81,7 @@
     }
 
     private void announceTo(String peer) {
-        for (KeyHoldAnnouncement.KeyBatch batch : announcement.unacknowledgedBatches(peer)) {
+        for (KeyHoldAnnouncement.KeyBatch batch : announcement.batchesToSend(peer, offeredKeys)) {
             connections
                     .to(peer)
                     .send(new KeyHoldRequest(context.self(), batch.number(), batch.untilMillis(), batch.keys()));
@@ -104,7 +109,7 @@
     }
 
     boolean isHeldBy(String peer) {
-        return announcement != null && announcement.unacknowledgedBatches(peer).isEmpty();
+        return announcement != null && announcement.isAcknowledgedBy(peer);
     }
 
     void excludeAbsentPeers(Collection<String> names) {
@@ -183,6 +188,7 @@
 
     void onKeysReleased(Collection<Long> keys) {
         requestedKeys.removeAll(keys);
+        offeredKeys.forget(keys);
     }
 
     /** A peer holds a batch of announced keys. */
--- a/sender/src/main/java/amberroute/sender/peer/OutgoingOffers.java
+++ b/sender/src/main/java/amberroute/sender/peer/OutgoingOffers.java
@@ -4,6 +4,7 @@
 import amberroute.handoff.HandoffMessage;
 import amberroute.handoff.HandoffPlacement;
 import amberroute.handoff.KeyHoldAnnouncement;
+import amberroute.handoff.OfferedKeys;
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.peer.HandoffProtocolMessage.CancelMessage;
@@ -65,6 +66,7 @@
     private final PeerConnections connections;
     private final HandoffPlacement placement;
     private final AdoptedKeys adoptedKeys;
+    private final OfferedKeys offeredKeys;
     private final Map<String, Offer> offers = new LinkedHashMap<>();
     private long counter;
     private long movedMessages;
@@ -72,11 +74,16 @@
     private long acceptedBatches;
 
     OutgoingOffers(
-            HandoffContext context, PeerConnections connections, HandoffPlacement placement, AdoptedKeys adoptedKeys) {
+            HandoffContext context,
+            PeerConnections connections,
+            HandoffPlacement placement,
+            AdoptedKeys adoptedKeys,
+            OfferedKeys offeredKeys) {
         this.context = context;
         this.connections = connections;
         this.placement = placement;
         this.adoptedKeys = adoptedKeys;
+        this.offeredKeys = offeredKeys;
         counter = context.wallMillis().getAsLong() * COUNTS_PER_MILLISECOND;
     }
 
@@ -91,6 +98,7 @@
                 Offer offer = new Offer(batchId, recorded.ownership(), messages, batch);
                 offer.withdrawn = true;
                 offers.put(batchId, offer);
+                offeredKeys.offered(recorded.ownership().peer(), context.orderedKeys(messages));
             }
         });
     }
@@ -177,6 +185,7 @@
     private void abandon(Offer offer) {
         context.host().failMessages(offer.messages);
         offers.remove(offer.batchId);
+        offeredKeys.adopted(offer.ownership.peer(), context.orderedKeys(offer.messages));
         for (HandoffEffect effect : offer.ownership.expire(offer.batchId)) {
             if (effect instanceof HandoffEffect.PersistOwnership write) {
                 context.host().recordOwnership(offer.batchId, write.ownership(), offer.messages);
@@ -251,16 +260,21 @@
     }
 
     private void onPersisted(Offer offer) {
+        List<Long> keys = context.orderedKeys(offer.messages);
         if (offer.ownership.status() == Ownership.Status.OFFERED) {
             offers.put(offer.batchId, offer);
+            offeredKeys.offered(offer.ownership.peer(), keys);
             return;
         }
         offers.remove(offer.batchId);
         if (offer.ownership.status() == Ownership.Status.GIVEN) {
             placement.forgetGroups(offer.batch.groups());
-            context.orderedKeys(offer.messages).forEach(adoptedKeys::handedOff);
+            offeredKeys.adopted(offer.ownership.peer(), keys);
+            keys.forEach(adoptedKeys::handedOff);
             movedMessages += offer.messages.size();
             acceptedBatches++;
+        } else {
+            offeredKeys.forget(keys);
         }
     }
 
--- a/sender/src/test/java/amberroute/sender/HandoffTest.java
+++ b/sender/src/test/java/amberroute/sender/HandoffTest.java
@@ -482,6 +482,61 @@
         assertEquals(List.of(), world.notices);
     }
 
+    /** Takes all offers and acknowledges no hold; returns the lines that it reads. */
+    private static List<String> acceptOffersOnly(ServerSocket server) {
+        List<String> lines = new java.util.concurrent.CopyOnWriteArrayList<>();
+        Thread peer = new Thread(() -> {
+            try (Socket socket = server.accept()) {
+                java.io.BufferedReader in = new java.io.BufferedReader(new java.io.InputStreamReader(
+                        socket.getInputStream(), java.nio.charset.StandardCharsets.UTF_8));
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    lines.add(line);
+                    if (line.contains("\"OFFER\"")) {
+                        com.google.gson.JsonObject offer =
+                                com.google.gson.JsonParser.parseString(line).getAsJsonObject();
+                        SenderFixture.write(
+                                socket,
+                                "{\"word\":\"YES\",\"lot\":" + offer.get("lot") + ",\"generation\":"
+                                        + offer.get("generation") + "}\n");
+                    }
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        peer.setDaemon(true);
+        peer.start();
+        return lines;
+    }
+
+    /** Failure: the repetition of a hold came behind the adoption of its key, and kept the key's later messages waiting. */
+    @Test
+    void aKeyThatThePeerHasAdoptedIsNotAnnouncedToItAgain() throws Exception {
+        try (ServerSocket heir = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            List<String> lines = acceptOffersOnly(heir);
+            Sender leaver = start("leaver", "\"heir=127.0.0.1:" + heir.getLocalPort() + "\"");
+            SenderFixture.Client client = world.client(leaver);
+            world.prove(leaver, client);
+            world.receiver.answers = r -> r.body().contains("hang") ? null : ok(503, "", "Retry-After: 3");
+            assertEquals("+OK", client.submit("keyed", "hang", "1111111111111111"));
+            await(() -> delivered("hang").size() == 1);
+            assertEquals("+OK", client.submit("keyed", "k0", KEY));
+            leave(leaver, ShutdownMode.FINAL, 9_000);
+            await(() -> lines.stream().anyMatch(line -> line.contains("\"OFFER\"")));
+            int offer = recordsWith(lines, "\"OFFER\"");
+            await(() -> lines.subList(offer, lines.size()).stream().anyMatch(HandoffTest::isHold));
+            List<String> repeated = lines.subList(offer, lines.size()).stream()
+                    .filter(HandoffTest::isHold)
+                    .toList();
+            assertTrue(repeated.get(0).contains("1111111111111111"), repeated.toString());
+            assertFalse(repeated.toString().contains(KEY), repeated.toString());
+        }
+    }
+
+    private static boolean isHold(String line) {
+        return line.contains("\"HOLD\"");
+    }
+
     /** A peer that says nothing may be where the client goes next: the client is told to wait until all is over. */
     @Test
     void whoeverMightFindItsKeyUnheldIsToldToStayAway() throws Exception {
