Have the throttle of CpuStarvationTest give a tenth of a core rather than of the time

What was seen: KNOWN-RED has the test failing beside other work, ends at 3,013 to 3,347 ms behind messages of 2,500 (3,000 allowed).

Cause of the difference: the throttle let the process run for 10 ms of each 100, whether it got a core in them or not.

Change: a cycle goes on until the process has run for a tenth of it or has nothing to run, and what it ran beyond that is taken off the next cycle; the failure message has what it got.

Not mended: the test stays on the list. Bound and checks are as they were.

--- a/sender/src/test/java/amberroute/sender/CpuStarvationTest.java
+++ b/sender/src/test/java/amberroute/sender/CpuStarvationTest.java
@@ -20,8 +20,6 @@
 /** A real process that is stopped most of the time, in short steps, as one that gets a tenth of its core. */
 class CpuStarvationTest {
     private static final String NO_KEY = "0000000000000000";
-    private static final long STOPPED_MS = 90;
-    private static final long RUNNING_MS = 10;
     private static final int MESSAGES = 60;
     private static final long TIME_MS = 2_500;
     /** A final answer may be so late, and the platform here needs a moment to note it. */
@@ -62,7 +60,7 @@
         }
         world.receiver.answers = r -> null;
         Map<String, Long> taken = new ConcurrentHashMap<>();
-        Throttle throttle = new Throttle();
+        CpuThrottle throttle = new CpuThrottle(process.pid());
         List<SenderFixture.Client> clients = new ArrayList<>();
         try {
             for (int i = 0; i < MESSAGES; i++) {
@@ -76,7 +74,7 @@
             }
             await(() -> noticedAt.keySet().containsAll(taken.keySet()));
         } finally {
-            throttle.end();
+            throttle.close();
             for (SenderFixture.Client client : clients) {
                 client.close();
             }
@@ -86,9 +84,9 @@
                 .max()
                 .orElse(0);
         System.out.println("with a tenth of a core " + taken.size() + " of " + MESSAGES + " messages of " + TIME_MS
-                + " ms were taken on, the latest end came after " + worst + " ms");
+                + " ms were taken on, the latest end came after " + worst + " ms; " + throttle);
         assertTrue(taken.size() > 0);
-        assertTrue(worst <= TIME_MS + SLACK_MS, "the latest end came after " + worst + " ms");
+        assertTrue(worst <= TIME_MS + SLACK_MS, "the latest end came after " + worst + " ms; " + throttle);
         assertEquals(
                 List.of(),
                 taken.keySet().stream().filter(id -> !noticedAt.containsKey(id)).toList());
@@ -103,42 +101,4 @@
             return false;
         }
     }
-
-    /** Stops and continues the process until it is ended. */
-    private final class Throttle {
-        private volatile boolean ended;
-        private final Thread thread = new Thread(this::run, "throttle");
-
-        Throttle() {
-            thread.start();
-        }
-
-        private void run() {
-            // One shell for all signals: a process for each would take longer than a step.
-            String steps = "while read step; do kill -$step " + process.pid() + "; done";
-            try {
-                Process shell = new ProcessBuilder("/bin/sh", "-c", steps).start();
-                try (java.io.Writer signals = shell.outputWriter()) {
-                    while (!ended) {
-                        signals.write("STOP\n");
-                        signals.flush();
-                        Thread.sleep(STOPPED_MS);
-                        signals.write("CONT\n");
-                        signals.flush();
-                        Thread.sleep(RUNNING_MS);
-                    }
-                }
-                shell.waitFor();
-            } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-
-        void end() throws InterruptedException {
-            ended = true;
-            thread.join();
-        }
-    }
 }
