Add a soak: real senders, signals in series, clients that stay until the kill

Need: no run put real processes under series of signals with clients that use their open connections until the kill.

DeliveryHistory checks what clients, receivers and the platform saw, and now also requests that were read and closed on unanswered. Not in it yet: upgrades with a passed socket, handoffs, told waits, what a restart finds untried.

PlatformServer closed its watches while it iterated over them; mended.

--- a/cli/src/main/java/amberroute/cli/ExperimentCommand.java
+++ b/cli/src/main/java/amberroute/cli/ExperimentCommand.java
@@ -19,7 +19,8 @@
             JournalCrashExperiment.class,
             FailoverExperiment.class,
             OverloadExperiment.class,
-            LargeFleetExperiment.class
+            LargeFleetExperiment.class,
+            SoakExperiment.class
         },
         description = "Long runs outside the tests; the last line is one JSON object with ok, the seed and the counts.")
 final class ExperimentCommand {
--- a/testkit/src/main/java/amberroute/testkit/DeliveryHistory.java
+++ b/testkit/src/main/java/amberroute/testkit/DeliveryHistory.java
@@ -34,13 +34,20 @@
         TAKEN,
         REFUSED,
         ERROR,
-        SILENT
+        /** The client gave up waiting. */
+        SILENT,
+        /** The sender's side ended the connection behind the request and before its answer. */
+        CLOSED
     }
 
     /** A notice may come so much behind the deadline: 300 ms, and 50 as each limit is longer on sockets. */
     public static final long NOTIFICATION_GRACE_MICROS = 350_000;
 
     private static final int MAX_VIOLATIONS = 50;
+    /** A sender that may be stopped for 150 ms reads within this time. */
+    private static final long MAX_UNREAD_MICROS = 200_000;
+    /** By then all clients have seen the end of a killed process' connections, also on a busy machine. */
+    private static final long KILL_SEEN_MICROS = 1_000_000;
 
     /** One hand-in; a message that is handed in again is another entry with the same origin. */
     public static final class Entry {
@@ -97,6 +104,16 @@
             return submittedAtMicros;
         }
 
+        /** When it was answered, or its connection ended. */
+        public long answeredAtMicros() {
+            return answeredAtMicros;
+        }
+
+        /** How long it waited for its answer, or for the end of its connection. */
+        public long unansweredMicros() {
+            return answeredAtMicros - submittedAtMicros;
+        }
+
         /** When its end was told; of a message without one 0. */
         public long completedAtMicros() {
             return completedAtMicros;
@@ -140,6 +157,8 @@
     /** Spans in which each sender was down or had just come back: notices are not overdue then. */
     private final Map<Integer, List<long[]>> outages = new HashMap<>();
 
+    private final Map<Integer, List<Long>> kills = new HashMap<>();
+
     private final List<String> violations = new ArrayList<>();
     private long duplicateExecutions;
     private long outOfOrder;
@@ -191,7 +210,7 @@
             return;
         }
         entry.executions++;
-        if (entry.answer == Answer.SILENT) {
+        if (entry.answer == Answer.SILENT || entry.answer == Answer.CLOSED) {
             unreportedExecutions++;
         } else if (entry.answer == Answer.REFUSED || entry.answer == Answer.ERROR) {
             unknownMessages++;
@@ -259,6 +278,33 @@
         outages.computeIfAbsent(sender, s -> new ArrayList<>()).add(new long[] {from, to + 1_500_000});
     }
 
+    /** A sender was killed at this moment with nothing before to warn it: connections that end within a second behind it are excused. */
+    public void senderKilled(int sender, long at) {
+        kills.computeIfAbsent(sender, s -> new ArrayList<>()).add(at);
+    }
+
+    /**
+     * The requests that a sender read and whose connection ended before their answer without a kill of their sender, at most 50. One that
+     * crosses the end of its connection is not read: its client sends it once more.
+     */
+    public List<String> closedUnanswered() {
+        return entries.values().stream()
+                .filter(e -> e.answer == Answer.CLOSED && !killed(e) && !crossedClose(e))
+                .limit(MAX_VIOLATIONS)
+                .map(e -> e.id + " (" + e.className + " at sender " + e.sender + ") was closed on unanswered "
+                        + e.unansweredMicros() + " us behind its last byte, at " + e.answeredAtMicros)
+                .toList();
+    }
+
+    private static boolean crossedClose(Entry entry) {
+        return entry.unansweredMicros() < MAX_UNREAD_MICROS && entry.executions == 0 && entry.end == End.NONE;
+    }
+
+    private boolean killed(Entry entry) {
+        return kills.getOrDefault(entry.sender, List.of()).stream()
+                .anyMatch(at -> entry.answeredAtMicros >= at && entry.answeredAtMicros < at + KILL_SEEN_MICROS);
+    }
+
     /** When a message's end is overdue at the latest. */
     private long notificationDueMicros(Entry entry) {
         long due = entry.deadlineMicros + NOTIFICATION_GRACE_MICROS;
@@ -312,7 +358,7 @@
                 case TAKEN -> n[0]++;
                 case REFUSED -> n[1]++;
                 case ERROR -> n[2]++;
-                case SILENT -> n[3]++;
+                case SILENT, CLOSED -> n[3]++;
                 default -> {}
             }
             if (e.answer != Answer.TAKEN) {
--- a/testkit/src/main/java/amberroute/testkit/LoadClients.java
+++ b/testkit/src/main/java/amberroute/testkit/LoadClients.java
@@ -18,10 +18,12 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -45,6 +47,7 @@
 
     private static final long ANSWER_TIMEOUT_MILLIS = 400;
     private static final long BACKOFF_MILLIS = 150;
+    private static final long RETRY_CONNECT_MILLIS = 20;
     private static final int BODY_BYTES = 120;
     private static final int MAX_IDLE_CONNECTIONS = 64;
     private static final long AWAY_MICROS = 200_000;
@@ -64,6 +67,11 @@
     /** Messages of each key that wait for the one before to be answered. */
     private final Map<Long, Deque<Message>> waitingByKey = new HashMap<>();
 
+    private final Map<Integer, Runnable> onNextAccepted = new HashMap<>();
+    private final Set<Integer> closedToNewConnections = new HashSet<>();
+    private int maxInFlight = 1;
+    private int maxConnections = Integer.MAX_VALUE;
+    private final int[] connections;
     private Load load;
     private Future<?> timer;
     private long nextId;
@@ -107,6 +115,7 @@
         this.destinations = destinations;
         random = new Random(seed);
         awayUntil = new long[senders.size()];
+        connections = new int[senders.size()];
         senders.forEach(s -> idle.add(new ArrayDeque<>()));
     }
 
@@ -118,6 +127,27 @@
         }
     }
 
+    /** So many requests may be in flight on one connection, and so many connections be open to one sender. */
+    public void pipeline(int requests, int connections) {
+        maxInFlight = requests;
+        maxConnections = connections;
+    }
+
+    /** No connection to this sender is opened any more; open ones are used for as long as they last. */
+    public void stopConnecting(int sender) {
+        closedToNewConnections.add(sender);
+    }
+
+    /** Connections to this sender are opened again. */
+    public void allowConnecting(int sender) {
+        closedToNewConnections.remove(sender);
+    }
+
+    /** Does something right behind the next answer with which this sender accepts a message, once. */
+    public void onNextAccepted(int sender, Runnable action) {
+        onNextAccepted.put(sender, action);
+    }
+
     /** Asks for nothing more; what was asked goes on. */
     public void pause() {
         load = null;
@@ -204,6 +234,11 @@
             link.send(m);
         } else if (link != null) {
             attempt(m);
+        } else if (closedToNewConnections.contains(sender)) {
+            awayUntil[sender] = now + AWAY_MICROS;
+            retryLater(m, RETRY_CONNECT_MILLIS);
+        } else if (connections[sender] >= maxConnections) {
+            retryLater(m, RETRY_CONNECT_MILLIS);
         } else {
             connect(m, sender);
         }
@@ -238,6 +273,7 @@
 
     private void connect(Message m, int sender) {
         ClientConnection link = new ClientConnection(sender);
+        connections[sender]++;
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -247,6 +283,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         link.channel = channel;
+                        channel.closeFuture().addListener(closed -> connections[sender]--);
                         channel.pipeline().addLast(new LineBasedFrameDecoder(1_024), link);
                     }
                 })
@@ -257,7 +294,7 @@
                     } else {
                         // Nothing was written: whoever it was for has not seen it.
                         awayUntil[sender] = TestEnvironment.micros() + AWAY_MICROS;
-                        retryLater(m, 20);
+                        retryLater(m, RETRY_CONNECT_MILLIS);
                     }
                 });
     }
@@ -280,26 +317,27 @@
         }
     }
 
-    /** One connection to a sender, with one request at a time. */
+    /** One try of a message on a connection. */
+    private record Request(Message message, DeliveryHistory.Entry entry, Future<?> timeout) {}
+
+    /** One connection to a sender, with at most {@link #maxInFlight} requests at a time. */
     private final class ClientConnection extends SimpleChannelInboundHandler<ByteBuf> {
         private final int sender;
+        private final Deque<Request> inFlight = new ArrayDeque<>();
         private Channel channel;
-        private Message message;
-        private DeliveryHistory.Entry entry;
-        private Future<?> timeout;
+        private boolean gaveUp;
 
         ClientConnection(int sender) {
             this.sender = sender;
         }
 
         void send(Message m) {
-            long now = TestEnvironment.micros();
-            message = m;
             m.tries++;
+            long now = TestEnvironment.micros();
             // Told a little less than is left, as the time on the way is the client's.
             long left = (m.deadline - now) / 1_000;
             String id = m.origin + "." + m.tries;
-            entry = history.submitted(
+            DeliveryHistory.Entry entry = history.submitted(
                     id,
                     m.origin,
                     m.kind.name(),
@@ -310,7 +348,20 @@
                     sender,
                     now + left * 1_000,
                     m.aim);
-            StringBuilder options = new StringBuilder("c=" + m.kind.name() + ",d=" + left + ",dest=" + m.destination);
+            Future<?> timeout = loop.schedule(this::giveUp, ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            inFlight.addLast(new Request(m, entry, timeout));
+            channel.writeAndFlush(encode(m, id, left));
+            if (!channel.isActive()) {
+                // It ended between its choice and this write, perhaps with its last event behind it.
+                channelInactive(null);
+            } else if (inFlight.size() < maxInFlight) {
+                idle.get(sender).addLast(this);
+            }
+        }
+
+        private ByteBuf encode(Message m, String id, long leftMillis) {
+            StringBuilder options =
+                    new StringBuilder("c=" + m.kind.name() + ",d=" + leftMillis + ",dest=" + m.destination);
             if (!m.idempotencyKey.isEmpty()) {
                 options.append(",k=").append(m.idempotencyKey);
             }
@@ -319,61 +370,77 @@
             }
             String body = String.format(Locale.ROOT, "%-" + BODY_BYTES + "s", "message " + id);
             String key = String.format(Locale.ROOT, "%016x", m.key);
-            timeout = loop.schedule(() -> channel.close(), ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            channel.writeAndFlush(Unpooled.wrappedBuffer(RespRequest.of("SUBMIT", key, id, options.toString(), body)));
-            if (!channel.isActive()) {
-                // It ended between its choice and this write, perhaps with its last event behind it.
-                channelInactive(null);
-            }
+            return Unpooled.wrappedBuffer(RespRequest.of("SUBMIT", key, id, options.toString(), body));
+        }
+
+        private void giveUp() {
+            gaveUp = true;
+            channel.close();
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
-            if (message == null) {
+            Request request = inFlight.pollFirst();
+            if (request == null) {
                 context.close();
                 return;
             }
-            timeout.cancel(false);
-            Message m = message;
-            DeliveryHistory.Entry handed = entry;
-            message = null;
-            String answer = line.toString(StandardCharsets.ISO_8859_1);
-            if (idle.get(sender).size() < MAX_IDLE_CONNECTIONS) {
-                idle.get(sender).addLast(this);
-            } else {
-                context.close();
+            request.timeout().cancel(false);
+            Deque<ClientConnection> usable = idle.get(sender);
+            if (!usable.contains(this)) {
+                if (usable.size() < MAX_IDLE_CONNECTIONS) {
+                    usable.addLast(this);
+                } else if (inFlight.isEmpty()) {
+                    context.close();
+                }
             }
+            answered(request, line.toString(StandardCharsets.ISO_8859_1));
+        }
+
+        private void answered(Request request, String answer) {
+            Message m = request.message();
             if (answer.startsWith("+")) {
-                history.answered(handed, DeliveryHistory.Answer.TAKEN);
+                history.answered(request.entry(), DeliveryHistory.Answer.TAKEN);
+                Runnable action = onNextAccepted.remove(sender);
+                if (action != null) {
+                    action.run();
+                }
                 finish(m);
             } else if (answer.startsWith("-BUSY")) {
-                history.answered(handed, DeliveryHistory.Answer.REFUSED);
-                String[] words = answer.split(" ");
-                long told = words.length > 1 ? Long.parseLong(words[1]) : 0;
-                if (m.key == 0 && told > 1_000) {
-                    // This one is away for long; any other will do.
-                    awayUntil[sender] = TestEnvironment.micros() + Math.min(told, 2_000) * 1_000;
-                    retryLater(m, BACKOFF_MILLIS);
-                } else {
-                    retryLater(m, told > 0 ? told : BACKOFF_MILLIS);
-                }
+                history.answered(request.entry(), DeliveryHistory.Answer.REFUSED);
+                refused(m, answer);
             } else {
-                history.answered(handed, DeliveryHistory.Answer.ERROR);
+                history.answered(request.entry(), DeliveryHistory.Answer.ERROR);
                 finish(m);
             }
         }
 
+        private void refused(Message m, String answer) {
+            String[] words = answer.split(" ");
+            long told = words.length > 1 ? Long.parseLong(words[1]) : 0;
+            if (m.key == 0 && told > 1_000) {
+                // This one is away for long; any other will do.
+                awayUntil[sender] = TestEnvironment.micros() + Math.min(told, 2_000) * 1_000;
+                retryLater(m, BACKOFF_MILLIS);
+            } else {
+                retryLater(m, told > 0 ? told : BACKOFF_MILLIS);
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             idle.get(sender).remove(this);
-            Message m = message;
-            message = null;
-            if (m == null) {
-                return;
+            while (!inFlight.isEmpty()) {
+                Request request = inFlight.pollFirst();
+                request.timeout().cancel(false);
+                history.answered(
+                        request.entry(), gaveUp ? DeliveryHistory.Answer.SILENT : DeliveryHistory.Answer.CLOSED);
+                unanswered(request.message());
             }
-            timeout.cancel(false);
-            history.answered(entry, DeliveryHistory.Answer.SILENT);
-            // It may have been taken on: only what may be repeated is handed in anew.
+        }
+
+        /** It may have been taken on: only what may be repeated is handed in anew. */
+        private void unanswered(Message m) {
             if (m.kind.effect() == DeliveryHistory.Effect.UNSAFE || m.kind.ordered()) {
                 finish(m);
             } else {
--- a/testkit/src/main/java/amberroute/testkit/PlatformServer.java
+++ b/testkit/src/main/java/amberroute/testkit/PlatformServer.java
@@ -114,7 +114,7 @@
     public void silent(boolean now) {
         silent = now;
         if (!now) {
-            watches.forEach(watch -> watch.close());
+            List.copyOf(watches).forEach(ChannelHandlerContext::close);
         }
     }
 
--- a/testkit/src/test/java/amberroute/testkit/DeliveryHistoryTest.java
+++ b/testkit/src/test/java/amberroute/testkit/DeliveryHistoryTest.java
@@ -130,4 +130,36 @@
         book.notified(2, "a", true);
         assertEquals(1, totals().unknownMessages());
     }
+
+    private DeliveryHistory.Entry closed(String id) {
+        DeliveryHistory.Entry entry = book.submitted(id, id, "c", Effect.SAFE, 0, false, 1, 0, 1_000_000, 500_000);
+        book.answered(entry, Answer.CLOSED);
+        return entry;
+    }
+
+    /** Planted: a sender that takes a request on and ends its connection without the answer. */
+    @Test
+    void findsARequestThatWasReadAndClosedOnUnanswered() {
+        closed("crossed");
+        assertEquals(0, book.closedUnanswered().size(), "its client sends it once more");
+        closed("read");
+        book.executed(1, "read", 1);
+        assertEquals(1, book.closedUnanswered().size());
+        closed("ended");
+        book.notified(2, "ended", true);
+        assertEquals(2, book.closedUnanswered().size());
+    }
+
+    @Test
+    void excusesWhatAKillWithoutWarningClosed() {
+        book.senderKilled(0, TestEnvironment.micros());
+        closed("killed");
+        book.executed(1, "killed", 1);
+        assertEquals(0, book.closedUnanswered().size());
+        book.senderKilled(1, TestEnvironment.micros());
+        DeliveryHistory.Entry other = book.submitted("o", "o", "c", Effect.SAFE, 0, false, 1, 2, 1_000_000, 500_000);
+        book.answered(other, Answer.CLOSED);
+        book.executed(1, "o", 1);
+        assertEquals(1, book.closedUnanswered().size(), "another sender was killed");
+    }
 }
