--- a/cli/src/main/java/amberroute/cli/SoakRun.java
+++ b/cli/src/main/java/amberroute/cli/SoakRun.java
@@ -316,7 +316,7 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
         senders.forEach(SoakSender::kill);
         environment.close();
         if (rulesKept) {
