Bring the soak through Checkstyle, and wait for its processes before their folder goes

Change: Javadoc, a default clause, and SoakRun.close waits for the killed processes before it deletes their folder. Result: mvn -DskipTests verify passes.

--- a/cli/src/main/java/amberroute/cli/SoakExperiment.java
+++ b/cli/src/main/java/amberroute/cli/SoakExperiment.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
+/** Plays seeds of {@link SoakRun}, and says how each that broke a rule is played again. */
 @Command(
         name = "soak",
         mixinStandardHelpOptions = true,
--- a/cli/src/main/java/amberroute/cli/SoakRun.java
+++ b/cli/src/main/java/amberroute/cli/SoakRun.java
@@ -318,6 +318,7 @@
     @Override
     public void close() throws IOException {
         senders.forEach(SoakSender::kill);
+        senders.forEach(SoakSender::awaitEnd);
         environment.close();
         if (rulesKept) {
             LocalFleet.delete(folder);
--- a/cli/src/main/java/amberroute/cli/SoakSender.java
+++ b/cli/src/main/java/amberroute/cli/SoakSender.java
@@ -148,7 +148,10 @@
         }
     }
 
-    void awaitEnd() throws InterruptedException {
-        process.waitFor();
+    /** Waits until the process has ended. */
+    void awaitEnd() {
+        if (process != null) {
+            process.onExit().join();
+        }
     }
 }
--- a/cli/src/main/java/amberroute/cli/SoakSignals.java
+++ b/cli/src/main/java/amberroute/cli/SoakSignals.java
@@ -131,6 +131,7 @@
                 awaitAcceptance();
                 restartByKill(this::awaitReady);
             }
+            default -> throw new IllegalStateException("no such action: " + action);
         }
     }
 
