Set up daemons of handoff tests in one place

Need: KeyHoldRecoveryTest wrote the sender file of HandoffTest once more. Change: SenderFixture.handoffConfig writes it for both; no check differs.

--- a/sender/src/test/java/amberroute/sender/HandoffTest.java
+++ b/sender/src/test/java/amberroute/sender/HandoffTest.java
@@ -57,33 +57,8 @@
         world.close();
     }
 
-    /** Its classes allow for 600 s, as a call is silent only after a 16th of the longest: see {@link #hang}. */
-    private SenderConfig config(String name, String peers, int openMessages) throws IOException {
-        Files.writeString(folder.resolve("endpoints.json"), world.list(1, true, "Ready"));
-        Path file = folder.resolve(name + ".toml");
-        Files.writeString(
-                file,
-                """
-                name = "%1$s"
-                listen = "127.0.0.1:0"
-                state = "%1$s"
-                endpoints = "endpoints.json"
-                notices = "%2$s"
-                [handover]
-                listen = "127.0.0.1:0"
-                peers = [%3$s]
-                [limits]
-                slots = 4
-                open_messages = %4$d
-                descriptors = 256
-                """
-                                .formatted(name, world.discovery.address(), peers, openMessages)
-                        + SenderFixture.CLASSES.replace("deadline = \"20s\"", "deadline = \"600s\""));
-        return SenderConfig.read(Map.of("GW_CONFIG", file.toString()));
-    }
-
     private Sender start(String name, String peers) throws IOException {
-        Sender sender = Sender.start(config(name, peers, 50));
+        Sender sender = Sender.start(world.handoffConfig(name, peers, 50));
         senders.add(sender);
         return sender;
     }
@@ -196,7 +171,7 @@
 
     @Test
     void whenAllPeersRefuseTheLeaverEndsItself() throws Exception {
-        Sender heir = Sender.start(config("heir", "", 1));
+        Sender heir = Sender.start(world.handoffConfig("heir", "", 1));
         senders.add(heir);
         Sender leaver = start("leaver", peer("heir", heir));
         SenderFixture.Client client = world.client(leaver);
@@ -216,7 +191,7 @@
             port = probe.getLocalPort();
         }
         Sender two = start("two", "\"one=127.0.0.1:" + port + "\"");
-        config("one", peer("two", two), 50);
+        world.handoffConfig("one", peer("two", two), 50);
         Path file = folder.resolve("one.toml");
         Files.writeString(
                 file,
@@ -427,7 +402,7 @@
 
     /** Opens a file of endpoints of its own for one daemon. */
     private Sender startWith(String name, String peers, String from, String to) throws IOException {
-        config(name, peers, 50);
+        world.handoffConfig(name, peers, 50);
         Path file = folder.resolve(name + ".toml");
         String text = Files.readString(file);
         assertTrue(text.contains(from), from);
--- a/sender/src/test/java/amberroute/sender/KeyHoldRecoveryTest.java
+++ b/sender/src/test/java/amberroute/sender/KeyHoldRecoveryTest.java
@@ -3,14 +3,11 @@
 import static amberroute.sender.SenderFixture.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import amberroute.sender.config.SenderConfig;
 import amberroute.sender.journal.Journal;
 import amberroute.sender.message.AcceptedMessage;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -42,30 +39,6 @@
         world.close();
     }
 
-    private SenderConfig config() throws IOException {
-        Files.writeString(folder.resolve("endpoints.json"), world.list(1, true, "Ready"));
-        Path file = folder.resolve("heir.toml");
-        Files.writeString(
-                file,
-                """
-                name = "heir"
-                listen = "127.0.0.1:0"
-                state = "heir"
-                endpoints = "endpoints.json"
-                notices = "%s"
-                [handover]
-                listen = "127.0.0.1:0"
-                peers = []
-                [limits]
-                slots = 4
-                open_messages = 50
-                descriptors = 256
-                """
-                                .formatted(world.discovery.address())
-                        + SenderFixture.CLASSES.replace("deadline = \"20s\"", "deadline = \"600s\""));
-        return SenderConfig.read(Map.of("GW_CONFIG", file.toString()));
-    }
-
     private Journal journal() throws IOException {
         return Journal.open(folder.resolve("heir"), JOURNAL_BYTES);
     }
@@ -96,7 +69,7 @@
             hold(journal);
             accept(journal, "k2");
         }
-        sender = Sender.start(config());
+        sender = Sender.start(world.handoffConfig("heir", "", 50));
         await(() -> sender.pendingMessages() == 1);
         assertEquals(List.of("body of k0", "body of k1"), delivered());
     }
@@ -110,7 +83,7 @@
             journal.accept(new AcceptedMessage(
                     journal.nextNumber(), "other", "other", "safe", 0, 7, endMillis(), "body of other".getBytes()));
         }
-        sender = Sender.start(config());
+        sender = Sender.start(world.handoffConfig("heir", "", 50));
         await(() -> sender.pendingMessages() == 1);
         assertEquals(List.of("body of other"), delivered());
         sender.blockEventLoop(() -> sender.delivery().keyHolds.release(List.of(KEY)));
--- a/sender/src/test/java/amberroute/sender/SenderFixture.java
+++ b/sender/src/test/java/amberroute/sender/SenderFixture.java
@@ -345,6 +345,34 @@
                 folder.resolve("state").toString());
     }
 
+    /**
+     * The file of a daemon that takes part in handoffs, with these peers. Its classes allow for 600 s, as a call is silent only after a
+     * 16th of the longest.
+     */
+    SenderConfig handoffConfig(String name, String peers, int openMessages) throws IOException {
+        Files.writeString(folder.resolve("endpoints.json"), list(1, true, "Ready"));
+        Path file = folder.resolve(name + ".toml");
+        Files.writeString(
+                file,
+                """
+                name = "%1$s"
+                listen = "127.0.0.1:0"
+                state = "%1$s"
+                endpoints = "endpoints.json"
+                notices = "%2$s"
+                [handover]
+                listen = "127.0.0.1:0"
+                peers = [%3$s]
+                [limits]
+                slots = 4
+                open_messages = %4$d
+                descriptors = 256
+                """
+                                .formatted(name, discovery.address(), peers, openMessages)
+                        + CLASSES.replace("deadline = \"20s\"", "deadline = \"600s\""));
+        return SenderConfig.read(Map.of("GW_CONFIG", file.toString()));
+    }
+
     Client client(Sender sender) throws IOException {
         Client client = new Client(sender.address().getPort());
         open.add(client);
