--- a/sender/src/main/java/amberroute/sender/eventloop/MillisecondSelectStrategy.java
+++ b/sender/src/main/java/amberroute/sender/eventloop/MillisecondSelectStrategy.java
@@ -9,8 +9,8 @@
 
 /**
  * Makes an event loop wait for its next timer in whole milliseconds, rounded up. Netty's selector sleeps for milliseconds at
- * least and goes round without sleeping while a timer is due in less than half of one: hundreds of times before each timer, and
- * without end where the clock that it reads does not move while it looks. Timers are up to a millisecond late by this.
+ * least and goes round without sleeping while a timer is due in less than half of one: hundreds of times before each timer, which
+ * costs CPU time. Timers are up to a millisecond late by this.
  */
 public final class MillisecondSelectStrategy implements IoHandler {
     private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
