--- a/fleet/src/main/java/amberroute/fleet/SupervisionPolicy.java
+++ b/fleet/src/main/java/amberroute/fleet/SupervisionPolicy.java
@@ -59,36 +59,9 @@
 
     private static final int MAX_BACKOFF_DOUBLINGS = 20;
 
-    private static final class Daemon {
-        final String name;
-        State state = State.DOWN;
-        /** Since when it has been in this state. */
-        long sinceMillis;
-
-        long startAtMillis;
-        int consecutiveCrashes;
-        final Deque<Long> crashTimesMillis = new ArrayDeque<>();
-        /** A stop that was asked for, so that its end is no death. */
-        boolean stopRequested;
-
-        boolean killed;
-        /** The stop that was asked for is one for good. */
-        boolean finalStop;
-
-        boolean inRollingRestart;
-        /** It was out and is wanted again: others may have been told that no client finds it. */
-        boolean returning;
-
-        long startCount;
-
-        Daemon(String name) {
-            this.name = name;
-        }
-    }
-
     private final Policy policy;
     private final DaemonController controller;
-    private final List<Daemon> daemons = new ArrayList<>();
+    private final List<SupervisedDaemon> daemons = new ArrayList<>();
     /** Those whose turn in the rolling restart is to come; null while none runs. */
     private Deque<Integer> rollingQueue;
 
@@ -110,14 +83,14 @@
         this.wanted = wanted;
         this.policy = policy;
         this.controller = hands;
-        names.forEach(name -> daemons.add(new Daemon(name)));
+        names.forEach(name -> daemons.add(new SupervisedDaemon(name)));
     }
 
     // ---- What is seen. ----
 
     /** A living process of this place was found at the supervisor's start: it is taken over as it is. */
     public void processFound(long now, int index) {
-        Daemon daemon = daemons.get(index);
+        SupervisedDaemon daemon = daemons.get(index);
         enterState(daemon, State.STARTING, now);
         controller.log(daemon.name + " is alive already and taken over");
     }
@@ -131,7 +104,7 @@
 
     /** The daemon says that it is ready. */
     public void readyObserved(long now, int index) {
-        Daemon daemon = daemons.get(index);
+        SupervisedDaemon daemon = daemons.get(index);
         if (daemon.state != State.STARTING) {
             return;
         }
@@ -146,7 +119,7 @@
 
     /** The daemon says that it drains though nobody here asked it to: somebody else did. */
     public void drainingObserved(long now, int index) {
-        Daemon daemon = daemons.get(index);
+        SupervisedDaemon daemon = daemons.get(index);
         if (daemon.state == State.READY || daemon.state == State.STARTING) {
             enterState(daemon, State.STOPPING, now);
             daemon.stopRequested = true;
@@ -161,7 +134,7 @@
      * @param how the way it ended, for people
      */
     public void processEnded(long now, int index, boolean clean, String how) {
-        Daemon daemon = daemons.get(index);
+        SupervisedDaemon daemon = daemons.get(index);
         if (daemon.state == State.DOWN || daemon.state == State.GIVEN_UP || daemon.state == State.OUT) {
             return;
         }
@@ -191,7 +164,7 @@
     }
 
     private void crashed(long now, int index, String how, boolean stable) {
-        Daemon daemon = daemons.get(index);
+        SupervisedDaemon daemon = daemons.get(index);
         if (stable) {
             daemon.consecutiveCrashes = 0;
         }
@@ -275,7 +248,7 @@
         controller.log("the fleet goes from " + wanted + " to " + to + " daemons");
         wanted = to;
         for (int i = 0; i < to; i++) {
-            Daemon daemon = daemons.get(i);
+            SupervisedDaemon daemon = daemons.get(i);
             if (daemon.state == State.OUT) {
                 daemon.crashTimesMillis.clear();
                 daemon.consecutiveCrashes = 0;
@@ -325,7 +298,7 @@
         stopMode = mode;
         controller.log("the fleet stops " + (mode == Mode.FINAL ? "for good" : "for now"));
         for (int i = 0; i < daemons.size(); i++) {
-            Daemon daemon = daemons.get(i);
+            SupervisedDaemon daemon = daemons.get(i);
             if (daemon.state == State.READY || daemon.state == State.STARTING || daemon.state == State.STOPPING) {
                 stopOne(now, i, mode);
             }
@@ -334,7 +307,7 @@
     }
 
     private void stopOne(long now, int index, Mode mode) {
-        Daemon daemon = daemons.get(index);
+        SupervisedDaemon daemon = daemons.get(index);
         daemon.stopRequested = true;
         daemon.finalStop = mode == Mode.FINAL;
         enterState(daemon, State.STOPPING, now);
@@ -356,7 +329,7 @@
 
     private void killOverdue(long now) {
         for (int i = 0; i < daemons.size(); i++) {
-            Daemon daemon = daemons.get(i);
+            SupervisedDaemon daemon = daemons.get(i);
             if (daemon.state == State.STOPPING
                     && !daemon.killed
                     && now - daemon.sinceMillis >= policy.stopTimeoutMillis() + policy.killDelayMillis()) {
@@ -380,7 +353,7 @@
                 .filter(daemon -> daemon.state == State.STARTING)
                 .count();
         for (int i = 0; !stopping && i < daemons.size() && starting < policy.maxStarting(); i++) {
-            Daemon daemon = daemons.get(i);
+            SupervisedDaemon daemon = daemons.get(i);
             // A daemon that is stopping was told which daemons are retired, so none returns before it has ended.
             boolean mayReturn = !daemon.returning || daemons.stream().noneMatch(other -> other.state == State.STOPPING);
             if (daemon.state == State.DOWN && now >= daemon.startAtMillis && mayReturn) {
@@ -402,7 +375,7 @@
                                 || daemon.state == State.STARTING
                                 || daemon.state == State.STOPPING));
         while (!rollingQueue.isEmpty() && down < policy.maxRestarting() && now >= nextRollingStopMillis) {
-            Daemon next = daemons.get(rollingQueue.peekFirst());
+            SupervisedDaemon next = daemons.get(rollingQueue.peekFirst());
             if (next.state == State.GIVEN_UP) {
                 // A restart that an operator asked for clears the crashes.
                 next.crashTimesMillis.clear();
@@ -435,7 +408,7 @@
         }
     }
 
-    private static void enterState(Daemon daemon, State state, long now) {
+    private static void enterState(SupervisedDaemon daemon, State state, long now) {
         daemon.state = state;
         daemon.sinceMillis = now;
     }
