--- /dev/null
+++ b/decisions/src/test/java/amberroute/decisions/FleetOutageGrid.java
@@ -0,0 +1,104 @@
+package amberroute.decisions;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+
+/**
+ * Runs fleets of several sizes through outages of all kinds in {@link FleetSimulation} and prints a line for each case. Run by hand;
+ * the arguments are the number of seeds, then sender counts.
+ */
+final class FleetOutageGrid {
+    static final double[] LIMITS_PER_SECOND = {2, 4, 8, 16, 60, 200};
+    private static final long OUTAGE_START_MICROS = 4_000_000;
+    private static final long OUTAGE_END_MICROS = 13_600_000;
+    private static final long RUN_MICROS = 32_000_000;
+    private static final double OFFERED_LOAD_RATIO = 0.7;
+    private static final double TRAFFIC_SKEW = 0.5;
+    private static final int MAX_PENDING = 100;
+    /** Enough for every sender, so that connections are reused and none is rejected. */
+    private static final int MAX_CONNECTIONS = 1_000_000;
+
+    /** Whether the settings announce load reports, and whether answers carry them. */
+    enum Reports {
+        NOT_CONFIGURED,
+        CONFIGURED_ONLY,
+        SENT
+    }
+
+    /** One case of the grid; {@code retryAfterMicros} is 0 where rejections carry none. */
+    record Case(OutageKind kind, long retryAfterMicros, Reports reports, int senders, double limitPerSecond) {
+        /** Runs the case with one seed. */
+        FleetSimulation run(long seed) {
+            FleetSimulation simulation = new FleetSimulation(
+                    senders,
+                    seed,
+                    MAX_PENDING,
+                    FleetSimulation.messageClass(2, DeliveryScheduler.Idempotency.NON_IDEMPOTENT),
+                    reports != Reports.NOT_CONFIGURED);
+            simulation.limitPerSecond = limitPerSecond;
+            simulation.capacityRatio = 1;
+            simulation.offeredLoadRatio = OFFERED_LOAD_RATIO;
+            simulation.trafficSkew = TRAFFIC_SKEW;
+            simulation.reportOverride = reports == Reports.SENT ? null : List::of;
+            simulation.maxConnections = MAX_CONNECTIONS;
+            simulation.outageKind = kind;
+            simulation.outageRetryAfterMicros = retryAfterMicros;
+            simulation.outageStartMicros = OUTAGE_START_MICROS;
+            simulation.outageEndMicros = OUTAGE_END_MICROS;
+            simulation.run(RUN_MICROS);
+            return simulation;
+        }
+    }
+
+    private FleetOutageGrid() {}
+
+    public static void main(String[] args) {
+        int seeds = Integer.parseInt(args[0]);
+        long[] retryAfterMicros = {0, 500_000, 2_000_000, 3_000_000, 8_000_000};
+        for (int i = 1; i < args.length; i++) {
+            int senders = Integer.parseInt(args[i]);
+            for (Reports reports : Reports.values()) {
+                for (OutageKind kind : OutageKind.values()) {
+                    for (long retryAfter : kind == OutageKind.SHUT ? retryAfterMicros : new long[1]) {
+                        print(kind, retryAfter, reports, senders, seeds);
+                    }
+                }
+            }
+        }
+    }
+
+    private static void print(OutageKind kind, long retryAfterMicros, Reports reports, int senders, int seeds) {
+        StringBuilder line = new StringBuilder(
+                String.format(Locale.ROOT, "%3d %-18s %3.1f %-15s", senders, kind, retryAfterMicros / 1e6, reports));
+        for (double limit : LIMITS_PER_SECOND) {
+            Case each = new Case(kind, retryAfterMicros, reports, senders, limit);
+            List<double[]> results = IntStream.range(0, seeds)
+                    .parallel()
+                    .mapToObj(seed -> measure(each.run(seed)))
+                    .toList();
+            line.append(String.format(
+                    Locale.ROOT,
+                    " | %g: %2.0f %2.0f %2.0f %.2f %.2f",
+                    limit,
+                    results.stream().mapToDouble(r -> r[0]).sum(),
+                    results.stream().mapToDouble(r -> r[1]).sum(),
+                    results.stream().mapToDouble(r -> r[2]).sum(),
+                    results.stream().mapToDouble(r -> r[3]).max().orElse(0),
+                    results.stream().mapToDouble(r -> r[4]).average().orElse(0)));
+        }
+        System.out.println(line);
+    }
+
+    private static double[] measure(FleetSimulation simulation) {
+        SlowStartBudget budget = simulation.slowStartBudget();
+        return new double[] {
+            budget.ruleBroken() ? 1 : 0,
+            budget.peakInformedShare() > 1 ? 1 : 0,
+            budget.exceeded() ? 1 : 0,
+            budget.peakInformedShare(),
+            simulation.answersPerSecond(OUTAGE_END_MICROS, OUTAGE_END_MICROS + 10_000_000)
+                    / (OFFERED_LOAD_RATIO * simulation.limitPerSecond)
+        };
+    }
+}
