Log every change of an upstream's state with reason and calls, and count attempts by state

UpstreamStates makes all changes of state in one place; the unused Actions.log gave way to the typed event. Decisions are unchanged: the comparison with the reference scheduler passes.

--- a/benchmarks/src/main/java/amberroute/decisions/reference/DecisionsBenchmark.java
+++ b/benchmarks/src/main/java/amberroute/decisions/reference/DecisionsBenchmark.java
@@ -75,9 +75,6 @@
 
         @Override
         public void subscribe() {}
-
-        @Override
-        public void log(String text) {}
     };
 
     @Setup(Level.Trial)
--- a/decisions/src/main/java/amberroute/decisions/AtcDeliveryScheduler.java
+++ b/decisions/src/main/java/amberroute/decisions/AtcDeliveryScheduler.java
@@ -23,6 +23,7 @@
 
     // State of the upstreams.
     private final EndpointRegistry registry;
+    private final UpstreamStates states = new UpstreamStates();
     private final HealthTransfer healthTransfer;
     private final CircuitBreaker breaker;
     private final ConnectionReusePolicy connections;
@@ -64,12 +65,12 @@
         keyOrdering = new KeyOrdering(this.settings, pending, awaitAcknowledgements);
         registry = new EndpointRegistry(this.settings, backoff, random, serviceTimes, pending);
         messages = new MessageLifecycle(this.settings, registry, keyOrdering, pending);
-        healthTransfer = new HealthTransfer(registry, serviceTimes, pending);
 
-        RecoveryRamp recoveryRamp = new RecoveryRamp(this.settings);
+        RecoveryRamp recoveryRamp = new RecoveryRamp(this.settings, states);
+        healthTransfer = new HealthTransfer(registry, serviceTimes, pending, recoveryRamp, states);
         RateLimiter rateLimiter = new RateLimiter(this.settings);
         UpstreamGate gate = new UpstreamGate(this.settings, recoveryRamp, rateLimiter);
-        breaker = new CircuitBreaker(this.settings, backoff, recoveryRamp, candidates);
+        breaker = new CircuitBreaker(this.settings, backoff, recoveryRamp, candidates, states);
         connections = new ConnectionReusePolicy(this.settings);
         calls = new CallsInFlight(this.settings, serviceTimes, pending, attemptTimeout, gate, connections, registry);
 
@@ -254,7 +255,7 @@
         silentCalls.cancelSilentCalls(now, actions);
         connections.announceIdleLimit(actions);
         selector.dispatch(now, timer, actions);
-        breaker.saveCheckpoints(now, actions);
+        states.report(now, actions);
         timer.schedule(now, actions);
     }
 
--- a/decisions/src/main/java/amberroute/decisions/AttemptOutcomeHandler.java
+++ b/decisions/src/main/java/amberroute/decisions/AttemptOutcomeHandler.java
@@ -3,6 +3,7 @@
 import amberroute.decisions.DeliveryScheduler.Actions;
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
 import amberroute.decisions.DeliveryScheduler.Event.AttemptCompleted;
+import amberroute.decisions.UpstreamStateChange.Reason;
 
 /**
  * Applies the outcome of an attempt to its message and to its upstream. Each message of a call has its own outcome. Every
@@ -97,6 +98,7 @@
             health.trial = null;
         }
         connections.recordOutcome(call, event);
+        health.callsInState.recordOutcome(outcome, call.silent);
         double success = outcome == AttemptOutcome.OK ? 1 : 0;
         message.destination.successProbability +=
                 UpstreamHealth.RECENT_CALL_WEIGHT_RATIO * (success - message.destination.successProbability);
@@ -148,7 +150,7 @@
         }
         boolean isOutage = retryAfterMicros > CircuitBreaker.MIN_OUTAGE_MICROS && health.breaker != BreakerState.OPEN;
         if (wasTrial || isOutage) {
-            breaker.open(now, health);
+            breaker.open(now, health, Reason.LONG_RETRY_AFTER);
         } else if (call.sentAt >= health.lastPaceCutAt
                 && !event.connectionLimitReached(settings.get().reportFields())) {
             rateLimiter.cutPace(now, health);
--- a/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
+++ b/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
@@ -1,9 +1,7 @@
 package amberroute.decisions;
 
-import amberroute.decisions.DeliveryScheduler.Actions;
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import amberroute.decisions.UpstreamStateChange.Reason;
 
 /**
  * Opens after failures, permits one half-open trial at a time, and begins a slow start with the first success. Times are
@@ -30,15 +28,19 @@
     private final Backoff backoff;
     private final RecoveryRamp recoveryRamp;
     private final DispatchCandidates candidates;
-    /** Upstreams whose breaker has changed since the last decision, in the order of the changes. */
-    private final Set<UpstreamHealth> changedUpstreams = new LinkedHashSet<>();
+    private final UpstreamStates states;
 
     CircuitBreaker(
-            CurrentSettings settings, Backoff backoff, RecoveryRamp recoveryRamp, DispatchCandidates candidates) {
+            CurrentSettings settings,
+            Backoff backoff,
+            RecoveryRamp recoveryRamp,
+            DispatchCandidates candidates,
+            UpstreamStates states) {
         this.settings = settings;
         this.backoff = backoff;
         this.recoveryRamp = recoveryRamp;
         this.candidates = candidates;
+        this.states = states;
     }
 
     /**
@@ -59,7 +61,7 @@
         }
         endpoint.consecutiveFailures++;
         if (wasTrial) {
-            open(now, endpoint.health);
+            open(now, endpoint.health, Reason.FAILURES);
         } else {
             openIfFailed(now, endpoint.health);
         }
@@ -73,19 +75,23 @@
         endpoint.lastSuccessAt = now;
         UpstreamHealth health = endpoint.health;
         boolean falseAlarm = now - health.lastSuccessAt < MIN_OUTAGE_MICROS;
-        health.lastSuccessAt = now;
         health.failedTrials = 0;
         if (health.breaker == BreakerState.OPEN) {
-            health.breaker = falseAlarm ? BreakerState.CLOSED : BreakerState.SLOW_START;
-            changedUpstreams.add(health);
+            states.change(
+                    now,
+                    health,
+                    falseAlarm ? BreakerState.CLOSED : BreakerState.SLOW_START,
+                    falseAlarm ? Reason.FALSE_ALARM : Reason.ANSWERED,
+                    recoveryRamp.callsPerSecond(0, health));
             RecoveryRamp.start(now, health);
         }
+        health.lastSuccessAt = now;
     }
 
     /** Opens the breaker if the upstream has failed and the breaker is not open yet. */
     void openIfFailed(long now, UpstreamHealth health) {
         if (health.breaker != BreakerState.OPEN && hasFailed(now, health)) {
-            open(now, health);
+            open(now, health, Reason.FAILURES);
         }
     }
 
@@ -104,7 +110,7 @@
     }
 
     /** Opens the breaker, or keeps it open after a failed trial, and schedules the next trial. */
-    void open(long now, UpstreamHealth health) {
+    void open(long now, UpstreamHealth health, Reason reason) {
         for (Endpoint endpoint : health.endpoints) {
             candidates.wake(endpoint.destination);
         }
@@ -113,11 +119,10 @@
         }
         if (health.breaker != BreakerState.OPEN) {
             health.openedAt = now;
-            changedUpstreams.add(health);
             health.trial = null;
             health.failedTrials = 0;
+            states.change(now, health, BreakerState.OPEN, reason, recoveryRamp.callsPerSecond(0, health));
         }
-        health.breaker = BreakerState.OPEN;
         health.failedTrials++;
         health.nextTrialAt = now + trialIntervalMicros(health);
     }
@@ -137,15 +142,4 @@
         interval = Math.min(interval, backoff.jitter((long) maxMicros));
         return Math.min(MAX_TRIAL_INTERVAL_MICROS * settings.get().senderCount(), interval);
     }
-
-    /**
-     * Saves checkpoints of upstreams whose breaker has changed. What has to survive the process changes only then, so writes are
-     * rare.
-     */
-    void saveCheckpoints(long now, Actions actions) {
-        for (UpstreamHealth health : changedUpstreams) {
-            actions.saveCheckpoint(HealthTransfer.checkpoint(now, health));
-        }
-        changedUpstreams.clear();
-    }
 }
--- a/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
+++ b/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
@@ -494,7 +494,7 @@
         /** Subscribes to changes of the endpoint list. */
         void subscribe();
 
-        /** Writes a line to the operators' log. */
-        void log(String text);
+        /** Reports a change of the state of an upstream to operators; callers may ignore it. */
+        default void upstreamStateChanged(UpstreamStateChange change) {}
     }
 }
--- a/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
+++ b/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
@@ -3,6 +3,7 @@
 import amberroute.decisions.DeliveryScheduler.HealthCheckpoint;
 import amberroute.decisions.DeliveryScheduler.UpstreamSnapshot;
 import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
+import amberroute.decisions.UpstreamStateChange.Reason;
 
 /**
  * Transfers the health of upstreams from one process to the next. A checkpoint survives any end of a process, including a crash;
@@ -15,21 +16,25 @@
     private final EndpointRegistry registry;
     private final ServiceTimes serviceTimes;
     private final PendingMessages pending;
+    private final RecoveryRamp recoveryRamp;
+    private final UpstreamStates states;
 
-    HealthTransfer(EndpointRegistry registry, ServiceTimes serviceTimes, PendingMessages pending) {
+    HealthTransfer(
+            EndpointRegistry registry,
+            ServiceTimes serviceTimes,
+            PendingMessages pending,
+            RecoveryRamp recoveryRamp,
+            UpstreamStates states) {
         this.registry = registry;
         this.serviceTimes = serviceTimes;
         this.pending = pending;
+        this.recoveryRamp = recoveryRamp;
+        this.states = states;
     }
 
     /** Returns the state that has to survive the process. */
     static HealthCheckpoint checkpoint(long now, UpstreamHealth health) {
-        UpstreamStatus status =
-                switch (health.breaker) {
-                    case OPEN -> UpstreamStatus.UNAVAILABLE;
-                    case SLOW_START -> UpstreamStatus.SLOW_START;
-                    case CLOSED -> UpstreamStatus.HEALTHY;
-                };
+        UpstreamStatus status = UpstreamStates.status(health.breaker);
         long statusSince = status == UpstreamStatus.UNAVAILABLE ? health.openedAt : health.slowStartBeganAt;
         return new HealthCheckpoint(
                 health.destinationId,
@@ -78,7 +83,8 @@
             destination.serviceMicros = checkpoint.usualLatencyMicros();
             destination.serviceMeasured = true;
         }
-        health.breaker = unavailable ? BreakerState.OPEN : BreakerState.SLOW_START;
+        BreakerState state = unavailable ? BreakerState.OPEN : BreakerState.SLOW_START;
+        states.change(now, health, state, Reason.RESTORED, recoveryRamp.callsPerSecond(0, health));
         health.openedAt = now - ageMicros;
         health.slowStartBeganAt = now - ageMicros;
         health.lastSlowStartCallAt = now;
--- a/decisions/src/main/java/amberroute/decisions/RecoveryRamp.java
+++ b/decisions/src/main/java/amberroute/decisions/RecoveryRamp.java
@@ -1,6 +1,7 @@
 package amberroute.decisions;
 
 import amberroute.decisions.DeliveryScheduler.Rules;
+import amberroute.decisions.UpstreamStateChange.Reason;
 
 /**
  * Slow start of an upstream that has recovered from an outage. Its capacity grows linearly from a share to the whole within the
@@ -20,9 +21,11 @@
     private static final double REPORTED_LIMIT_RATIO = 0.75;
 
     private final CurrentSettings settings;
+    private final UpstreamStates states;
 
-    RecoveryRamp(CurrentSettings settings) {
+    RecoveryRamp(CurrentSettings settings, UpstreamStates states) {
         this.settings = settings;
+        this.states = states;
     }
 
     /** Begins the slow start of an upstream that has answered after an outage. */
@@ -35,7 +38,7 @@
     void finishIfOver(long now, UpstreamHealth health) {
         if (health.breaker == BreakerState.SLOW_START
                 && now - health.slowStartBeganAt >= settings.rules().slowStartMicros()) {
-            health.breaker = BreakerState.CLOSED;
+            states.change(now, health, BreakerState.CLOSED, Reason.SLOW_START_OVER, callsPerSecond(0, health));
         }
     }
 
--- a/decisions/src/main/java/amberroute/decisions/UpstreamGate.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamGate.java
@@ -70,6 +70,7 @@
     /** Records a call that is being sent: it is the trial of an open breaker, and counts for the pace and the slow start. */
     void recordCallStarted(long now, UpstreamHealth health, UpstreamCall call) {
         health.sentRate.add(now, 1);
+        health.callsInState.recordStart();
         rateLimiter.recordCallStarted(now, health);
         if (health.breaker == BreakerState.OPEN) {
             health.trial = call;
--- a/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
@@ -53,6 +53,10 @@
     double failureRatio;
 
     BreakerState breaker = BreakerState.CLOSED;
+    /** When the breaker came into its state, 0 if it has always been in it. */
+    long stateSince;
+
+    final CallCounter callsInState = new CallCounter();
     long openedAt;
     int failedTrials;
     long nextTrialAt;
--- a/decisions/src/test/java/amberroute/decisions/AtcDeliverySchedulerTest.java
+++ b/decisions/src/test/java/amberroute/decisions/AtcDeliverySchedulerTest.java
@@ -789,9 +789,6 @@
 
             @Override
             public void subscribe() {}
-
-            @Override
-            public void log(String text) {}
         };
     }
 
--- a/decisions/src/test/java/amberroute/decisions/EmbeddingExampleTest.java
+++ b/decisions/src/test/java/amberroute/decisions/EmbeddingExampleTest.java
@@ -53,11 +53,6 @@
         public void subscribe() {
             done.add("subscribe");
         }
-
-        @Override
-        public void log(String text) {
-            done.add(text);
-        }
     }
 
     void sendOne(DeliveryScheduler.Settings settings) {
--- a/decisions/src/test/java/amberroute/decisions/FleetSimulation.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetSimulation.java
@@ -703,8 +703,5 @@
 
         @Override
         public void subscribe() {}
-
-        @Override
-        public void log(String text) {}
     }
 }
--- a/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
+++ b/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
@@ -43,6 +43,7 @@
     final List<Long> failed = new ArrayList<>();
     final List<Send> cancelled = new ArrayList<>();
     final List<Long> closedEndpoints = new ArrayList<>();
+    final List<UpstreamStateChange> stateChanges = new ArrayList<>();
     int subscriptions;
     long now = START;
 
@@ -314,7 +315,7 @@
     }
 
     @Override
-    public void log(String text) {
-        assertFalse(text.isEmpty(), "empty log line");
+    public void upstreamStateChanged(UpstreamStateChange change) {
+        stateChanges.add(change);
     }
 }
--- /dev/null
+++ b/decisions/src/test/java/amberroute/decisions/UpstreamStateChangeTest.java
@@ -0,0 +1,83 @@
+package amberroute.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
+import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
+import amberroute.decisions.UpstreamStateChange.Reason;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests what operators are told of the state of an upstream. */
+class UpstreamStateChangeTest {
+    private static final int DESTINATION = 1;
+    private static final long SLOW_START_MICROS = 10_000_000;
+
+    private long nextId = 1;
+
+    private SchedulerScript served() {
+        SchedulerScript script =
+                new SchedulerScript(SchedulerScript.settings(8, false, 1)).listEndpoints(DESTINATION, 1);
+        for (int i = 0; i < 10; i++) {
+            long id = submit(script);
+            script.advance(200_000).complete(id, AttemptOutcome.OK).decide();
+        }
+        return script;
+    }
+
+    private long submit(SchedulerScript script) {
+        script.submit(nextId, SchedulerScript.IDEMPOTENT, DESTINATION).decide();
+        return nextId++;
+    }
+
+    /** Fails or answers whatever is in flight until the state has changed. */
+    private static void completeUntilChanged(SchedulerScript script, AttemptOutcome outcome) {
+        int known = script.stateChanges.size();
+        for (int i = 0; i < 2_000 && script.stateChanges.size() == known; i++) {
+            completeAll(script, outcome);
+            script.advance(5_000);
+        }
+        assertEquals(known + 1, script.stateChanges.size(), script.stateChanges.toString());
+    }
+
+    private static void completeAll(SchedulerScript script, AttemptOutcome outcome) {
+        for (SchedulerScript.Send send : List.copyOf(script.sends)) {
+            if (script.isInFlight(send.id())) {
+                script.complete(send.id(), outcome);
+            }
+        }
+        script.decide();
+    }
+
+    @Test
+    void outageAndSlowStartAreReportedWithReasonAndCalls() {
+        SchedulerScript script = served();
+        submit(script);
+        completeUntilChanged(script, AttemptOutcome.ERROR);
+        UpstreamStateChange outage = script.stateChanges.get(0);
+        assertEquals(UpstreamStatus.HEALTHY, outage.from());
+        assertEquals(UpstreamStatus.UNAVAILABLE, outage.to());
+        assertEquals(Reason.FAILURES, outage.reason());
+        assertEquals(new UpstreamStateChange.Calls(12, 10, 0, 2), outage.previousCalls());
+        assertTrue(outage.servedPerSecond() > 0, outage.toString());
+
+        script.advance(3_000_000);
+        completeUntilChanged(script, AttemptOutcome.OK);
+        UpstreamStateChange recovery = script.stateChanges.get(1);
+        assertEquals(UpstreamStatus.SLOW_START, recovery.to());
+        assertEquals(Reason.ANSWERED, recovery.reason());
+        UpstreamStateChange.Calls trials = recovery.previousCalls();
+        assertEquals(1, trials.answered(), trials.toString());
+        assertEquals(trials.sent(), trials.answered() + trials.failed(), trials.toString());
+        assertTrue(recovery.sinceSuccessMicros() >= 3_000_000, recovery.toString());
+
+        script.advance(SLOW_START_MICROS);
+        submit(script);
+        completeAll(script, AttemptOutcome.OK);
+        UpstreamStateChange end = script.stateChanges.get(2);
+        assertEquals(UpstreamStatus.HEALTHY, end.to());
+        assertEquals(Reason.SLOW_START_OVER, end.reason());
+        assertTrue(end.previousMicros() >= SLOW_START_MICROS, end.toString());
+    }
+}
--- a/decisions/src/test/java/amberroute/decisions/reference/DecisionTrace.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/DecisionTrace.java
@@ -330,10 +330,5 @@
         public void subscribe() {
             record("subscribe");
         }
-
-        @Override
-        public void log(String text) {
-            record("log", text);
-        }
     }
 }
--- a/decisions/src/test/java/amberroute/decisions/reference/RandomScenario.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/RandomScenario.java
@@ -79,11 +79,6 @@
         public void subscribe() {
             lines.add("follow");
         }
-
-        @Override
-        public void log(String text) {
-            lines.add("log " + text);
-        }
     }
 
     /** Parameters of a scenario. */
--- a/sender/src/main/java/amberroute/sender/OutcomeProcessor.java
+++ b/sender/src/main/java/amberroute/sender/OutcomeProcessor.java
@@ -63,6 +63,7 @@
     void process(UpstreamClient.Result result) {
         AcceptedMessage message = result.message();
         fleet.onAttemptCompleted(message.destination, result.outcome());
+        metrics.attemptCompleted(message.destination, result.endpoint(), result.outcome());
         if (result.messageCompleted()) {
             completeMessage(message, result.outcome());
         } else if (messages.accepted().containsKey(message.number)) {
--- a/sender/src/main/java/amberroute/sender/SchedulerActions.java
+++ b/sender/src/main/java/amberroute/sender/SchedulerActions.java
@@ -5,8 +5,8 @@
 import amberroute.sender.decision.SchedulerAction.Cancel;
 import amberroute.sender.decision.SchedulerAction.CloseIdle;
 import amberroute.sender.decision.SchedulerAction.Fail;
-import amberroute.sender.decision.SchedulerAction.Note;
 import amberroute.sender.decision.SchedulerAction.Reject;
+import amberroute.sender.decision.SchedulerAction.ReportUpstreamState;
 import amberroute.sender.decision.SchedulerAction.SaveCheckpoint;
 import amberroute.sender.decision.SchedulerAction.ScheduleTimer;
 import amberroute.sender.discovery.EndpointWatch;
@@ -14,7 +14,6 @@
 import amberroute.sender.lifecycle.StateFolder;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.upstream.UpstreamClient;
-import amberroute.sender.util.LogEvent;
 
 /** Carries out the scheduler's actions other than the acceptance of messages and the start of calls. Event loop only. */
 final class SchedulerActions {
@@ -29,6 +28,7 @@
     private final UpstreamClient upstream;
     private final FleetCoordination fleet;
     private final OwnershipTransfers transfers;
+    private final UpstreamReporter upstreamReporter;
 
     SchedulerActions(
             SenderState state,
@@ -41,6 +41,7 @@
         folder = state.folder();
         messages = state.messages();
         transfers = state.transfers();
+        upstreamReporter = new UpstreamReporter(state.metrics(), endpoints::uid);
         this.scheduler = scheduler;
         this.completion = completion;
         this.attemptDispatcher = attemptDispatcher;
@@ -68,8 +69,8 @@
             scheduler.setTimer(timer.token(), timer.delay());
         } else if (action instanceof SaveCheckpoint save) {
             saveCheckpoint(save.memory());
-        } else if (action instanceof Note note) {
-            LogEvent.of("scheduler_noted").with("text", note.text()).warn();
+        } else if (action instanceof ReportUpstreamState report) {
+            upstreamReporter.onStateChanged(report.change());
         }
     }
 
--- a/sender/src/main/java/amberroute/sender/admin/SenderMetrics.java
+++ b/sender/src/main/java/amberroute/sender/admin/SenderMetrics.java
@@ -1,5 +1,7 @@
 package amberroute.sender.admin;
 
+import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
+import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +30,13 @@
     public record Now(int active, int poolSize, int poolEjected) {}
 
     /** All figures of one moment. */
-    public record Snapshot(Map<String, List<Long>> ends, long tries, Now now, long applied, long rejected) {
+    public record Snapshot(
+            Map<String, List<Long>> ends,
+            long tries,
+            Now now,
+            long applied,
+            long rejected,
+            UpstreamMetrics.Snapshot upstreams) {
 
         /** In the text form that Prometheus reads. */
         public String text() {
@@ -50,6 +58,7 @@
             line(out, "pool_ejected", "gauge", now.poolEjected());
             line(out, "config_applied_total", "counter", applied);
             line(out, "config_rejected_total", "counter", rejected);
+            upstreams.appendTo(out);
             return out.toString();
         }
 
@@ -72,6 +81,7 @@
     }
 
     private final Map<String, long[]> ends = new LinkedHashMap<>();
+    private final UpstreamMetrics upstreams = new UpstreamMetrics();
     private long tries;
     private long applied;
     private long rejected;
@@ -95,6 +105,16 @@
         tries += messages;
     }
 
+    /** An attempt ended. */
+    public void attemptCompleted(int destination, long endpoint, AttemptOutcome outcome) {
+        upstreams.attemptCompleted(destination, endpoint, outcome);
+    }
+
+    /** The state of a destination has changed, or that of one endpoint if {@code endpoint} is not 0. */
+    public void upstreamStateChanged(int destination, long endpoint, UpstreamStatus status) {
+        upstreams.stateChanged(destination, endpoint, status);
+    }
+
     public void applied() {
         applied++;
     }
@@ -106,6 +126,6 @@
     public Snapshot snapshot(Now now) {
         Map<String, List<Long>> copy = new TreeMap<>();
         ends.forEach((name, counts) -> copy.put(name, List.of(counts[0], counts[1], counts[2])));
-        return new Snapshot(copy, tries, now, applied, rejected);
+        return new Snapshot(copy, tries, now, applied, rejected, upstreams.snapshot());
     }
 }
--- a/sender/src/main/java/amberroute/sender/decision/ActionRecorder.java
+++ b/sender/src/main/java/amberroute/sender/decision/ActionRecorder.java
@@ -1,6 +1,7 @@
 package amberroute.sender.decision;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStateChange;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -72,7 +73,7 @@
     public void subscribe() {}
 
     @Override
-    public void log(String text) {
-        actions.add(new SchedulerAction.Note(text));
+    public void upstreamStateChanged(UpstreamStateChange change) {
+        actions.add(new SchedulerAction.ReportUpstreamState(change));
     }
 }
--- a/sender/src/main/java/amberroute/sender/decision/DecisionTrace.java
+++ b/sender/src/main/java/amberroute/sender/decision/DecisionTrace.java
@@ -1,6 +1,7 @@
 package amberroute.sender.decision;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStateChange;
 import java.io.PrintStream;
 import java.util.List;
 
@@ -134,8 +135,8 @@
         }
 
         @Override
-        public void log(String text) {
-            to.log(text);
+        public void upstreamStateChanged(UpstreamStateChange change) {
+            to.upstreamStateChanged(change);
         }
     }
 }
--- a/sender/src/main/java/amberroute/sender/decision/SchedulerAction.java
+++ b/sender/src/main/java/amberroute/sender/decision/SchedulerAction.java
@@ -1,6 +1,7 @@
 package amberroute.sender.decision;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStateChange;
 
 /** What the decision module has decided in a turn, for the sender to carry out; spans in microseconds. */
 public sealed interface SchedulerAction {
@@ -25,6 +26,6 @@
     /** The module's one timer, by its token. */
     record ScheduleTimer(long delay, long token) implements SchedulerAction {}
 
-    /** A line for the log. */
-    record Note(String text) implements SchedulerAction {}
+    /** The state of an upstream has changed, which operators are told. */
+    record ReportUpstreamState(UpstreamStateChange change) implements SchedulerAction {}
 }
--- a/sender/src/test/java/amberroute/sender/AdminServerTest.java
+++ b/sender/src/test/java/amberroute/sender/AdminServerTest.java
@@ -115,6 +115,25 @@
         assertEquals(2, figure(sender, "svc_pool_size"));
     }
 
+    private static String attempts(String state, String result) {
+        return "svc_destination_attempts_total{destination=\"7\",state=\"" + state + "\",result=\"" + result + "\"}";
+    }
+
+    /** Operators have to see whether calls went to a destination that this sender took for unavailable. */
+    @Test
+    void countsAttemptsByTheStateOfTheirDestination() throws IOException {
+        sender = world.start();
+        SenderFixture.Client client = world.client(sender);
+        world.prove(sender, client);
+        world.receiver.answers = r -> ok(500, "");
+        client.submit("safe", SenderFixture.ID + "1", NO_KEY);
+        await(() -> figure(sender, attempts("unavailable", "failed")) >= 1);
+        assertTrue(figure(sender, attempts("healthy", "failed")) >= 1);
+        assertTrue(figure(sender, attempts("healthy", "delivered")) >= 1);
+        world.receiver.answers = r -> ok(200, "");
+        await(() -> figure(sender, attempts("unavailable", "delivered")) == 1);
+    }
+
     /** The sender's loop does nothing at all meanwhile. */
     @Test
     void answersWhileTheSenderIsBusy() throws Exception {
--- a/simulator/src/main/java/amberroute/simulator/Replies.java
+++ b/simulator/src/main/java/amberroute/simulator/Replies.java
@@ -79,11 +79,6 @@
         record(266).put((byte) 1);
     }
 
-    @Override
-    public void log(String text) {
-        withText(264, text);
-    }
-
     private void withText(int code, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         record(code).putInt(tail.size()).putInt(bytes.length);
