Reproduce the incident with 47 real senders before destinations that come back, as known red

bin/experiment recovery starts senders by the deploy file before four destinations behind fault proxies that go out for 9.6 s, each in another way, and come back with 15 % of their capacity. RecoveryJudge counts what each gets by the rule's budget and which senders had seen the outage.

--- a/cli/src/main/java/amberroute/cli/ExperimentCommand.java
+++ b/cli/src/main/java/amberroute/cli/ExperimentCommand.java
@@ -20,7 +20,8 @@
             FailoverExperiment.class,
             OverloadExperiment.class,
             LargeFleetExperiment.class,
-            SoakExperiment.class
+            SoakExperiment.class,
+            RecoveryExperiment.class
         },
         description = "Long runs outside the tests; the last line is one JSON object with ok, the seed and the counts.")
 final class ExperimentCommand {
--- /dev/null
+++ b/cli/src/main/java/amberroute/cli/RecoveryExperiment.java
@@ -0,0 +1,78 @@
+package amberroute.cli;
+
+import amberroute.testkit.StubUpstream;
+import com.google.gson.JsonObject;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Plays seeds of {@link RecoveryRun}. */
+@Command(
+        name = "recovery",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Senders as the deploy file runs them before four destinations that go out for some seconds, each in another way, and come",
+            "back cold. Exit code 0 where no destination got more than its budget from senders that had seen its outage and all",
+            "rules for messages were kept, 3 where not."
+        })
+final class RecoveryExperiment implements Callable<Integer> {
+    @Option(names = "--senders", defaultValue = "47", description = "how many (${DEFAULT-VALUE})")
+    private int senders;
+
+    @Option(names = "--seeds", defaultValue = "1", description = "how many (${DEFAULT-VALUE})")
+    private int seeds;
+
+    @Option(names = "--from", defaultValue = "1", description = "the first one (${DEFAULT-VALUE})")
+    private long from;
+
+    @Option(
+            names = "--per-second",
+            defaultValue = "60",
+            description = "messages a second for all destinations (${DEFAULT-VALUE})")
+    private double perSecond;
+
+    @Option(
+            names = "--outage-ms",
+            defaultValue = "9600",
+            description = "how long the destinations are out (${DEFAULT-VALUE})")
+    private long outageMillis;
+
+    @Option(
+            names = "--kills",
+            defaultValue = "0",
+            description = "senders killed in the outage and behind it (${DEFAULT-VALUE})")
+    private int kills;
+
+    @Option(
+            names = "--kinds",
+            split = ",",
+            defaultValue = "REFUSE,DEAD,HANG,ERRORS",
+            description = "of the outages, dealt out by the seed (${DEFAULT-VALUE})")
+    private List<StubUpstream.Mode> kinds;
+
+    @Override
+    public Integer call() throws Exception {
+        int broken = 0;
+        for (long seed = from; seed < from + seeds; seed++) {
+            broken += play(seed) ? 0 : 1;
+        }
+        JsonObject result = new JsonObject();
+        result.addProperty("seeds", seeds);
+        result.addProperty("from", from);
+        result.addProperty("senders", senders);
+        result.addProperty("broken", broken);
+        result.addProperty("ok", broken == 0);
+        System.out.println(result);
+        return broken == 0 ? 0 : Main.BAD;
+    }
+
+    private boolean play(long seed) throws Exception {
+        RecoveryRun.Plan plan = new RecoveryRun.Plan(seed, senders, perSecond, outageMillis, kills, kinds);
+        try (RecoveryRun run = new RecoveryRun(plan)) {
+            JsonObject result = run.run();
+            System.out.println(result);
+            return result.get("ok").getAsBoolean();
+        }
+    }
+}
--- a/cli/src/main/java/amberroute/cli/SoakConfiguration.java
+++ b/cli/src/main/java/amberroute/cli/SoakConfiguration.java
@@ -33,11 +33,11 @@
               "rules":{"answer_slack_us":20000,"ask_within_us":10000000,"start_capacity":0.15,
                "cold_us":10000000,"fall_multiple":2.5,"fall_us":1500000,"settle_after_doubt_us":100000},
               "lanes":[
-               {"name":"quote-status","effect":"pure","importance":2,"goal_time_us":1500000,"deadline_us":6000000},
+               {"name":"quote-status","effect":"pure","importance":2,"goal_time_us":1500000,"deadline_us":%d},
                {"name":"policy-order","effect":"token","dedup_scope":"all","importance":1,"goal_time_us":1500000,
-                "deadline_us":6000000,"key_ttl_us":60000000,"sequential":true},
+                "deadline_us":%d,"key_ttl_us":60000000,"sequential":true},
                {"name":"premium-charge","effect":"side_effect","importance":4,"goal_time_us":2000000,
-                "deadline_us":6000000}]}}
+                "deadline_us":%d}]}}
             """;
 
     private final Path file;
@@ -46,14 +46,23 @@
     private final int port;
     private final int opsPort;
     private final TestEnvironment environment;
+    private final long deadlineMicros;
 
-    SoakConfiguration(Path folder, int sender, int senders, int port, int opsPort, TestEnvironment environment) {
+    SoakConfiguration(
+            Path folder,
+            int sender,
+            int senders,
+            int port,
+            int opsPort,
+            TestEnvironment environment,
+            long deadlineMicros) {
         file = folder.resolve("n" + sender + ".json");
         this.sender = sender;
         this.senders = senders;
         this.port = port;
         this.opsPort = opsPort;
         this.environment = environment;
+        this.deadlineMicros = deadlineMicros;
     }
 
     Path file() {
@@ -74,7 +83,10 @@
                         DESCRIPTORS,
                         senders,
                         limits.calls(),
-                        limits.attempts()))
+                        limits.attempts(),
+                        deadlineMicros,
+                        deadlineMicros,
+                        deadlineMicros))
                 .getAsJsonObject();
         JsonElement known = JsonParser.parseString(environment.callOnLoop(environment.platform()::fullList));
         json.add("known", known);
--- a/cli/src/main/java/amberroute/cli/SoakRun.java
+++ b/cli/src/main/java/amberroute/cli/SoakRun.java
@@ -28,6 +28,7 @@
     private static final int CONNECTIONS_TO_A_SENDER = 24;
     private static final int KEYS = 30;
     private static final int CLIENT_ATTEMPTS = 8;
+    private static final long DEADLINE_MICROS = 6_000_000;
     /** A change of the endpoint list counts as told by then. */
     private static final long LIST_CHANGE_TOLD_MILLIS = 6_000;
     /** More than the descriptors of one sender. */
@@ -78,8 +79,8 @@
         int port = TestEnvironment.freePorts(2 * SENDERS, seed);
         addresses = TestEnvironment.addresses(port, SENDERS);
         for (int i = 0; i < SENDERS; i++) {
-            SoakConfiguration configuration =
-                    new SoakConfiguration(folder, i, SENDERS, port + i, port + SENDERS + i, environment);
+            SoakConfiguration configuration = new SoakConfiguration(
+                    folder, i, SENDERS, port + i, port + SENDERS + i, environment, DEADLINE_MICROS);
             configuration.write(SoakConfiguration.Limits.INITIAL);
             senders.add(new SoakSender(i, folder, configuration, timeline));
         }
--- /dev/null
+++ b/cli/src/test/java/amberroute/cli/RecoveryExperimentTest.java
@@ -0,0 +1,17 @@
+package amberroute.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** The short form of the experiment in which destinations come back from outages before a fleet of real senders. */
+class RecoveryExperimentTest {
+    /** Guards against a fleet that takes a shut destination for a busy one and pushes it over when it is back. */
+    @Test
+    void destinationsThatComeBackGetNoMoreThanTheirBudget() {
+        assertEquals(
+                0,
+                Main.execute(
+                        "rig", "recovery", "--senders", "47", "--seeds", "1", "--from", "10", "--kinds", "REFUSE"));
+    }
+}
--- a/decisions/src/test/java/amberroute/decisions/FleetOutageGrid.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetOutageGrid.java
@@ -1,5 +1,6 @@
 package amberroute.decisions;
 
+import amberroute.testkit.SlowStartBudget;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.IntStream;
--- a/decisions/src/test/java/amberroute/decisions/FleetOutageTest.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetOutageTest.java
@@ -4,6 +4,7 @@
 
 import amberroute.decisions.FleetOutageGrid.Case;
 import amberroute.decisions.FleetOutageGrid.Reports;
+import amberroute.testkit.SlowStartBudget;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
--- a/decisions/src/test/java/amberroute/decisions/FleetSimulation.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetSimulation.java
@@ -2,6 +2,7 @@
 
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
 import amberroute.decisions.DeliveryScheduler.Event;
+import amberroute.testkit.SlowStartBudget;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
--- a/testkit/src/main/java/amberroute/testkit/DeliveryHistory.java
+++ b/testkit/src/main/java/amberroute/testkit/DeliveryHistory.java
@@ -191,6 +191,12 @@
         return submitted(new Entry(id, origin, className, effect, key, ordered, destination, sender, deadline, aim));
     }
 
+    /** Returns the sender that got the message with this id, -1 if there is none. */
+    public int senderOf(String id) {
+        Entry entry = entries.get(id);
+        return entry == null ? -1 : entry.sender;
+    }
+
     /** The sender's answer, or that none came. */
     public void answered(Entry entry, Answer answer) {
         entry.answer = answer;
--- a/testkit/src/main/java/amberroute/testkit/StubUpstream.java
+++ b/testkit/src/main/java/amberroute/testkit/StubUpstream.java
@@ -18,14 +18,16 @@
         UP,
         HANG,
         REFUSE,
-        DEAD
+        DEAD,
+        /** Answers each call with an error. */
+        ERRORS
     }
 
     /**
      * {@code service} is the mean time of a call, spread exponentially by {@code spread} of it; {@code perSecond} limits
      * messages a second, 0 for none, counted in fixed windows where {@code window} is not 0; a cold endpoint starts with
      * {@code coldFrom} of its capacity and has all after {@code coldSpan}; more messages than {@code fallMultiple} of
-     * its present capacity within {@code fallSpan} bring it down for {@code fallFor}.
+     * its present capacity within {@code fallSpan} bring it down for {@code fallFor}; never where that is 0.
      */
     public record Parameters(
             int slots,
@@ -49,6 +51,25 @@
                     64, 256, 5_000, 0.5, 0.1, 0, 0, true, 0.15, 10_000_000, 2.5, 1_500_000, 2_000_000, 60_000_000);
         }
 
+        /** The same with a slow start from this share of the capacity over this span, and a destination that never falls. */
+        public Parameters recovering(double fromShare, long spanMicros) {
+            return new Parameters(
+                    slots,
+                    queue,
+                    serviceMicros,
+                    spread,
+                    itemCost,
+                    perSecond,
+                    windowMicros,
+                    sendsRetryAfter,
+                    fromShare,
+                    spanMicros,
+                    overloadMultiple,
+                    overloadWindowMicros,
+                    0,
+                    keyLifeMicros);
+        }
+
         /** The same with this many messages a second at most. */
         public Parameters limited(double most, long windowMicros) {
             return new Parameters(
@@ -101,7 +122,8 @@
             WAIT,
             REFUSE_LIMIT,
             REFUSE_FULL,
-            SILENT
+            SILENT,
+            ERROR
         }
     }
 
@@ -156,6 +178,9 @@
         if (mode == Mode.HANG) {
             return new Verdict(Verdict.Kind.SILENT, 0);
         }
+        if (mode == Mode.ERRORS) {
+            return new Verdict(Verdict.Kind.ERROR, 0);
+        }
         if (mode == Mode.REFUSE || now < overloadedUntil) {
             return new Verdict(Verdict.Kind.REFUSE_FULL, 0);
         }
@@ -268,7 +293,7 @@
                 * parameters.overloadWindowMicros()
                 / 1e6;
         highestSlowStartShare = Math.max(highestSlowStartShare, sum / Math.max(1, room));
-        if (sum > Math.max(room, parameters.slots())) {
+        if (parameters.overloadMicros() > 0 && sum > Math.max(room, parameters.slots())) {
             overloadCount++;
             overloadedUntil = now + parameters.overloadMicros();
             slowStartSince = overloadedUntil;
--- a/testkit/src/main/java/amberroute/testkit/StubUpstreamServer.java
+++ b/testkit/src/main/java/amberroute/testkit/StubUpstreamServer.java
@@ -36,6 +36,12 @@
 public final class StubUpstreamServer {
     private static final int MAX_CALL_BYTES = 8 << 20;
 
+    /** Hears of each call that has come whole, on the event loop. */
+    public interface CallListener {
+        /** {@code ids} are those of the messages in the call. */
+        void onCall(StubUpstreamServer server, List<String> ids);
+    }
+
     /** One message of a call. */
     private record Item(String id, String key) {}
 
@@ -47,6 +53,7 @@
     private final StubUpstream keyMemory;
     private final Deque<Call> queue = new ArrayDeque<>();
     private final Set<Channel> connections = new LinkedHashSet<>();
+    private CallListener callListener = (server, ids) -> {};
     private Channel server;
     private long calls;
 
@@ -127,6 +134,11 @@
         return upstream;
     }
 
+    /** Replaces the listener to calls. */
+    public void listenToCalls(CallListener listener) {
+        callListener = listener;
+    }
+
     /** Calls that have come whole. */
     public long calls() {
         return calls;
@@ -152,6 +164,7 @@
 
     private void arrive(Call call) {
         calls++;
+        callListener.onCall(this, call.items.stream().map(Item::id).toList());
         StubUpstream.Verdict verdict = upstream.arrive(TestEnvironment.micros(), call.items.size());
         switch (verdict.kind()) {
             case RUN -> run(call, verdict.time());
@@ -159,6 +172,7 @@
             case REFUSE_LIMIT -> answer(call, 429, verdict.time());
             case REFUSE_FULL -> answer(call, 503, 0);
             case SILENT -> {}
+            case ERROR -> answer(call, 500, 0);
         }
     }
 
