Take a destination that only rejects for an outage, and bring it back by a slow start

The breaker stayed closed, so the trials ran at the pace of a busy destination and no slow start followed. Beside it, a sender that had never had an answer sent a call to each endpoint at a time. Mend: a rejection opens the breaker if no call has succeeded for MIN_OUTAGE_MICROS, the span that the end of an outage is judged by already: a rate limit lets some calls through meanwhile. A process without any success needs two, as a fleet may start at once, and has one call in flight once it was rejected.

--- a/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
+++ b/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
@@ -12,6 +12,9 @@
  * degraded endpoint is avoided while its siblings answer. If there is no recent success, one failure is enough, as the second
  * one could come only after the outage. Cost of a false positive: calls wait for one trial. With many endpoints an outage is
  * detected later.
+ *
+ * <p>A rejection proves that the upstream runs, but an upstream that is shut rejects every call, whereas a rate limit lets some
+ * through. See {@link #isShut}. Cost of a false positive: calls to a busy upstream wait for one trial.
  */
 final class CircuitBreaker {
     /** Consecutive failures that open the breaker; a single failure may be coincidence. */
@@ -90,18 +93,31 @@
     }
 
     /**
-     * Opens the breaker after a rejected call if that was a trial or told a long wait. Returns false if the rejection leaves the
-     * breaker as it was.
+     * Opens the breaker after a rejected call if that was a trial, or if the upstream seems to be shut rather than busy. Returns
+     * false if the rejection leaves the breaker as it was.
      */
     boolean recordRejection(long now, UpstreamHealth health, AttemptCompleted event, boolean wasTrial) {
         boolean longWait = event.retryAfterMicros() > MIN_OUTAGE_MICROS;
-        boolean opens = wasTrial || health.breaker != BreakerState.OPEN && longWait;
+        boolean opens = wasTrial || health.breaker != BreakerState.OPEN && (longWait || isShut(now, health, event));
         if (opens) {
-            open(now, health, Reason.LONG_RETRY_AFTER);
+            open(now, health, longWait ? Reason.LONG_RETRY_AFTER : Reason.REJECTIONS);
         }
         return opens;
     }
 
+    /**
+     * Returns whether a rejection shows that an upstream is shut. It does not where the upstream has too many connections, as its
+     * calls may succeed. The first call of a process needs a second rejection, as all senders may have started at once.
+     */
+    private boolean isShut(long now, UpstreamHealth health, AttemptCompleted event) {
+        if (health.connectionLimitReached(event, settings.get().reportFields())) {
+            return false;
+        }
+        return health.lastSuccessAt == Endpoint.LONG_AGO
+                ? health.rejections >= FAILURES_TO_OPEN
+                : now - health.lastSuccessAt >= MIN_OUTAGE_MICROS;
+    }
+
     /** Opens the breaker if the upstream has failed and the breaker is not open yet. */
     void openIfFailed(long now, UpstreamHealth health) {
         if (health.breaker != BreakerState.OPEN && hasFailed(now, health)) {
--- a/decisions/src/main/java/amberroute/decisions/UpstreamGate.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamGate.java
@@ -46,9 +46,15 @@
                 : Math.min(reevaluateAt, rateLimiter.paceExpiresAt(health));
     }
 
-    /** One call for each endpoint until the first success; otherwise all pending messages would be sent at once after a restart. */
+    /**
+     * One call for each endpoint until the first success; otherwise all pending messages would be sent at once after a restart.
+     * Only one in all if calls were rejected, as endpoints that share a limit are also shut together.
+     */
     private int maxCallsInFlight(long now, UpstreamHealth health) {
-        return health.usualLatencyMicros == 0 ? health.endpoints.size() : concurrencyCap(now, health);
+        if (health.usualLatencyMicros > 0) {
+            return concurrencyCap(now, health);
+        }
+        return health.rejections > 0 ? 1 : health.endpoints.size();
     }
 
     /**
--- a/decisions/src/main/java/amberroute/decisions/UpstreamStateChange.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamStateChange.java
@@ -30,6 +30,8 @@
         FAILURES,
         /** A rejection asked for a wait that is longer than any of a rate limit. */
         LONG_RETRY_AFTER,
+        /** Calls were rejected, and none had succeeded for some time. */
+        REJECTIONS,
         /** A trial was answered after an outage. */
         ANSWERED,
         /** A trial was answered so soon that there was no outage. */
