Go on with a slow start that a false alarm has interrupted

What callers saw: nothing yet; found while checking paths related to the incident. Two resets or unreadable answers in a slow start, and a success within 2.5 s of the last one, dropped the rest of it: the sender went on at full pace at a cold destination. Cause: recordSuccess took the outage for a false alarm and closed the breaker, whatever state the breaker had opened from. Mend: a breaker that opened during a slow start goes back to it, at the progress that it would have reached.

--- a/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
+++ b/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
@@ -71,7 +71,7 @@
         }
     }
 
-    /** Records a success; an outage ends in a slow start, or at once if it was a false alarm. */
+    /** Records a success; an outage ends in a slow start, or at once if it was a false alarm. A slow start goes on behind one. */
     void recordSuccess(long now, UpstreamCall call) {
         Endpoint endpoint = call.endpoint;
         endpoint.failureRatio *= 1 - UpstreamHealth.RECENT_CALL_WEIGHT_RATIO;
@@ -81,17 +81,22 @@
         boolean falseAlarm = now - health.lastSuccessAt < MIN_OUTAGE_MICROS;
         health.failedTrials = 0;
         if (health.breaker == BreakerState.OPEN) {
-            states.change(
-                    now,
-                    health,
-                    falseAlarm ? BreakerState.CLOSED : BreakerState.SLOW_START,
-                    falseAlarm ? Reason.FALSE_ALARM : Reason.ANSWERED,
-                    recoveryRamp.callsPerSecond(0, health));
-            RecoveryRamp.start(now, health);
+            endOutage(now, health, falseAlarm);
         }
         health.lastSuccessAt = now;
     }
 
+    private void endOutage(long now, UpstreamHealth health, boolean falseAlarm) {
+        boolean slowStartGoesOn = falseAlarm && health.openedInSlowStart;
+        BreakerState next = falseAlarm && !slowStartGoesOn ? BreakerState.CLOSED : BreakerState.SLOW_START;
+        Reason reason = falseAlarm ? Reason.FALSE_ALARM : Reason.ANSWERED;
+        states.change(now, health, next, reason, recoveryRamp.callsPerSecond(0, health));
+        if (!slowStartGoesOn) {
+            RecoveryRamp.start(now, health);
+        }
+        health.lastSlowStartCallAt = now;
+    }
+
     /**
      * Opens the breaker after a rejected call if that was a trial, or if the upstream seems to be shut rather than busy. Returns
      * false if the rejection leaves the breaker as it was.
@@ -148,6 +153,7 @@
             health.servedPerSecondBeforeOutage = health.servedRate.perSecondAtLastEvent();
         }
         if (health.breaker != BreakerState.OPEN) {
+            health.openedInSlowStart = health.breaker == BreakerState.SLOW_START;
             health.openedAt = now;
             health.trial = null;
             health.failedTrials = 0;
--- a/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
+++ b/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
@@ -86,6 +86,8 @@
         BreakerState state = unavailable ? BreakerState.OPEN : BreakerState.SLOW_START;
         states.change(now, health, state, Reason.RESTORED, recoveryRamp.callsPerSecond(0, health));
         health.openedAt = now - ageMicros;
+        // The outage may have interrupted a slow start, which a false alarm must not drop.
+        health.openedInSlowStart = unavailable;
         health.slowStartBeganAt = now - ageMicros;
         health.lastSlowStartCallAt = now;
         health.nextTrialAt = now;
--- a/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
@@ -62,6 +62,9 @@
 
     final CallCounter callsInState = new CallCounter();
     long openedAt;
+    /** Whether the breaker has opened during a slow start, which goes on if that was a false alarm. */
+    boolean openedInSlowStart;
+
     int failedTrials;
     long nextTrialAt;
     /** The half-open trial in flight, null for none. */
--- a/decisions/src/test/java/amberroute/decisions/UpstreamStateChangeTest.java
+++ b/decisions/src/test/java/amberroute/decisions/UpstreamStateChangeTest.java
@@ -50,6 +50,33 @@
         script.decide();
     }
 
+    /** Guards against two failures in a slow start dropping the rest of it. */
+    @Test
+    void slowStartGoesOnAfterAFalseAlarm() {
+        SchedulerScript script = served();
+        submit(script);
+        completeUntilChanged(script, AttemptOutcome.ERROR);
+        script.advance(3_000_000);
+        completeUntilChanged(script, AttemptOutcome.OK);
+        long slowStartBeganAt = script.now;
+        for (int i = 0; i < 20; i++) {
+            submit(script);
+        }
+        while (script.now - slowStartBeganAt < 7 * SLOW_START_MICROS / 10) {
+            completeAll(script, AttemptOutcome.OK);
+            script.advance(50_000);
+        }
+        completeUntilChanged(script, AttemptOutcome.RESET);
+        completeUntilChanged(script, AttemptOutcome.OK);
+        UpstreamStateChange resumed = script.stateChanges.get(3);
+        assertEquals(Reason.FALSE_ALARM, resumed.reason(), script.stateChanges.toString());
+        assertEquals(UpstreamStatus.SLOW_START, resumed.to(), script.stateChanges.toString());
+        completeUntilChanged(script, AttemptOutcome.OK);
+        assertEquals(Reason.SLOW_START_OVER, script.stateChanges.get(4).reason());
+        long lengthMicros = script.now - slowStartBeganAt;
+        assertTrue(Math.abs(lengthMicros - SLOW_START_MICROS) < 500_000, "length of the slow start: " + lengthMicros);
+    }
+
     @Test
     void outageAndSlowStartAreReportedWithReasonAndCalls() {
         SchedulerScript script = served();
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceState.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceState.java
@@ -146,6 +146,7 @@
         long lastPaceRaiseAt;
         long lastRejectionAt;
         boolean sendsLoadReports = true;
+        boolean openedInSlowStart;
         int rejections;
         double reportedLimit;
         double reportedAllowanceLeft = Double.NaN;
