Check that trials of messages with little time do not add up behind a hang

Related path of the incident: a trial that times out before it counts as silent is no failure, and the next one starts at once.

--- a/decisions/src/test/java/amberroute/decisions/FleetOutageGrid.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetOutageGrid.java
@@ -17,6 +17,7 @@
     private static final double OFFERED_LOAD_RATIO = 0.7;
     private static final double TRAFFIC_SKEW = 0.5;
     private static final int MAX_PENDING = 100;
+    private static final long MESSAGE_LIFE_MICROS = 12_000_000;
     /** Enough for every sender, so that connections are reused and none is rejected. */
     private static final int MAX_CONNECTIONS = 1_000_000;
 
@@ -31,8 +32,13 @@
 
     /** One case of the grid; {@code retryAfterMicros} is 0 where rejections carry none. */
     record Case(OutageKind kind, long retryAfterMicros, Reports reports, int senders, double limitPerSecond) {
-        /** Runs the case with one seed. */
+        /** Runs the case with one seed and messages that outlast the outage. */
         FleetSimulation run(long seed) {
+            return run(seed, MESSAGE_LIFE_MICROS);
+        }
+
+        /** Runs the case with one seed; messages have this life from the outage on. */
+        FleetSimulation run(long seed, long messageLifeMicros) {
             FleetSimulation simulation = new FleetSimulation(
                     senders,
                     seed,
@@ -46,6 +52,7 @@
             simulation.reportOverride = reports.compareTo(Reports.SENT_BUT_IN_OUTAGE) >= 0 ? null : List::of;
             simulation.outageRejectionsCarryReports = reports == Reports.SENT;
             simulation.maxConnections = MAX_CONNECTIONS;
+            simulation.scheduleSinceStart(OUTAGE_START_MICROS, () -> simulation.messageLifeMicros = messageLifeMicros);
             simulation.outageKind = kind;
             simulation.outageRetryAfterMicros = retryAfterMicros;
             simulation.outageStartMicros = OUTAGE_START_MICROS;
--- a/decisions/src/test/java/amberroute/decisions/FleetOutageTest.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetOutageTest.java
@@ -19,6 +19,9 @@
  */
 class FleetOutageTest {
     private static final int SEEDS = 6;
+    /** Less than the time after which a call counts as silent. */
+    private static final long LITTLE_TIME_MICROS = 600_000;
+
     private static final int[] SENDERS = {5, 24, 47, 120};
 
     /** What is judged of a run. */
@@ -139,6 +142,28 @@
         assertWithinBudget(kind, 0, reports, Check.CALLS_OF_INFORMED_SENDERS);
     }
 
+    /** Guards against trials that follow at once on trials whose messages had no time to wait for an answer. */
+    @ParameterizedTest
+    @CsvSource({"24,60", "47,60", "47,200", "120,60", "120,200"})
+    void trialsOfMessagesWithLittleTimeAreSpacedOut(int senders, double limitPerSecond) {
+        List<String> failures = new ArrayList<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Case each = new Case(OutageKind.HUNG, 0, Reports.NOT_CONFIGURED, senders, limitPerSecond);
+            SlowStartBudget budget = each.run(seed, LITTLE_TIME_MICROS).slowStartBudget();
+            System.out.printf(
+                    Locale.ROOT,
+                    "little time, %d senders, limit %.0f, seed %d: %.2f budgets%n",
+                    senders,
+                    limitPerSecond,
+                    seed,
+                    budget.peakInformedShare());
+            if (Arrays.stream(Check.values()).anyMatch(check -> check.failed(budget))) {
+                failures.add(String.format(Locale.ROOT, "seed %d: %.2f budgets", seed, budget.peakInformedShare()));
+            }
+        }
+        assertTrue(failures.isEmpty(), senders + " senders, limit " + limitPerSecond + ": " + failures);
+    }
+
     /** Guards against informed senders using up what other senders need of a small destination, behind outages with a wait. */
     @ParameterizedTest
     @CsvSource({
--- a/decisions/src/test/java/amberroute/decisions/FleetSimulation.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetSimulation.java
@@ -40,6 +40,8 @@
     long outageEndMicros = Long.MAX_VALUE;
     /** What callers see of the destination during the outage. */
     OutageKind outageKind = OutageKind.CONNECTION_REFUSED;
+    /** Time that a message has left when it is submitted. */
+    long messageLifeMicros = 12_000_000;
     /** Whether calls that are rejected during the outage carry a load report. */
     boolean outageRejectionsCarryReports;
     /** Retry-After of calls that are rejected during the outage; 0 for none. */
@@ -540,7 +542,7 @@
 
         void submit() {
             attemptsById.put(++lastId, 0);
-            scheduler.step(now, new Event.MessageSubmitted(lastId, classOf(lastId), -1, 0, 12_000_000, 1), this);
+            scheduler.step(now, new Event.MessageSubmitted(lastId, classOf(lastId), -1, 0, messageLifeMicros, 1), this);
             decide();
         }
 
