Pace a slow start by the calls that were answered, not by their messages

What callers saw: nothing yet; found while checking paths related to the incident. Where a call carries several messages, a slow start began with as many calls a second as messages had been delivered, up to messagesPerCall times the budget's share: 1.59 calls a second where 0.4 are permitted, with five messages a call. Cause: the served rate counted each message of a call; the slow start and the pace cut use it as a rate of calls.

--- a/decisions/src/main/java/amberroute/decisions/AttemptOutcomeHandler.java
+++ b/decisions/src/main/java/amberroute/decisions/AttemptOutcomeHandler.java
@@ -6,7 +6,7 @@
 
 /**
  * Applies the outcome of an attempt to its message and to its upstream. Each message of a call has its own outcome. Every
- * outcome updates Retry-After and the served rate of the upstream; only the first one of a call updates the rest of the
+ * outcome updates Retry-After of the upstream; only the first one of a call updates the rest of the
  * upstream's health. Times are microseconds on the caller's clock.
  */
 final class AttemptOutcomeHandler {
@@ -70,7 +70,6 @@
             call.outcomeRecorded = true;
             updateUpstream(now, message, call, event);
         }
-        health.servedRate.add(now, event.outcome() == AttemptOutcome.OK ? 1 : 0);
         messages.enqueue(now, message);
         messages.removeIfCompleted(now, message);
         pending.updateEstimatesAndWake(now, call.endpoint.destination);
@@ -115,6 +114,7 @@
             case RESET -> handleReset(now, call, event, wasTrial);
             default -> breaker.recordFailure(now, call, outcome, wasTrial);
         }
+        health.servedRate.add(now, success);
     }
 
     private void handleSuccess(long now, UpstreamCall call, AttemptCompleted event) {
--- a/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
+++ b/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
@@ -233,7 +233,7 @@
      *
      * @param endpoint 0 for a whole destination
      * @param sinceMicros how long the upstream has been unavailable or in its slow start
-     * @param callsPerSecond messages delivered per second before the outage
+     * @param callsPerSecond calls answered per second before the outage
      * @param usualLatencyMicros latency in normal operation, 0 if it was not measured
      */
     record HealthCheckpoint(
--- a/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
@@ -13,7 +13,7 @@
 final class UpstreamHealth {
     /** Time constant of the average rate of sent calls. */
     private static final double SENT_RATE_TIME_CONSTANT_MICROS = 2_000_000;
-    /** Time constant of the average rate of delivered messages. */
+    /** Time constant of the average rate of answered calls. */
     private static final double SERVED_RATE_TIME_CONSTANT_MICROS = 8_000_000;
     /** Weight of a new call in the averages of one upstream: about the last seven calls count. */
     static final double RECENT_CALL_WEIGHT_RATIO = 0.15;
@@ -72,7 +72,7 @@
 
     long slowStartBeganAt;
     long lastSlowStartCallAt;
-    /** Delivered messages per second when the breaker opened. */
+    /** Answered calls per second when the breaker opened. */
     double servedPerSecondBeforeOutage;
 
     long lastSuccessAt = Endpoint.LONG_AGO;
--- a/decisions/src/main/java/amberroute/decisions/UpstreamStateChange.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamStateChange.java
@@ -9,7 +9,7 @@
  * @param previousMicros how long the upstream was in its previous state; at most the age of this process
  * @param previousCalls the calls in the previous state; in an outage these are the trials
  * @param sinceSuccessMicros time since the last answer, -1 if there was none
- * @param servedPerSecond messages delivered per second by this sender before the outage, 0 if no outage was seen
+ * @param servedPerSecond calls of this sender answered per second before the outage, 0 if no outage was seen
  * @param callsPerSecond pace of this sender at the start of a slow start, 0 if no outage was seen
  */
 public record UpstreamStateChange(
--- a/decisions/src/test/java/amberroute/decisions/UpstreamStateChangeTest.java
+++ b/decisions/src/test/java/amberroute/decisions/UpstreamStateChangeTest.java
@@ -50,6 +50,30 @@
         script.decide();
     }
 
+    /** Guards against a slow start that takes the messages of calls for calls, of which the budget is made. */
+    @Test
+    void slowStartIsPacedByCallsNotByTheirMessages() {
+        SchedulerScript script =
+                new SchedulerScript(SchedulerScript.settings(8, false, 5)).listEndpoints(DESTINATION, 1);
+        long begun = script.now;
+        int calls = 20;
+        for (int i = 0; i < calls; i++) {
+            for (int message = 0; message < 5; message++) {
+                script.submit(nextId++, SchedulerScript.IDEMPOTENT, DESTINATION);
+            }
+            script.decide().advance(200_000);
+            completeAll(script, AttemptOutcome.OK);
+            script.advance(800_000);
+        }
+        double callsPerSecond = calls * 1e6 / (script.now - begun);
+        submit(script);
+        completeUntilChanged(script, AttemptOutcome.ERROR);
+        UpstreamStateChange outage = script.stateChanges.get(0);
+        // Capacity of 0.2 at first, of which twice as much is permitted.
+        assertTrue(outage.callsPerSecond() <= 0.4 * callsPerSecond, callsPerSecond + " calls a second, " + outage);
+        assertTrue(outage.callsPerSecond() > 0.2 * callsPerSecond, callsPerSecond + " calls a second, " + outage);
+    }
+
     /** Guards against two failures in a slow start dropping the rest of it. */
     @Test
     void slowStartGoesOnAfterAFalseAlarm() {
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
@@ -583,8 +583,8 @@
         if (!call.outcomeLearned) {
             call.outcomeLearned = true;
             updateUpstream(now, message, call, event);
+            health.servedRate.add(now, event.outcome() == AttemptOutcome.OK ? 1 : 0);
         }
-        health.servedRate.add(now, event.outcome() == AttemptOutcome.OK ? 1 : 0);
         removeIfCompleted(now, message);
     }
 
