--- a/cli/src/main/java/amberroute/cli/RecoveryExperiment.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryExperiment.java
@@ -39,10 +39,11 @@
     private long outageMillis;
 
     @Option(
-            names = "--kills",
+            names = "--signalled",
             defaultValue = "0",
-            description = "senders killed in the outage and behind it (${DEFAULT-VALUE})")
-    private int kills;
+            description =
+                    "senders that get signals in series, as in soak; then in a third of the seeds a crowd (${DEFAULT-VALUE})")
+    private int signalledSenders;
 
     @Option(
             names = "--kinds",
@@ -68,7 +69,7 @@
     }
 
     private boolean play(long seed) throws Exception {
-        RecoveryRun.Plan plan = new RecoveryRun.Plan(seed, senders, perSecond, outageMillis, kills, kinds);
+        RecoveryRun.Plan plan = new RecoveryRun.Plan(seed, senders, perSecond, outageMillis, signalledSenders, kinds);
         try (RecoveryRun run = new RecoveryRun(plan)) {
             JsonObject result = run.run();
             System.out.println(result);
--- a/cli/src/main/java/amberroute/cli/RecoveryRun.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryRun.java
@@ -17,8 +17,8 @@
 import java.util.Random;
 
 /**
- * One fleet before destinations that go out together, each in another way, and come back with a small share of their capacity. What
- * the destinations get is judged by {@link RecoveryJudge}, and all else by {@link DeliveryHistory}.
+ * One fleet before destinations that go out together, each in another way, and come back with a small share of their capacity,
+ * while some of the senders get signals in series. What the destinations get is judged by {@link RecoveryJudge}, and all else by {@link DeliveryHistory}.
  */
 final class RecoveryRun implements AutoCloseable {
     /** What is played. */
@@ -27,7 +27,7 @@
             int senders,
             double perSecond,
             long outageMillis,
-            int kills,
+            int signalledSenders,
             List<StubUpstream.Mode> outageKinds) {}
 
     /** Share of all messages that each destination gets from {@link LoadClients}. */
@@ -44,7 +44,8 @@
     private static final long WARM_UP_MILLIS = 8_000;
     private static final int KEYS = 30;
     private static final int CLIENT_ATTEMPTS = 8;
-    private static final long START_AFTER_KILL_MILLIS = 600;
+    private static final int REQUESTS_ON_A_CONNECTION = 4;
+    private static final int CONNECTIONS_TO_A_SENDER = 24;
     /** Longer than the outages, so that messages outlast them. */
     private static final long DEADLINE_MICROS = 20_000_000;
 
@@ -58,6 +59,8 @@
     private final LoadClients clients;
     private final SoakTimeline timeline = new SoakTimeline();
     private final List<SoakSender> senders = new ArrayList<>();
+    private final List<InetSocketAddress> addresses;
+    private final List<String> findings = new ArrayList<>();
     private boolean rulesKept;
 
     RecoveryRun(Plan plan) throws Exception {
@@ -71,7 +74,7 @@
         judge = new RecoveryJudge(environment.history());
         environment.upstreams().forEach(upstream -> upstream.listenToCalls(judge));
         int port = TestEnvironment.freePorts(2 * plan.senders(), plan.seed());
-        List<InetSocketAddress> addresses = TestEnvironment.addresses(port, plan.senders());
+        addresses = TestEnvironment.addresses(port, plan.senders());
         for (int i = 0; i < plan.senders(); i++) {
             SoakConfiguration configuration = new SoakConfiguration(
                     folder, i, plan.senders(), port + i, port + plan.senders() + i, environment, DEADLINE_MICROS);
@@ -79,6 +82,7 @@
             senders.add(new SoakSender(i, folder, configuration, timeline));
         }
         clients = environment.clients(addresses, messageKinds());
+        environment.runOnLoop(() -> clients.pipeline(REQUESTS_ON_A_CONNECTION, CONNECTIONS_TO_A_SENDER));
     }
 
     private static List<LoadClients.Kind> messageKinds() {
@@ -106,13 +110,21 @@
         environment.runOnLoop(() -> clients.run(new LoadClients.Load(plan.perSecond(), 0, 1, KEYS, CLIENT_ATTEMPTS)));
         Thread.sleep(WARM_UP_MILLIS);
         beginOutages();
-        Thread killing = new Thread(this::killSenders, "kills");
-        killing.start();
-        Thread.sleep(plan.outageMillis());
+        long outageEndNanos = System.nanoTime() + plan.outageMillis() * 1_000_000;
+        List<SoakSignals> signals = startSignals();
+        List<Thread> threads =
+                signals.stream().map(each -> new Thread(each, "signals")).toList();
+        threads.forEach(Thread::start);
+        visitByCrowd();
+        Thread.sleep(Math.max(0, (outageEndNanos - System.nanoTime()) / 1_000_000));
         endOutages();
         Thread.sleep(SLOW_START_MILLIS);
-        killing.join();
+        for (Thread thread : threads) {
+            thread.join();
+        }
         environment.awaitCompletion(() -> {});
+        signals.forEach(each -> findings.addAll(each.findings()));
+        findings.addAll(environment.callOnLoop(environment.history()::closedUnanswered));
         return result();
     }
 
@@ -150,27 +162,21 @@
         }
     }
 
-    /** Kills some senders, one after another, from the beginning of the outages until the destinations are warm. */
-    private void killSenders() {
-        long pauseMillis = (plan.outageMillis() + SLOW_START_MILLIS) / (plan.kills() + 1);
-        try {
-            for (int i = 0; i < plan.kills(); i++) {
-                Thread.sleep(Math.max(1, pauseMillis - START_AFTER_KILL_MILLIS));
-                SoakSender sender = senders.get(random.nextInt(senders.size()));
-                long fromMicros = TestEnvironment.micros();
-                environment.runOnLoop(() -> {
-                    environment.history().senderKilled(sender.number(), TestEnvironment.micros());
-                    sender.kill();
-                });
-                sender.awaitEnd();
-                Thread.sleep(START_AFTER_KILL_MILLIS);
-                sender.start();
-                sender.awaitReady();
-                environment.runOnLoop(
-                        () -> environment.history().senderDown(sender.number(), fromMicros, TestEnvironment.micros()));
-            }
-        } catch (IOException | InterruptedException e) {
-            timeline.finding("kills ended: " + e);
+    /** Some senders get signals in series until the destinations are warm. */
+    private List<SoakSignals> startSignals() {
+        long endNanos = System.nanoTime() + (plan.outageMillis() + SLOW_START_MILLIS) * 1_000_000;
+        List<SoakSignals> signals = new ArrayList<>();
+        for (SoakSender sender : senders.subList(0, plan.signalledSenders())) {
+            long signalSeed = plan.seed() * senders.size() + sender.number();
+            signals.add(new SoakSignals(sender, environment, clients, timeline, endNanos, signalSeed));
+        }
+        return signals;
+    }
+
+    /** In a third of the seeds idle clients fill the descriptors of one sender. */
+    private void visitByCrowd() throws InterruptedException, IOException {
+        if (plan.signalledSenders() > 0 && random.nextInt(3) == 0) {
+            SoakCrowd.visit(addresses.get(random.nextInt(addresses.size())), timeline);
         }
     }
 
@@ -189,7 +195,7 @@
                     each.peakShare(),
                     each.ruleBroken() ? " BROKEN" : ""));
         }
-        boolean completed = totals.ok() && totals.lateNotifications() == 0 && timeline.firstFindingMillis() == 0;
+        boolean completed = totals.ok() && totals.lateNotifications() == 0 && findings.isEmpty();
         rulesKept = withinBudget && completed;
         JsonObject result = new JsonObject();
         result.addProperty("ok", rulesKept);
@@ -202,6 +208,9 @@
         result.addProperty("late_notices", totals.lateNotifications());
         result.addProperty("duplicates", totals.duplicateExecutions());
         result.addProperty("out_of_order", totals.outOfOrder());
+        if (!findings.isEmpty()) {
+            result.addProperty("finding", findings.get(0));
+        }
         if (!rulesKept) {
             Path report = folder.resolve("timeline");
             Files.write(
--- a/cli/src/main/java/amberroute/cli/SoakRun.java
+++ b/cli/src/main/java/amberroute/cli/SoakRun.java
@@ -8,7 +8,6 @@
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -31,10 +30,7 @@
     private static final long DEADLINE_MICROS = 6_000_000;
     /** A change of the endpoint list counts as told by then. */
     private static final long LIST_CHANGE_TOLD_MILLIS = 6_000;
-    /** More than the descriptors of one sender. */
-    private static final int CROWD = 300;
 
-    private static final long CROWD_MILLIS = 2_500;
     private static final long TIMELINE_BEFORE_MILLIS = 6_000;
     private static final long TIMELINE_BEHIND_MILLIS = 2_000;
     private static final int MAX_TIMELINE_LINES = 400;
@@ -183,22 +179,7 @@
 
     /** Idle clients fill the descriptors of one sender. */
     private void crowd() throws InterruptedException, IOException {
-        InetSocketAddress address = addresses.get(random.nextInt(SENDERS));
-        timeline.action("clients", "crowd of " + CROWD + " at " + address);
-        List<Socket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < CROWD; i++) {
-                Socket socket = new Socket();
-                sockets.add(socket);
-                socket.connect(address, 200);
-            }
-        } catch (IOException e) {
-            timeline.action("clients", sockets.size() + " of the crowd came in: " + e.getMessage());
-        }
-        Thread.sleep(CROWD_MILLIS);
-        for (Socket socket : sockets) {
-            socket.close();
-        }
+        SoakCrowd.visit(addresses.get(random.nextInt(SENDERS)), timeline);
     }
 
     /** An endpoint is listed as one that takes no new calls; from the time on that this counts as told none may come. */
--- a/cli/src/test/java/amberroute/cli/RecoveryExperimentTest.java
+++ b/cli/src/test/java/amberroute/cli/RecoveryExperimentTest.java
@@ -14,4 +14,13 @@
                 Main.execute(
                         "rig", "recovery", "--senders", "47", "--seeds", "1", "--from", "10", "--kinds", "REFUSE"));
     }
+
+    /** Guards against signals in series that make senders forget an outage or break a rule for messages beside it. */
+    @Test
+    void rulesAreKeptUnderSignalsWhileDestinationsComeBack() {
+        assertEquals(
+                0,
+                Main.execute(
+                        "rig", "recovery", "--senders", "16", "--seeds", "1", "--from", "102", "--signalled", "5"));
+    }
 }
