--- /dev/null
+++ b/review/rig/CaseSurvivalOff.java
@@ -0,0 +1,98 @@
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+
+/**
+ * Three senders that replicate are restarted one after another under load. With the trouble the sender file they come back with has
+ * {@code survival.on = false}; without it the file is the same.
+ */
+final class CaseSurvivalOff {
+    private static final long TIME_LEFT = 16_000;
+    private static final int BURST = 190;
+    private static final long PLAN_MS = 36_000;
+    private static final AtomicLong NUMBERS = new AtomicLong(1);
+
+    public static void main(String[] arguments) {
+        Rig.main(arguments[0], CaseSurvivalOff::play);
+    }
+
+    private static int play(Rig rig) throws Exception {
+        Rig.Receiver first = rig.new Receiver("r-1", 1, 0, 250);
+        Rig.Receiver second = rig.new Receiver("r-2", 1, 0, 250);
+        Rig.Platform platform = rig.new Platform("p", List.of(first, second));
+        rig.addSenders(3);
+        Path file = rig.folder.resolve("sender.toml");
+        rig.replace(file, settings(platform, true));
+        for (Rig.Sender sender : rig.senders) {
+            sender.config = file;
+            sender.start();
+        }
+        for (Rig.Sender sender : rig.senders) {
+            if (!sender.awaitReady(30_000)) {
+                return 2;
+            }
+        }
+        Rig.pause(4_000);
+        for (Rig.Sender sender : rig.senders) {
+            rig.background(() -> load(rig, sender));
+        }
+        // Warm-up of 24 messages, then the burst, which takes about 1.5 s.
+        Rig.pause(24 * 150 + 1_500);
+        rig.replace(file, settings(platform, !rig.trouble));
+        for (Rig.Sender sender : rig.senders) {
+            long from = rig.now();
+            sender.signal("TERM");
+            while (sender.process.isAlive() && rig.now() - from < 10_000) {
+                Rig.pause(20);
+            }
+            if (sender.process.isAlive()) {
+                sender.signal("KILL");
+                sender.process.waitFor();
+            }
+            if (rig.now() > PLAN_MS) {
+                break;
+            }
+            Rig.pause(300);
+            sender.start();
+            if (!sender.awaitReady(30_000)) {
+                return 2;
+            }
+            Rig.pause(500);
+        }
+        rig.pauseUntil(PLAN_MS + TIME_LEFT + 2_000);
+        List<Rig.Message> twice = rig.messages.values().stream()
+                .filter(message -> message.runs.size() > 1)
+                .collect(Collectors.toList());
+        long accepted = rig.messages.values().stream().filter(Rig.Message::accepted).count();
+        rig.log("accepted " + accepted + ", run more than once " + twice.size());
+        System.out.println("accepted " + accepted + ", run more than once " + twice.size());
+        return twice.isEmpty() ? (accepted < BURST ? 2 : 0) : 1;
+    }
+
+    private static void load(Rig rig, Rig.Sender sender) throws InterruptedException {
+        try (Rig.Client client = rig.new Client(sender)) {
+            for (int i = 0; i < 24; i++) {
+                client.submit("premium-charge", 1, TIME_LEFT, NUMBERS.getAndIncrement());
+                Rig.pause(150);
+            }
+            for (int i = 0; i < BURST; i++) {
+                client.submit("premium-charge", 1, TIME_LEFT, NUMBERS.getAndIncrement());
+                Rig.pause(5);
+            }
+            while (rig.now() < PLAN_MS) {
+                client.submit("premium-charge", 1, TIME_LEFT, NUMBERS.getAndIncrement());
+                Rig.pause(60);
+            }
+        }
+    }
+
+    private static String settings(Rig.Platform platform, boolean survival) throws IOException {
+        Map<String, String> top = new LinkedHashMap<>();
+        top.put("discovery", "\"127.0.0.1:" + platform.port + "\"");
+        return Rig.settings(top, "[survival]\non = " + survival + "\ncopies = 3\nreplace = \"10s\"\n");
+    }
+}
