--- a/review/rig/CaseFinalStop.java
+++ b/review/rig/CaseFinalStop.java
@@ -19,7 +19,7 @@
         Path file = rig.folder.resolve("sender.toml");
         Map<String, String> top = new LinkedHashMap<>();
         top.put("discovery", "\"127.0.0.1:" + platform.port + "\"");
-        rig.replace(file, Rig.settings(top, "[survival]\non = true\ncopies = 3\nreplace = \"10s\"\n"));
+        rig.replace(file, Rig.settings(top, "8s", "[survival]\non = true\ncopies = 3\nreplace = \"10s\"\n"));
         for (Rig.Sender sender : rig.senders) {
             sender.config = file;
             sender.start();
--- a/review/rig/CaseReload.java
+++ b/review/rig/CaseReload.java
@@ -64,6 +64,6 @@
     private static String settings(Rig.Platform platform) {
         Map<String, String> top = new LinkedHashMap<>();
         top.put("discovery", "\"127.0.0.1:" + platform.port + "\"");
-        return Rig.settings(top, "[survival]\non = true\ncopies = 3\nreplace = \"10s\"\n");
+        return Rig.settings(top, "8s", "[survival]\non = true\ncopies = 3\nreplace = \"10s\"\n");
     }
 }
--- a/review/rig/CaseSurvivalOff.java
+++ b/review/rig/CaseSurvivalOff.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 
@@ -12,8 +14,9 @@
  */
 final class CaseSurvivalOff {
     private static final long TIME_LEFT = 16_000;
-    private static final int BURST = 190;
-    private static final long PLAN_MS = 36_000;
+    private static final int BURST = 192;
+    private static final int CLIENTS = 8;
+    private static final long PLAN_MS = 30_000;
     private static final AtomicLong NUMBERS = new AtomicLong(1);
 
     public static void main(String[] arguments) {
@@ -38,10 +41,16 @@
         }
         Rig.pause(4_000);
         for (Rig.Sender sender : rig.senders) {
-            rig.background(() -> load(rig, sender));
+            rig.background(() -> warmUp(rig, sender));
         }
-        // Warm-up of 24 messages, then the burst, which takes about 1.5 s.
-        Rig.pause(24 * 150 + 1_500);
+        Rig.pause(24 * 150 + 2_500);
+        CountDownLatch bursts = new CountDownLatch(rig.senders.size() * CLIENTS);
+        for (Rig.Sender sender : rig.senders) {
+            for (int i = 0; i < CLIENTS; i++) {
+                rig.background(() -> load(rig, sender, bursts));
+            }
+        }
+        bursts.await(10, TimeUnit.SECONDS);
         rig.replace(file, settings(platform, !rig.trouble));
         for (Rig.Sender sender : rig.senders) {
             long from = rig.now();
@@ -73,19 +82,25 @@
         return twice.isEmpty() ? (accepted < BURST ? 2 : 0) : 1;
     }
 
-    private static void load(Rig rig, Rig.Sender sender) throws InterruptedException {
+    private static void warmUp(Rig rig, Rig.Sender sender) throws InterruptedException {
         try (Rig.Client client = rig.new Client(sender)) {
             for (int i = 0; i < 24; i++) {
                 client.submit("premium-charge", 1, TIME_LEFT, NUMBERS.getAndIncrement());
                 Rig.pause(150);
             }
-            for (int i = 0; i < BURST; i++) {
+        }
+    }
+
+    /** One of the clients of a sender: its part of the burst, then a steady load. */
+    private static void load(Rig rig, Rig.Sender sender, CountDownLatch bursts) throws InterruptedException {
+        try (Rig.Client client = rig.new Client(sender)) {
+            for (int i = 0; i < BURST / CLIENTS; i++) {
                 client.submit("premium-charge", 1, TIME_LEFT, NUMBERS.getAndIncrement());
-                Rig.pause(5);
             }
+            bursts.countDown();
             while (rig.now() < PLAN_MS) {
                 client.submit("premium-charge", 1, TIME_LEFT, NUMBERS.getAndIncrement());
-                Rig.pause(60);
+                Rig.pause(60 * CLIENTS);
             }
         }
     }
@@ -93,6 +108,6 @@
     private static String settings(Rig.Platform platform, boolean survival) throws IOException {
         Map<String, String> top = new LinkedHashMap<>();
         top.put("discovery", "\"127.0.0.1:" + platform.port + "\"");
-        return Rig.settings(top, "[survival]\non = " + survival + "\ncopies = 3\nreplace = \"10s\"\n");
+        return Rig.settings(top, "4s", "[survival]\non = " + survival + "\ncopies = 3\nreplace = \"10s\"\n");
     }
 }
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -549,7 +549,7 @@
     }
 
     /** Settings that all cases share, those of deploy/amberroute.toml for one class of each effect. */
-    static String settings(Map<String, String> top, String extra) {
+    static String settings(Map<String, String> top, String stopDeadline, String extra) {
         StringBuilder text = new StringBuilder();
         Map<String, String> all = new LinkedHashMap<>(top);
         all.forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
@@ -562,7 +562,7 @@
             max_attempts = 12
             disk = "16MB"
             [stop]
-            deadline = "8s"
+            deadline = "STOP"
             back_after = "3s"
             [[class]]
             name = "quote-status"
@@ -580,6 +580,6 @@
             deadline = "16s"
             [[kind]]
             name = "small-partner"
-            """ + extra;
+            """.replace("STOP", stopDeadline) + extra;
     }
 }
