--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -15,7 +15,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.FileVisitOption;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -41,6 +40,8 @@
     /** The protocol's bound from the end of a message's time to its notice. */
     static final long NOTICE_BOUND_MS = 300;
 
+    private static final long LONGEST_PLAY_MS = 110_000;
+
     /** One message as its client and the stand-ins saw it; times are milliseconds since the start of the case. */
     static final class Message {
         final String id;
@@ -94,9 +95,17 @@
         }
         run = matcher.group(1).replace("\\\"", "\"");
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+        background(this::endOverdue);
         log("trouble " + (trouble ? "on" : "off"));
     }
 
+    /** A play that is not over in time could not run; the shutdown hook ends its processes. */
+    private void endOverdue() throws InterruptedException {
+        Thread.sleep(LONGEST_PLAY_MS);
+        log("the play took too long");
+        System.exit(2);
+    }
+
     long now() {
         return (System.nanoTime() - startNanos) / 1_000_000;
     }
@@ -545,7 +554,7 @@
         killAll();
         servers.forEach(server -> server.stop(0));
         threads.shutdownNow();
-        try (Stream<Path> files = Files.walk(folder, new FileVisitOption[0])) {
+        try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
             }
