--- a/review/standins/CaseList.java
+++ b/review/standins/CaseList.java
@@ -62,7 +62,7 @@
         long accepted =
                 rig.messages.values().stream().filter(Rig.Message::accepted).count();
         long wrong = rig.messages.values().stream()
-                .filter(message -> message.runs.stream().anyMatch(run -> run.startsWith("wrong")))
+                .filter(message -> message.accepted() && message.runs.stream().anyMatch(run -> run.startsWith("wrong")))
                 .count();
         String result = "accepted " + accepted + ", sent to a receiver of another destination " + wrong;
         rig.log(result);
--- a/review/standins/CaseSurvivalOff.java
+++ b/review/standins/CaseSurvivalOff.java
@@ -73,7 +73,7 @@
         }
         rig.pauseUntil(PLAN_MS + TIME_LEFT + 2_000);
         List<Rig.Message> twice = rig.messages.values().stream()
-                .filter(message -> message.runs.size() > 1)
+                .filter(message -> message.accepted() && message.runs.size() > 1)
                 .collect(Collectors.toList());
         long accepted = rig.messages.values().stream().filter(Rig.Message::accepted).count();
         rig.log("accepted " + accepted + ", run more than once " + twice.size());
