--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -47,8 +47,9 @@
         final String id;
         final int destination;
         final String sender;
-        final long sentAt;
-        final long deadline;
+        final long timeLeft;
+        volatile long sentAt;
+        volatile long deadline;
         volatile String answer = "none";
         final List<String> runs = new CopyOnWriteArrayList<>();
         final List<Long> runTimes = new CopyOnWriteArrayList<>();
@@ -60,8 +61,14 @@
             this.id = id;
             this.destination = destination;
             this.sender = sender;
-            this.sentAt = sentAt;
-            deadline = sentAt + timeLeft;
+            this.timeLeft = timeLeft;
+            sent(sentAt);
+        }
+
+        /** "A request's time counts from its last byte". */
+        void sent(long at) {
+            sentAt = at;
+            deadline = at + timeLeft;
         }
 
         boolean accepted() {
@@ -305,6 +312,7 @@
                 }
                 String options = "c=" + className + ",d=" + timeLeft + ",dest=" + destination;
                 socket.getOutputStream().write(request("SUBMIT", "0000000000000000", id, options, "body-" + id));
+                message.sent(now());
                 String answer = line(in);
                 message.answer = answer == null ? "closed" : answer;
             } catch (IOException e) {
