Start failovers from the configuration and the endpoint list in force

Cause: ReplicationHostAdapter made the configuration of a failover from the one of the start of the process. ActiveSettings had the one in force and was asked for class lifetimes alone. The endpoint list of the start is part of that configuration.

The configuration in force is now one object: that of the start with what a reload takes (SenderConfig.reloadedWith). A failover is made from it, read on the event loop together with the endpoint list as this process has it now.

--- a/sender/src/main/java/amberroute/sender/ReplicationHostAdapter.java
+++ b/sender/src/main/java/amberroute/sender/ReplicationHostAdapter.java
@@ -3,6 +3,7 @@
 import amberroute.decisions.DeliveryScheduler;
 import amberroute.sender.config.ActiveSettings;
 import amberroute.sender.config.SenderConfig;
+import amberroute.sender.discovery.EndpointWatch;
 import amberroute.sender.peer.ReplicaStore;
 import amberroute.sender.peer.ReplicationCoordinator;
 import amberroute.sender.peer.SupersededReplicas;
@@ -29,21 +30,19 @@
         Sender create(SenderConfig config) throws IOException;
     }
 
-    private final SenderConfig config;
+    private final Path folder;
     private final EventLoop loop;
     private final ActiveSettings activeSettings;
+    private final EndpointWatch endpoints;
     private final PeerServices peers;
     private final SenderFactory senderFactory;
 
     ReplicationHostAdapter(
-            SenderConfig config,
-            EventLoop loop,
-            ActiveSettings activeSettings,
-            PeerServices peers,
-            SenderFactory senderFactory) {
-        this.config = config;
-        this.loop = loop;
-        this.activeSettings = activeSettings;
+            SenderState state, EndpointWatch endpoints, PeerServices peers, SenderFactory senderFactory) {
+        folder = state.config().state();
+        loop = state.loop();
+        activeSettings = state.activeSettings();
+        this.endpoints = endpoints;
         this.peers = peers;
         this.senderFactory = senderFactory;
     }
@@ -54,20 +53,31 @@
                 .with("reason", reason)
                 .with("exit_code", EXIT_CODE_SUPERSEDED)
                 .warn();
-        SupersededReplicas.markSuperseded(config.state());
+        SupersededReplicas.markSuperseded(folder);
         Runtime.getRuntime().halt(EXIT_CODE_SUPERSEDED);
     }
 
     @Override
-    public ReplicationCoordinator.Failover startFailover(ReplicaStore.StoredReplica replica, Path folder, long term)
-            throws IOException {
+    public ReplicationCoordinator.Failover startFailover(
+            ReplicaStore.StoredReplica replica, Path replicaFolder, long term) throws IOException {
+        SenderConfig failoverConfig = loop.submit(() -> failoverConfig(replica, replicaFolder))
+                .syncUninterruptibly()
+                .getNow();
+        return new FailoverSender(loop, peers.replication(), senderFactory.create(failoverConfig), replica, term);
+    }
+
+    /** Of the configuration and the endpoint list in force, which may not be those that this process started with. */
+    private SenderConfig failoverConfig(ReplicaStore.StoredReplica replica, Path replicaFolder) {
+        SenderConfig inForce = activeSettings.config();
         Map<String, InetSocketAddress> failoverPeers =
-                new LinkedHashMap<>(config.standalone().peers());
-        failoverPeers.put(config.name(), peers.handoffAddress());
+                new LinkedHashMap<>(inForce.standalone().peers());
+        failoverPeers.put(inForce.name(), peers.handoffAddress());
         // Uses the name of the failed sender, which may come back and has to hold these keys as any peer does.
-        SenderConfig failoverConfig = config.forFailover(
-                replica.journalId, folder, config.standalone().forFailover(failoverPeers));
-        return new FailoverSender(loop, peers.replication(), senderFactory.create(failoverConfig), replica, term);
+        return inForce.forFailover(
+                replica.journalId,
+                replicaFolder,
+                inForce.standalone().forFailover(failoverPeers),
+                endpoints.toJson(endpoint -> false));
     }
 
     @Override
--- a/sender/src/main/java/amberroute/sender/SettingsReload.java
+++ b/sender/src/main/java/amberroute/sender/SettingsReload.java
@@ -59,8 +59,9 @@
     String reload(Map<String, String> environment) {
         try {
             long newFingerprint = SenderConfig.fingerprint(environment);
-            SenderConfig config = SenderConfig.reread(environment);
-            check(config);
+            SenderConfig reread = SenderConfig.reread(environment);
+            check(reread);
+            SenderConfig config = startConfig.reloadedWith(reread);
             fingerprint = newFingerprint;
             String rejection = loop.submit(() -> activation.apply(config))
                     .syncUninterruptibly()
--- a/sender/src/main/java/amberroute/sender/config/SenderConfig.java
+++ b/sender/src/main/java/amberroute/sender/config/SenderConfig.java
@@ -54,11 +54,38 @@
         return memoryBytes / 32;
     }
 
+    /**
+     * The configuration in force after a reload: this one, with which the process started, and in it the settings, the discovery address
+     * and the address for notices of {@code reloaded}. All else counts from the next start.
+     */
+    public SenderConfig reloadedWith(SenderConfig reloaded) {
+        return new SenderConfig(
+                name,
+                listen,
+                reloaded.discovery,
+                state,
+                sockets,
+                memoryBytes,
+                diskBytes,
+                known,
+                reloaded.settings,
+                reloaded.classes,
+                reloaded.zones,
+                reloaded.kinds,
+                reloaded.reportNames,
+                ops,
+                reloaded.keys,
+                standalone == null ? null : standalone.withNotices(reloaded.notices()));
+    }
+
     /**
      * The configuration of a failover that runs in this process: the lost sender's name, the folder of its replica, a quarter of the
      * descriptors and no listener. Its slots are those of the lost process: destinations get no more calls for it than before.
+     *
+     * @param endpoints the endpoint list that it begins with, in discovery's form
      */
-    public SenderConfig forFailover(String theirs, Path folder, StandaloneConfig.Standalone there) {
+    public SenderConfig forFailover(
+            String theirs, Path folder, StandaloneConfig.Standalone there, JsonObject endpoints) {
         return new SenderConfig(
                 theirs,
                 null,
@@ -67,7 +94,7 @@
                 Math.max(2 * OWN_DESCRIPTORS, sockets / 4),
                 memoryBytes / 4,
                 diskBytes,
-                known,
+                endpoints,
                 settings,
                 classes,
                 zones,
--- a/sender/src/main/java/amberroute/sender/config/StandaloneConfig.java
+++ b/sender/src/main/java/amberroute/sender/config/StandaloneConfig.java
@@ -159,6 +159,27 @@
             String zone,
             boolean overload,
             boolean parts) {
+        /** The same with another address for notices. */
+        Standalone withNotices(InetSocketAddress newNotices) {
+            return new Standalone(
+                    endpoints,
+                    newNotices,
+                    control,
+                    stopMillis,
+                    backMillis,
+                    handOver,
+                    peers,
+                    adoption,
+                    adopt,
+                    lease,
+                    first,
+                    durability,
+                    survive,
+                    zone,
+                    overload,
+                    parts);
+        }
+
         /** The configuration of a failover in another sender's process: its peers, and no listener for clients or operators. */
         public Standalone forFailover(Map<String, InetSocketAddress> others) {
             return new Standalone(
