Let running failovers follow the reloads of their process

Where discovery moved while a failover ran, the failover went on watching, and repeating its notices at, the former address: its messages got no end.

Cause: a failover sender has a configuration source that cannot be reread, and a reload told the process's own components alone.

FailoverSenders keeps the failovers that run in a process; a reload that was applied is applied to each, and one that has started meanwhile gets what changed while it started. Addresses count even if pending messages leave no room for new classes.

--- a/sender/src/main/java/amberroute/sender/FailoverSender.java
+++ b/sender/src/main/java/amberroute/sender/FailoverSender.java
@@ -1,5 +1,6 @@
 package amberroute.sender;
 
+import amberroute.sender.config.SenderConfig;
 import amberroute.sender.journal.Journal;
 import amberroute.sender.peer.HandoffCoordinator;
 import amberroute.sender.peer.JournalReplicator;
@@ -51,11 +52,23 @@
     /** Tells peers for which ordered keys this sender has messages, and offers them the messages that can be handed over. */
     private void announceOrderedKeys() {
         HandoffCoordinator handoff = peers.handoff();
-        if (handoff != null && !state.lifecycle().ownershipReleased()) {
+        if (handoff != null && !stopped()) {
             handoff.announceKeyHolds(delivery.keyHolds.latestCompletionByKeyWithHolds());
         }
     }
 
+    /** Applies what a reload of its process has put in force, {@code inForce}. */
+    void reconfigure(SenderConfig inForce) {
+        if (!stopped()) {
+            lifecycleComponents.settingsReload.follow(state.config().reloadedWith(inForce));
+        }
+    }
+
+    /** Whether it has let go of the journal. */
+    boolean stopped() {
+        return state.lifecycle().ownershipReleased();
+    }
+
     @Override
     public Journal journal() {
         return state.folder().journal();
@@ -81,7 +94,7 @@
 
     @Override
     public void stop() {
-        if (state.lifecycle().ownershipReleased()) {
+        if (stopped()) {
             return;
         }
         state.lifecycle().releaseOwnership();
--- a/sender/src/main/java/amberroute/sender/LifecycleComponents.java
+++ b/sender/src/main/java/amberroute/sender/LifecycleComponents.java
@@ -19,6 +19,7 @@
     final EndpointFileFollower endpointFile;
     final JournalMaintenance maintenance;
     final SettingsActivation settingsActivation;
+    final FailoverSenders failovers;
     final SettingsReload settingsReload;
     final CallsInFlight callsInFlight;
     final ConnectionRetirement connections;
@@ -47,13 +48,15 @@
         maintenance = new JournalMaintenance(loop, state.folder(), state.lifecycle(), delivery.keyHolds);
         settingsActivation = new SettingsActivation(
                 state, delivery.scheduler, delivery.endpoints, delivery.upstream, delivery.clientServer);
+        failovers = new FailoverSenders(state.activeSettings());
         settingsReload = new SettingsReload(
                 state,
                 configSource.fingerprint(),
                 settingsActivation,
                 delivery.endpoints,
                 endpointFile,
-                delivery.notifier);
+                delivery.notifier,
+                failovers);
         callsInFlight = new CallsInFlight(delivery.upstream, delivery.endpoints);
         connections = new ConnectionRetirement(
                 loop,
--- a/sender/src/main/java/amberroute/sender/ReplicationHostAdapter.java
+++ b/sender/src/main/java/amberroute/sender/ReplicationHostAdapter.java
@@ -8,12 +8,14 @@
 import amberroute.sender.peer.ReplicationCoordinator;
 import amberroute.sender.peer.SupersededReplicas;
 import amberroute.sender.util.LogEvent;
+import com.google.gson.JsonObject;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.Callable;
 
 /**
  * What this sender does for the replication: ends when another sender continues its journal, and continues the journal of a
@@ -35,15 +37,21 @@
     private final ActiveSettings activeSettings;
     private final EndpointWatch endpoints;
     private final PeerServices peers;
+    private final FailoverSenders failovers;
     private final SenderFactory senderFactory;
 
     ReplicationHostAdapter(
-            SenderState state, EndpointWatch endpoints, PeerServices peers, SenderFactory senderFactory) {
+            SenderState state,
+            EndpointWatch endpoints,
+            PeerServices peers,
+            FailoverSenders failovers,
+            SenderFactory senderFactory) {
         folder = state.config().state();
         loop = state.loop();
         activeSettings = state.activeSettings();
         this.endpoints = endpoints;
         this.peers = peers;
+        this.failovers = failovers;
         this.senderFactory = senderFactory;
     }
 
@@ -60,24 +68,28 @@
     @Override
     public ReplicationCoordinator.Failover startFailover(
             ReplicaStore.StoredReplica replica, Path replicaFolder, long term) throws IOException {
-        SenderConfig failoverConfig = loop.submit(() -> failoverConfig(replica, replicaFolder))
-                .syncUninterruptibly()
-                .getNow();
-        return new FailoverSender(loop, peers.replication(), senderFactory.create(failoverConfig), replica, term);
+        // These may not be those that this process started with.
+        SenderConfig inForce = onLoop(activeSettings::config);
+        JsonObject endpointList = onLoop(() -> endpoints.toJson(endpoint -> false));
+        SenderConfig failoverConfig = failoverConfig(inForce, replica, replicaFolder, endpointList);
+        FailoverSender failover =
+                new FailoverSender(loop, peers.replication(), senderFactory.create(failoverConfig), replica, term);
+        loop.execute(() -> failovers.add(failover, inForce));
+        return failover;
     }
 
-    /** Of the configuration and the endpoint list in force, which may not be those that this process started with. */
-    private SenderConfig failoverConfig(ReplicaStore.StoredReplica replica, Path replicaFolder) {
-        SenderConfig inForce = activeSettings.config();
+    private <T> T onLoop(Callable<T> read) {
+        return loop.submit(read).syncUninterruptibly().getNow();
+    }
+
+    private SenderConfig failoverConfig(
+            SenderConfig inForce, ReplicaStore.StoredReplica replica, Path replicaFolder, JsonObject endpointList) {
         Map<String, InetSocketAddress> failoverPeers =
                 new LinkedHashMap<>(inForce.standalone().peers());
         failoverPeers.put(inForce.name(), peers.handoffAddress());
         // Uses the name of the failed sender, which may come back and has to hold these keys as any peer does.
         return inForce.forFailover(
-                replica.journalId,
-                replicaFolder,
-                inForce.standalone().forFailover(failoverPeers),
-                endpoints.toJson(endpoint -> false));
+                replica.journalId, replicaFolder, inForce.standalone().forFailover(failoverPeers), endpointList);
     }
 
     @Override
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -301,8 +301,8 @@
     }
 
     private Void startReplication() throws IOException {
-        delivery.peers.startReplication(
-                new ReplicationHostAdapter(state, delivery.endpoints, delivery.peers, this::newFailoverSender));
+        delivery.peers.startReplication(new ReplicationHostAdapter(
+                state, delivery.endpoints, delivery.peers, lifecycleComponents.failovers, this::newFailoverSender));
         return null;
     }
 
--- a/sender/src/main/java/amberroute/sender/SettingsReload.java
+++ b/sender/src/main/java/amberroute/sender/SettingsReload.java
@@ -28,6 +28,7 @@
     private final EndpointWatch endpoints;
     private final EndpointFileFollower endpointFile;
     private final FailureNotifier notifier;
+    private final FailoverSenders failovers;
     /** Fingerprint of the configuration that was read last. */
     private volatile long fingerprint;
 
@@ -38,7 +39,8 @@
             SettingsActivation activation,
             EndpointWatch endpoints,
             EndpointFileFollower endpointFile,
-            FailureNotifier notifier) {
+            FailureNotifier notifier,
+            FailoverSenders failovers) {
         loop = state.loop();
         lifecycle = state.lifecycle();
         metrics = state.metrics();
@@ -47,6 +49,7 @@
         this.endpoints = endpoints;
         this.endpointFile = endpointFile;
         this.notifier = notifier;
+        this.failovers = failovers;
         startConfig = state.config();
     }
 
@@ -95,6 +98,26 @@
                 .with("classes", config.classes().size())
                 .with("max_attempts", config.settings().limits().maxAttempts())
                 .warn();
+        useAddresses(config);
+        failovers.configurationApplied();
+    }
+
+    /**
+     * Applies a configuration that the parent of this failover sender has in force. Its addresses count even if pending messages leave no
+     * room for its classes, as every end of a message depends on them. Event loop only.
+     */
+    void follow(SenderConfig config) {
+        String rejection = activation.apply(config);
+        if (rejection != null) {
+            LogEvent.of("configuration_rejected")
+                    .with("journal", config.name())
+                    .with("reason", rejection)
+                    .warn();
+        }
+        useAddresses(config);
+    }
+
+    private void useAddresses(SenderConfig config) {
         if (config.discovery() == null) {
             endpointFile.reload();
         } else {
--- a/sender/src/test/java/amberroute/sender/FailoverReloadTest.java
+++ b/sender/src/test/java/amberroute/sender/FailoverReloadTest.java
@@ -97,8 +97,6 @@
             processes.add(SenderProcess.begin(environment, folder.resolve("log" + i), 0));
         }
         processes.forEach(process -> await(process::ready));
-        // Nothing is accepted before there are enough replicas.
-        processes.forEach(process -> await(() -> process.logged("event=leadership_acquired")));
     }
 
     private void moveDiscovery() throws Exception {
@@ -116,7 +114,11 @@
     private void submit(SenderProcess sender) throws IOException {
         try (SenderFixture.Client client = new SenderFixture.Client(sender.port())) {
             for (int i = 0; i < MESSAGES; i++) {
-                assertEquals("+OK", client.submit("safe", SenderFixture.ID + i, NO_KEY, TIME_LEFT_MS, 7));
+                String id = SenderFixture.ID + i;
+                String options = "c=safe,d=" + TIME_LEFT_MS + ",dest=7";
+                // Turned away while there are too few replicas.
+                await(() -> client.tryAsk("SUBMIT", NO_KEY, id, options, "body of " + id)
+                        .equals("+OK"));
             }
         }
     }
@@ -150,6 +152,19 @@
         awaitNoticeOfEachMessage();
     }
 
+    /** Guards against a failover that a reload of its process does not reach, which repeats its notices at the former address. */
+    @Test
+    void aRunningFailoverFollowsAReload() throws Exception {
+        configureDiscovery(world.discovery);
+        startSenders();
+        submit(processes.get(0));
+        processes.get(0).kill();
+        SenderProcess successor = awaitFailover();
+        await(() -> successor.logged("event=messages_recovered messages=" + MESSAGES));
+        moveDiscovery();
+        awaitNoticeOfEachMessage();
+    }
+
     /** Guards against a failover that begins with the endpoint list of the start of its process, and calls a receiver that has moved. */
     @Test
     void aFailoverCallsTheEndpointsThatItsProcessHasNow() throws Exception {
@@ -157,15 +172,13 @@
         Files.writeString(list, world.list(1, true, "Ready", "s-1"));
         configure("endpoints = \"endpoints.json\"", world.discovery.address());
         startSenders();
+        awaitListsLoaded(1);
         try (SenderFixture.Http other = new SenderFixture.Http(request -> null)) {
             String changed = world.list(2, true, "Ready", "s-2").replace(world.receiver.address(), other.address());
             Path aside = folder.resolve("endpoints.new");
             Files.writeString(aside, changed);
             Files.move(aside, list, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
-            for (SenderProcess process : processes) {
-                await(() -> process.logged("event=endpoint_file_loaded endpoints=2")
-                        && lines(process, "event=endpoint_file_loaded") == 2);
-            }
+            awaitListsLoaded(2);
             world.receiver.requests.clear();
             submit(processes.get(0));
             int callsBefore = other.requests.size();
@@ -176,11 +189,14 @@
         assertEquals(List.of(), world.receiver.requests);
     }
 
-    private static long lines(SenderProcess process, String text) {
-        try {
-            return process.lines(text);
-        } catch (IOException e) {
-            return 0;
-        }
+    /** Each process reads the file once when it begins to serve, and again whenever it is replaced. */
+    private void awaitListsLoaded(long times) {
+        processes.forEach(process -> await(() -> {
+            try {
+                return process.lines("event=endpoint_file_loaded") == times;
+            } catch (IOException e) {
+                return false;
+            }
+        }));
     }
 }
