Let a new process take the configuration that the old one was told of

Cause: the new process reads its configuration before the transfer; SIGHUP goes to the old one, which applies it and gives the folder away, or refuses it as it owns nothing any more. Nobody compared what the new one had read with the file. A reclaim does, for the other direction.

The process that has taken a folder over now compares the file with what it has read when it is ready, and again when its predecessor is gone, and reloads where they differ.

ProcessReplacementTest.takesAConfigurationThatTheOldProcessWasToldOf... (two tests): both failed before (no notice, or no move, within 20 s) and pass now, with the class, OwnershipTransferTest, FolderReclaimTest and ReloadTest.

--- a/sender/src/main/java/amberroute/sender/PredecessorEvents.java
+++ b/sender/src/main/java/amberroute/sender/PredecessorEvents.java
@@ -3,7 +3,6 @@
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
 import amberroute.sender.client.ClientServer;
 import amberroute.sender.discovery.EndpointWatch;
-import amberroute.sender.lifecycle.HeapReserve;
 import amberroute.sender.lifecycle.IncomingTransfer;
 import amberroute.sender.lifecycle.StateFolder;
 import amberroute.sender.message.AcceptedMessage;
@@ -26,8 +25,11 @@
     private final UpstreamClient upstream;
     private final OutcomeProcessor outcomes;
     private final ClientServer.Acceptor submissions;
+    private final Runnable onPredecessorGone;
 
-    PredecessorEvents(SenderState state, DeliveryComponents delivery) {
+    /** {@code onPredecessorGone} is run on a thread of its own when the predecessor has ended. */
+    PredecessorEvents(SenderState state, DeliveryComponents delivery, Runnable onPredecessorGone) {
+        this.onPredecessorGone = onPredecessorGone;
         folder = state.folder();
         messages = state.messages();
         endpoints = delivery.endpoints;
@@ -90,7 +92,6 @@
 
     @Override
     public void predecessorGone() {
-        // Both processes share one memory limit, so only now is there room for the whole heap.
-        new Thread(HeapReserve::commit, "heap").start();
+        new Thread(onPredecessorGone, "successor").start();
     }
 }
--- a/sender/src/main/java/amberroute/sender/ReclaimOwner.java
+++ b/sender/src/main/java/amberroute/sender/ReclaimOwner.java
@@ -65,10 +65,7 @@
         if (lifecycleComponents.connections.draining()) {
             beginStop(lifecycleComponents.connections.millisLeft());
         }
-        if (configSource.environment() != null
-                && lifecycleComponents.settingsReload.hasChanged(configSource.environment())) {
-            new Thread(() -> lifecycleComponents.settingsReload.reload(configSource.environment()), "reload").start();
-        }
+        new Thread(() -> lifecycleComponents.settingsReload.reloadIfChanged(configSource), "reload").start();
     }
 
     /** Begins the stop that was requested while another process owned the messages. */
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -11,6 +11,7 @@
 import amberroute.sender.eventloop.EventLoopStallDetector;
 import amberroute.sender.eventloop.MillisecondSelectStrategy;
 import amberroute.sender.lifecycle.FolderReclaim;
+import amberroute.sender.lifecycle.HeapReserve;
 import amberroute.sender.lifecycle.LifecyclePhase;
 import amberroute.sender.lifecycle.LifecycleState;
 import amberroute.sender.lifecycle.OutgoingTransfer;
@@ -271,6 +272,7 @@
                     .with("name", config.name())
                     .with("address", address)
                     .warn();
+            reloadIfChangedMeanwhile();
         }
     }
 
@@ -296,10 +298,25 @@
     }
 
     private void acquireOwnership() throws IOException, InterruptedException {
-        PredecessorEvents events = new PredecessorEvents(state, delivery);
+        PredecessorEvents events = new PredecessorEvents(state, delivery, this::onPredecessorGone);
         new OwnershipAcquisition(state, delivery.endpoints, delivery.clientServer, events).acquire(this::openFolder);
     }
 
+    private void onPredecessorGone() {
+        // Both processes share one memory limit, so only now is there room for the whole heap.
+        HeapReserve.commit();
+        if (lifecycle.ready()) {
+            lifecycleComponents.settingsReload.reloadIfChanged(configSource);
+        }
+    }
+
+    /** The predecessor may have been told of a configuration that this process had not read when it started. */
+    private void reloadIfChangedMeanwhile() {
+        if (state.transfers().incoming() != null) {
+            new Thread(() -> lifecycleComponents.settingsReload.reloadIfChanged(configSource), "reload").start();
+        }
+    }
+
     private Void startReplication() throws IOException {
         delivery.peers.startReplication(new ReplicationHostAdapter(
                 state, delivery.endpoints, delivery.peers, lifecycleComponents.failovers, this::newFailoverSender));
--- a/sender/src/main/java/amberroute/sender/SettingsReload.java
+++ b/sender/src/main/java/amberroute/sender/SettingsReload.java
@@ -53,9 +53,14 @@
         startConfig = state.config();
     }
 
-    /** Whether the configuration differs from the one that was read last. */
-    boolean hasChanged(Map<String, String> environment) {
-        return SenderConfig.fingerprint(environment) != fingerprint;
+    /**
+     * Rereads the configuration if it differs from the one that was read last. To be called when this process takes over from another one,
+     * which may have been told of a new configuration, and again when that one is gone.
+     */
+    void reloadIfChanged(ConfigSource source) {
+        if (source.environment() != null && SenderConfig.fingerprint(source.environment()) != fingerprint) {
+            reload(source.environment());
+        }
     }
 
     /** Rereads the configuration. Returns null, or the reason why it is rejected, in which case the active one stays. */
--- a/sender/src/test/java/amberroute/sender/ProcessReplacementTest.java
+++ b/sender/src/test/java/amberroute/sender/ProcessReplacementTest.java
@@ -215,6 +215,45 @@
                 + " submissions asked again, " + world.notices.size() + " notices");
     }
 
+    /** Guards against a new process that stays with the discovery address of its start, though the old one was told of another. */
+    @Test
+    void takesAConfigurationThatTheOldProcessWasToldOfBeforeTheTransfer() throws Exception {
+        SenderProcess old = start();
+        SenderProcess fresh = begin();
+        // It has read its configuration.
+        await(() -> fresh.logged("event=admin_server_listening"));
+        moveDiscovery(old);
+        await(fresh::ready);
+        world.discovery.close();
+        assertNoticeAtNewAddress();
+    }
+
+    /** Guards against a configuration that is lost as the old process, which was told of it, owns nothing any more. */
+    @Test
+    void takesAConfigurationThatTheOldProcessWasToldOfBehindTheTransfer() throws Exception {
+        SenderProcess old = start();
+        SenderProcess fresh = start();
+        moveDiscovery(old);
+        old.signal("TERM");
+        await(() -> socket.status(old).isPresent());
+        await(() -> fresh.logged("event=discovery_address_set"));
+        world.discovery.close();
+        assertNoticeAtNewAddress();
+    }
+
+    private void moveDiscovery(SenderProcess told) throws Exception {
+        world.moveDiscovery(5, "Ready");
+        told.signal("HUP");
+        await(() -> told.logged("event=configuration_applied") || told.logged("event=configuration_rejected"));
+    }
+
+    /** A message that cannot be delivered ends by a notice. */
+    private void assertNoticeAtNewAddress() throws IOException {
+        assertEquals("+OK", client().submit("unsafe", "undelivered", NO_KEY, 3_000, 8));
+        await(() ->
+                world.moved.requests.stream().anyMatch(request -> request.body().contains("undelivered")));
+    }
+
     /** The limit on memory holds for both processes together: the new one has to start smaller, and grows when the old one is gone. */
     @Test
     void theNewOneTakesLessMemoryWhileTheOldOneRuns() throws Exception {
