--- a/sender/src/main/java/amberroute/sender/client/RequestMemory.java
+++ b/sender/src/main/java/amberroute/sender/client/RequestMemory.java
@@ -1,7 +1,10 @@
 package amberroute.sender.client;
 
-/** Bounds the bytes that incomplete requests of all connections hold together. Belongs to the event loop. */
+/** Bounds the bytes that large requests of all connections hold together. Belongs to the event loop. */
 final class RequestMemory {
+    /** Requests up to this size need no reservation: the numbers of connections and of messages bound them. */
+    static final int MAX_UNRESERVED_BYTES = 4_096;
+
     private long freeBytes;
 
     /** A budget of so many bytes. */
--- a/sender/src/test/java/amberroute/sender/SenderFixture.java
+++ b/sender/src/test/java/amberroute/sender/SenderFixture.java
@@ -231,6 +231,7 @@
     int openCap = 50;
     int perCall = 1;
     double diskMb = 3;
+    int sockets = 256;
     long keepAlive = 15_000_000;
     /** Deadline of each class in microseconds. */
     long deadline = 20_000_000;
@@ -317,7 +318,7 @@
                 file,
                 """
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%1$s","ops":"127.0.0.1:0","seed":"8c1f30d27a5be964",
-                 "limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":%2$s},"known":%3$s,
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":%10$d,"disk_mb":%2$s},"known":%3$s,
                  "settings":{"balancers":1,"az":0,"tick_us":5000,"membership_mode":"pushed",
                   "kinds":["std"],"zones":["a"],"reporting":{"how":"inline","names":["x0","x1"]},
                   "family_info":{"calls_out":%5$d,"late":"even","per_call":[%6$d],"routes_apart":[false]},
@@ -337,7 +338,8 @@
                                 perCall,
                                 openCap,
                                 keepAlive,
-                                attempts));
+                                attempts,
+                                sockets));
         return Map.of(
                 "GW_CONFIG",
                 file.toString(),
--- a/sender/src/test/java/amberroute/sender/SenderProcess.java
+++ b/sender/src/test/java/amberroute/sender/SenderProcess.java
@@ -32,9 +32,15 @@
 
     /** Returns at once; it may hold so many descriptors, 0 for as many as this process. */
     static SenderProcess begin(Map<String, String> environment, Path log, int descriptors) throws IOException {
+        return begin(environment, log, descriptors, command());
+    }
+
+    /** The same by a command of its own. */
+    static SenderProcess begin(Map<String, String> environment, Path log, int descriptors, List<String> command)
+            throws IOException {
         String limit = descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ";
         List<String> words = new ArrayList<>(List.of("/bin/sh", "-c", limit + "exec \"$0\" \"$@\""));
-        words.addAll(command());
+        words.addAll(command);
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().putAll(environment);
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
