Bound the bytes of requests that wait for their reply

Requests that are whole but have no reply yet were bounded by number alone: 64 of 64 KiB a connection, whatever all connections hold. They wait for the next iteration, for peers or for replicas, and where a client has probably given up for a look whether it has.

Each connection is now read on only while at most 128 KiB of it are unanswered, which one that waits for each reply never reaches. Requests of more than 4 KiB of all connections hold at most 1/32 of the memory limit together until they have their replies (as incomplete ones do, beside those); beyond that a message gets -BUSY at once and the connection stays. A request whose rest lies unread because the connection is not read on gets its 2 s to arrive from when it is.

--- a/sender/src/main/java/amberroute/sender/SubmissionHandler.java
+++ b/sender/src/main/java/amberroute/sender/SubmissionHandler.java
@@ -51,6 +51,11 @@
         carryOut(admission.decide(submission), submission, reply);
     }
 
+    @Override
+    public void outOfMemory(ClientServer.Submission submission, ClientServer.Answer reply) {
+        reject(new SubmissionVerdict.Reject(SubmissionVerdict.RejectionReason.CAPACITY, 0), submission, reply);
+    }
+
     /** The number of submissions that wait until a peer has taken over their ordered key. */
     int deferredCount() {
         return deferred.size();
--- a/sender/src/main/java/amberroute/sender/client/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/client/ClientServer.java
@@ -46,6 +46,11 @@
     public interface Acceptor {
         /** Takes a submission on the event loop; {@code answer} is to be given exactly once, on the event loop. */
         void submitted(Submission submission, Answer answer);
+
+        /** Takes a submission for which there is no memory, to turn it away at once. */
+        default void outOfMemory(Submission submission, Answer answer) {
+            answer.busy(0);
+        }
     }
 
     /** Takes the one reply to a request. */
@@ -74,7 +79,8 @@
 
     private final EventLoop loop;
     private final Acceptor acceptor;
-    private final RequestMemory requestMemory;
+    private final RequestMemory incompleteMemory;
+    private final RequestMemory unansweredMemory;
     private final OrderlyClose closing;
     private final ConnectionTable connections;
     private final SessionHost host = new SessionHost();
@@ -94,14 +100,15 @@
      * Creates a server that does not listen yet.
      *
      * @param mostConnections connections that may be open at one time, those that are being closed included
-     * @param roomBytes memory in bytes that incomplete requests of all connections may hold
+     * @param roomBytes memory in bytes that incomplete requests of all connections may hold, and as much for those without a reply
      */
     public ClientServer(EventLoop loop, Acceptor acceptor, int mostConnections, long roomBytes) {
         this.loop = loop;
         this.acceptor = acceptor;
         closing = new OrderlyClose(loop);
         connections = new ConnectionTable(mostConnections, closing);
-        requestMemory = new RequestMemory(roomBytes);
+        incompleteMemory = new RequestMemory(roomBytes);
+        unansweredMemory = new RequestMemory(roomBytes);
     }
 
     /** Accepts messages of these classes from now on. */
@@ -139,7 +146,7 @@
     }
 
     private void initialize(Channel channel) {
-        RespDecoder decoder = new RespDecoder(requestMemory);
+        RespDecoder decoder = new RespDecoder(incompleteMemory);
         channel.pipeline().addLast(decoder, new ClientSession(host, decoder, requestAge));
     }
 
@@ -269,11 +276,21 @@
             return retiring;
         }
 
+        @Override
+        public RequestMemory unansweredMemory() {
+            return unansweredMemory;
+        }
+
         @Override
         public void submit(Submission submission, Answer answer) {
             acceptor.submitted(submission, answer);
         }
 
+        @Override
+        public void shed(Submission submission, Answer answer) {
+            acceptor.outOfMemory(submission, answer);
+        }
+
         @Override
         public void countAbandoned() {
             abandonedRequests++;
--- a/sender/src/main/java/amberroute/sender/client/ClientSession.java
+++ b/sender/src/main/java/amberroute/sender/client/ClientSession.java
@@ -19,6 +19,8 @@
 final class ClientSession extends SimpleChannelInboundHandler<RespDecoder.Request> {
     /** With more requests unanswered the connection is not read on. */
     private static final int MAX_UNANSWERED_WHILE_READING = 64;
+    /** The same for their bytes; a client that waits for each reply stays below it. */
+    private static final long MAX_UNANSWERED_BYTES_WHILE_READING = 2 * RespDecoder.LARGEST_VALUE;
     /** With more requests unanswered, all from one read, the connection ends. */
     private static final int MAX_UNANSWERED = 4_096;
     /** For the first request of a connection, and from the first byte of each later one. */
@@ -46,9 +48,15 @@
         /** Whether connections close after their next reply. */
         boolean retiring();
 
+        /** Memory for large requests that have no reply yet. */
+        RequestMemory unansweredMemory();
+
         /** Passes a submission on; its answer is given once, now or later. */
         void submit(ClientServer.Submission submission, ClientServer.Answer answer);
 
+        /** Turns a submission away, as there is no memory for it. */
+        void shed(ClientServer.Submission submission, ClientServer.Answer answer);
+
         /** Counts a request whose client has disconnected before it was passed on. */
         void countAbandoned();
     }
@@ -138,7 +146,7 @@
         if (!decoder.unfinished()) {
             close();
         } else if (!ending) {
-            endWith(replies.add(), "no whole request in time");
+            endWith(replies.add(0), "no whole request in time");
         }
     }
 
@@ -157,19 +165,24 @@
             return;
         }
         stopRequestTimeout();
-        ReplyQueue.Reply reply = replies.add();
+        ReplyQueue.Reply reply = replies.add(request.bytes());
         if (request.fatal()) {
             endWith(reply, request.error());
         } else if (replies.size() > MAX_UNANSWERED) {
             endWith(reply, "too many requests at once");
         } else {
-            if (replies.size() > MAX_UNANSWERED_WHILE_READING) {
+            if (!mayReadOn()) {
                 stopReading();
             }
-            execute(request.values(), reply);
+            execute(request, reply);
         }
     }
 
+    private boolean mayReadOn() {
+        return replies.size() <= MAX_UNANSWERED_WHILE_READING
+                && replies.requestBytes() <= MAX_UNANSWERED_BYTES_WHILE_READING;
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         unreadSinceNanos = channel.config().isAutoRead() ? 0 : readingStoppedNanos;
@@ -179,12 +192,20 @@
             } else {
                 channel.config().setAutoRead(false);
             }
-        } else if (!ending && requestTimeout == null && decoder.unfinished()) {
+        } else if (channel.config().isAutoRead()) {
+            limitUnfinishedRequest();
+        }
+    }
+
+    /** While reading is stopped, the rest of a request may lie unread: the client is not to blame for it. */
+    private void limitUnfinishedRequest() {
+        if (!ending && requestTimeout == null && decoder.unfinished()) {
             startRequestTimeout();
         }
     }
 
-    private void execute(List<byte[]> words, ReplyQueue.Reply reply) {
+    private void execute(RespDecoder.Request request, ReplyQueue.Reply reply) {
+        List<byte[]> words = request.values();
         try {
             String name =
                     words.isEmpty() ? "" : SubmitCommand.text(words.get(0)).toUpperCase(Locale.ROOT);
@@ -193,7 +214,7 @@
                     validRequest();
                     reply.send("+PONG\r\n");
                 }
-                case "SUBMIT" -> submit(words, reply);
+                case "SUBMIT" -> submit(request, reply);
                 default -> throw new IllegalArgumentException("unknown command");
             }
         } catch (IllegalArgumentException e) {
@@ -201,14 +222,16 @@
         }
     }
 
-    private void submit(List<byte[]> words, ReplyQueue.Reply reply) {
+    private void submit(RespDecoder.Request request, ReplyQueue.Reply reply) {
         long unreadMillis = requestAge.unreadMillis(unreadSinceNanos, System.nanoTime());
-        ClientServer.Submission asSent = SubmitCommand.parse(words, host.classNames());
+        ClientServer.Submission asSent = SubmitCommand.parse(request.values(), host.classNames());
         long inClientMillis = requestAge.waitedInClientMillis(asSent.key(), System.nanoTime());
         ClientServer.Submission submission = asSent.after(Math.max(unreadMillis, inClientMillis));
         reply.setKey(submission.key());
         validRequest();
-        if (unreadMillis < QueueingDelay.CLIENT_TIMEOUT_MS) {
+        if (!reply.reserve(host.unansweredMemory())) {
+            host.shed(submission, reply);
+        } else if (unreadMillis < QueueingDelay.CLIENT_TIMEOUT_MS) {
             host.submit(submission, reply);
         } else {
             requestAge.outageStillFelt(System.nanoTime());
@@ -228,6 +251,7 @@
                 long passedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - readNanos);
                 host.submit(submission.after(passedMillis), reply);
             } else {
+                reply.release();
                 host.countAbandoned();
             }
         };
@@ -258,7 +282,12 @@
 
     private void resumeAfterInvalidRequest() {
         pausedForInvalidRequest = false;
+        resumeReading();
+    }
+
+    private void resumeReading() {
         channel.config().setAutoRead(true);
+        limitUnfinishedRequest();
     }
 
     /** What arrives from now on waits until reading goes on. */
@@ -279,11 +308,8 @@
             // After this read: a request that came with the answered one is owed a reply too.
             loop.execute(this::closeIfResting);
         }
-        if (!pausedForInvalidRequest
-                && !ending
-                && replies.size() <= MAX_UNANSWERED_WHILE_READING
-                && channel.isWritable()) {
-            channel.config().setAutoRead(true);
+        if (!pausedForInvalidRequest && !ending && mayReadOn() && channel.isWritable()) {
+            resumeReading();
         }
     }
 
@@ -293,7 +319,7 @@
         if (!pausedForInvalidRequest && !channel.isWritable()) {
             stopReading();
         } else if (!pausedForInvalidRequest) {
-            channel.config().setAutoRead(true);
+            resumeReading();
         }
     }
 
--- a/sender/src/main/java/amberroute/sender/client/ReplyQueue.java
+++ b/sender/src/main/java/amberroute/sender/client/ReplyQueue.java
@@ -25,6 +25,7 @@
     }
 
     private final Deque<Reply> pending = new ArrayDeque<>();
+    private long requestBytes;
     private final Channel channel;
     private final Listener listener;
 
@@ -34,10 +35,11 @@
         this.listener = listener;
     }
 
-    /** Adds the place of the next request's reply. */
-    Reply add() {
-        Reply reply = new Reply();
+    /** Adds the place of the reply to the next request, which has so many bytes. */
+    Reply add(int bytes) {
+        Reply reply = new Reply(bytes);
         pending.add(reply);
+        requestBytes += bytes;
         return reply;
     }
 
@@ -49,11 +51,17 @@
         return pending.size();
     }
 
+    /** Bytes of the requests whose replies are not written. */
+    long requestBytes() {
+        return requestBytes;
+    }
+
     /** Writes the replies at the head that have been given. */
     Flushed flush() {
         Flushed flushed = Flushed.NOTHING;
         while (!pending.isEmpty() && pending.peek().text != null) {
             Reply reply = pending.poll();
+            requestBytes -= reply.requestBytes;
             channel.write(Unpooled.copiedBuffer(reply.text, StandardCharsets.ISO_8859_1));
             flushed = reply.last ? Flushed.LAST_REPLY : Flushed.REPLIES;
         }
@@ -65,15 +73,39 @@
 
     /** The reply to one request. */
     final class Reply extends ClientServer.Answer {
+        private final int requestBytes;
         private String text;
         private boolean last;
         private long key;
+        /** Null unless memory is reserved for the request. */
+        private RequestMemory memory;
+
+        private Reply(int requestBytes) {
+            this.requestBytes = requestBytes;
+        }
 
         /** The connection ends after this reply. */
         void setLast() {
             last = true;
         }
 
+        /** Reserves memory for the request until its reply is given, where it is large; false if there is not enough. */
+        boolean reserve(RequestMemory requestMemory) {
+            if (requestBytes <= RequestMemory.MAX_UNRESERVED_BYTES) {
+                return true;
+            }
+            memory = requestMemory.reserve(requestBytes) ? requestMemory : null;
+            return memory != null;
+        }
+
+        /** Returns what the request holds: it has its reply, or is dropped without one. */
+        void release() {
+            if (memory != null) {
+                memory.release(requestBytes);
+                memory = null;
+            }
+        }
+
         /** The reply is for a message of this key, 0 for none. */
         void setKey(long key) {
             this.key = key;
@@ -87,6 +119,7 @@
         @Override
         public void send(String reply) {
             text = reply;
+            release();
             listener.replyGiven(key);
         }
     }
