Write the replies of one read together, and count them before a connection is read on

Cause: each reply was a write of its own, a system call, and a PING, which is answered at once, never counted as unanswered: a pass of the event loop carried out and answered all that had come, up to a megabyte of each connection.

Replies that are given within a read are now written at its end, in one piece; until then they count as unanswered, so that a pass carries out little more than 64 commands of a connection. So are replies that follow one another outside a read where an earlier one was missing.

--- a/sender/src/main/java/amberroute/sender/client/ClientSession.java
+++ b/sender/src/main/java/amberroute/sender/client/ClientSession.java
@@ -71,6 +71,9 @@
     private Future<?> requestTimeout;
     private int invalidRequestsInARow;
     private boolean pausedForInvalidRequest;
+    /** Whether the event loop is within a read of this connection; replies that are given in it are written at its end. */
+    private boolean inRead;
+
     private boolean ending;
     /** Since when what is read next may have waited, 0 where only the event loop's own delay counts. */
     private long unreadSinceNanos;
@@ -164,6 +167,7 @@
         if (ending || !channel.isActive()) {
             return;
         }
+        inRead = true;
         stopRequestTimeout();
         ReplyQueue.Reply reply = replies.add(request.bytes());
         if (request.fatal()) {
@@ -185,6 +189,8 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        inRead = false;
+        writeReplies();
         unreadSinceNanos = channel.config().isAutoRead() ? 0 : readingStoppedNanos;
         if (ending && decoder.discarded() > MAX_DISCARDED_BYTES) {
             if (replies.isEmpty()) {
@@ -298,6 +304,12 @@
 
     private void replyGiven(long key) {
         requestAge.answered(key, System.nanoTime());
+        if (!inRead) {
+            writeReplies();
+        }
+    }
+
+    private void writeReplies() {
         ReplyQueue.Flushed flushed = replies.flush();
         if (flushed == ReplyQueue.Flushed.NOTHING) {
             return;
--- a/sender/src/main/java/amberroute/sender/client/ReplyQueue.java
+++ b/sender/src/main/java/amberroute/sender/client/ReplyQueue.java
@@ -56,17 +56,18 @@
         return requestBytes;
     }
 
-    /** Writes the replies at the head that have been given. */
+    /** Writes the replies at the head that have been given, in one piece: each write is a system call. */
     Flushed flush() {
         Flushed flushed = Flushed.NOTHING;
+        StringBuilder text = new StringBuilder();
         while (!pending.isEmpty() && pending.peek().text != null) {
             Reply reply = pending.poll();
             requestBytes -= reply.requestBytes;
-            channel.write(Unpooled.copiedBuffer(reply.text, StandardCharsets.ISO_8859_1));
+            text.append(reply.text);
             flushed = reply.last ? Flushed.LAST_REPLY : Flushed.REPLIES;
         }
         if (flushed != Flushed.NOTHING) {
-            channel.flush();
+            channel.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
         }
         return flushed;
     }
--- a/sender/src/test/java/amberroute/sender/PipeliningClientsTest.java
+++ b/sender/src/test/java/amberroute/sender/PipeliningClientsTest.java
@@ -159,4 +159,18 @@
         }
         readLines(in, LARGE_COMMANDS);
     }
+
+    /** Guards against a pass of the event loop that carries out whatever has come, with a system call for each reply. */
+    @Test
+    void manySmallCommandsAtOnceHoldUpNobody() throws Exception {
+        acceptMessages();
+        byte[] commands = "*1\r\n$4\r\nPING\r\n".repeat(500).getBytes(StandardCharsets.US_ASCII);
+        startClients(100, (out, in) -> {
+            while (!ended) {
+                out.write(commands);
+                readLines(in, 500);
+            }
+        });
+        assertNoticesInTime();
+    }
 }
