Read of a connection what its value lacks, else little

Cause: a connection is stopped behind 64 commands without a written reply, but what was read with them is carried out too, and a read of 16 KiB holds three thousand of the shortest.

RequestReadAllocator makes a read as long as the value that is being read, 2 KiB between values, in place of a size that adapts to what comes.

--- a/sender/src/main/java/amberroute/sender/client/ClientListener.java
+++ b/sender/src/main/java/amberroute/sender/client/ClientListener.java
@@ -2,7 +2,6 @@
 
 import amberroute.sender.util.LogEvent;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -22,12 +21,6 @@
  */
 final class ClientListener {
     private static final int ACCEPT_QUEUE_LENGTH = 512;
-    /** Bytes of the first read of a connection; later ones grow and shrink with what comes. */
-    private static final int INITIAL_READ_BYTES = 2_048;
-
-    private static final int MIN_READ_BYTES = 64;
-    /** What was read is decoded before a connection is stopped, so this bounds the commands of a pass beyond what may be unanswered. */
-    private static final int MAX_READ_BYTES = 1 << 14;
     /** After a failed accept: short beside the time-out of clients, long beside the cost of an attempt. */
     private static final long ACCEPT_RETRY_MILLIS = 10;
     /** The socket closes after at most so many polls of the accept queue that still brought connections. */
@@ -75,9 +68,6 @@
         return new ServerBootstrap()
                 .group(loop, loop)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
                 .handler(new AcceptHandler())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/sender/src/main/java/amberroute/sender/client/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/client/ClientServer.java
@@ -147,6 +147,7 @@
 
     private void initialize(Channel channel) {
         RespDecoder decoder = new RespDecoder(incompleteMemory);
+        channel.config().setRecvByteBufAllocator(new RequestReadAllocator(decoder));
         channel.pipeline().addLast(decoder, new ClientSession(host, decoder, requestAge));
     }
 
--- a/sender/src/main/java/amberroute/sender/client/RespDecoder.java
+++ b/sender/src/main/java/amberroute/sender/client/RespDecoder.java
@@ -64,6 +64,11 @@
         return unfinished;
     }
 
+    /** Bytes that the value that is being read lacks, with its terminator; 0 between values. */
+    int missingValueBytes() {
+        return value == null ? 0 : value.length - valueBytesRead + TERMINATOR.length - terminatorBytesRead;
+    }
+
     /** Bytes discarded since decoding stopped. */
     long discarded() {
         return discardedBytes;
--- a/sender/src/test/java/amberroute/sender/PipeliningClientsTest.java
+++ b/sender/src/test/java/amberroute/sender/PipeliningClientsTest.java
@@ -173,4 +173,19 @@
         });
         assertNoticesInTime();
     }
+
+    /** Guards against reads that hold thousands of short commands, all of which are carried out before the connection is stopped. */
+    @Test
+    void shortCommandsAtOnceHoldUpNobody() throws Exception {
+        acceptMessages();
+        int count = 5_000;
+        byte[] commands = "PING\n".repeat(count).getBytes(StandardCharsets.US_ASCII);
+        startClients(100, (out, in) -> {
+            while (!ended) {
+                out.write(commands);
+                readLines(in, count);
+            }
+        });
+        assertNoticesInTime();
+    }
 }
--- a/sender/src/test/java/amberroute/sender/client/RespDecoderTest.java
+++ b/sender/src/test/java/amberroute/sender/client/RespDecoderTest.java
@@ -91,4 +91,18 @@
         read("*1\r\n$4\r\nPING\r\n");
         assertEquals(List.of(), decoded());
     }
+
+    @Test
+    void readsAreAsLargeAsTheValueThatIsMissing() {
+        RequestReadAllocator reads =
+                new RequestReadAllocator((RespDecoder) channel.pipeline().first());
+        int between = reads.nextReadBytes();
+        read("*1\r\n$60000\r\nxy");
+        assertEquals(60_000, reads.nextReadBytes());
+        read("x".repeat(59_997));
+        assertEquals(between, reads.nextReadBytes());
+        read("x\r\n");
+        assertEquals(1, decoded().size());
+        assertEquals(between, reads.nextReadBytes());
+    }
 }
