Decide on duplicates of a pending message once an iteration has decided on it

Where many clients sent the same message many times at once, notices came up to 2.4 s behind their deadline.

Cause: a submission whose id waits for the next iteration was put back as a task of the event loop, which runs in the same pass, again and again until the iteration came: thousands of them left it nothing else to do.

Such submissions now wait in a list until the iteration has decided, and are decided on once more.

--- a/sender/src/main/java/amberroute/sender/MessageAcceptance.java
+++ b/sender/src/main/java/amberroute/sender/MessageAcceptance.java
@@ -49,6 +49,7 @@
         messages.pendingAcceptances().values().forEach(this::accept);
         messages.pendingAcceptances().clear();
         messages.pendingAcceptanceIds().clear();
+        submissions.retryDuplicates();
     }
 
     private void rejectSubmission(long messageNumber, long retryAfterMillis) {
--- a/sender/src/main/java/amberroute/sender/SubmissionHandler.java
+++ b/sender/src/main/java/amberroute/sender/SubmissionHandler.java
@@ -27,6 +27,9 @@
     private final PeerServices peers;
     private final OwnershipTransfers transfers;
     private final List<DeferredSubmission> deferred = new ArrayList<>();
+    /** Submissions of ids that the next iteration accepts or rejects. */
+    private List<DeferredSubmission> duplicates = new ArrayList<>();
+
     private final Map<SubmissionVerdict.RejectionReason, Long> rejectionCounts =
             new EnumMap<>(SubmissionVerdict.RejectionReason.class);
     private SubmissionAdmission admission;
@@ -152,10 +155,36 @@
 
     private void defer(
             SubmissionVerdict.DeferReason reason, ClientServer.Submission submission, ClientServer.Answer reply) {
+        DeferredSubmission deferredSubmission = new DeferredSubmission(submission, reply);
         if (reason == SubmissionVerdict.DeferReason.DUPLICATE_ARRIVING) {
-            loop.execute(() -> submitted(submission, reply));
+            duplicates.add(deferredSubmission);
         } else {
-            deferred.add(new DeferredSubmission(submission, reply));
+            deferred.add(deferredSubmission);
+        }
+    }
+
+    /** To be called when an iteration has decided on the ids that were pending: decides on the other submissions of them. */
+    void retryDuplicates() {
+        if (duplicates.isEmpty()) {
+            return;
         }
+        List<DeferredSubmission> retried = duplicates;
+        duplicates = new ArrayList<>();
+        // In a task of its own, as the ownership of the journal may be released behind the iteration.
+        loop.execute(() -> retried.forEach(this::retryDuplicate));
+    }
+
+    /**
+     * Rejects a duplicate that is deferred once more, as the first submission was rejected and another duplicate took its place: many would
+     * be deferred again and again. That of a client that has left must not take the place.
+     */
+    private void retryDuplicate(DeferredSubmission duplicate) {
+        SubmissionVerdict verdict = admission.decide(duplicate.submission());
+        boolean deferredAgain = verdict instanceof SubmissionVerdict.Defer defer
+                && defer.reason() == SubmissionVerdict.DeferReason.DUPLICATE_ARRIVING;
+        SubmissionVerdict rejection =
+                new SubmissionVerdict.Reject(SubmissionVerdict.RejectionReason.DUPLICATE_REJECTED, 0);
+        boolean rejected = deferredAgain || !duplicate.reply().isClientConnected();
+        carryOut(rejected ? rejection : verdict, duplicate.submission(), duplicate.reply());
     }
 }
--- a/sender/src/main/java/amberroute/sender/SubmissionVerdict.java
+++ b/sender/src/main/java/amberroute/sender/SubmissionVerdict.java
@@ -14,8 +14,10 @@
         TOO_FEW_REPLICAS,
         /** The sender is stopping. */
         STOPPING,
-        /** The limit on pending messages is reached. */
-        CAPACITY
+        /** The limit on pending messages is reached, or that on the memory for requests. */
+        CAPACITY,
+        /** The submission that came first with this id was rejected, and the id is pending again. */
+        DUPLICATE_REJECTED
     }
 
     /** Why a submission is invalid for this sender. */
--- a/sender/src/test/java/amberroute/sender/PipeliningClientsTest.java
+++ b/sender/src/test/java/amberroute/sender/PipeliningClientsTest.java
@@ -188,4 +188,19 @@
         });
         assertNoticesInTime();
     }
+
+    /** Guards against duplicates of a message that is pending that are decided on again and again until the next iteration. */
+    @Test
+    void manyDuplicatesAtOnceHoldUpNobody() throws Exception {
+        acceptMessages();
+        int count = 500;
+        startClients(400, (out, in) -> {
+            // The same for all clients for a tenth of a second.
+            String id = "same" + System.nanoTime() / 100_000_000;
+            String command = SenderFixture.command("SUBMIT", NO_KEY, id, "c=safe,d=2500,dest=7", "body");
+            out.write(command.repeat(count).getBytes(StandardCharsets.US_ASCII));
+            readLines(in, count);
+        });
+        assertNoticesInTime();
+    }
 }
