Forget failover senders that have stopped when another one is added

FailoverSenders kept them until the next reload: a process that continues many journals, one after another, and is never told to reload held each of them.

--- a/sender/src/main/java/amberroute/sender/FailoverSenders.java
+++ b/sender/src/main/java/amberroute/sender/FailoverSenders.java
@@ -16,6 +16,7 @@
 
     /** Adds one that was made from {@code madeFrom}; what a reload has changed while it started is applied at once. */
     void add(FailoverSender failover, SenderConfig madeFrom) {
+        running.removeIf(FailoverSender::stopped);
         running.add(failover);
         if (activeSettings.config() != madeFrom) {
             failover.reconfigure(activeSettings.config());
