--- a/sender/src/main/java/amberroute/sender/DeliveryComponents.java
+++ b/sender/src/main/java/amberroute/sender/DeliveryComponents.java
@@ -51,9 +51,13 @@
         outcomes = new OutcomeProcessor(state, scheduler, fleet, endpoints);
         upstream = newUpstreamClient(state, stallDetector);
         notifier = new FailureNotifier(
-                state.loop(), config.notices(), config.settings().seed() + 1, this::onNotificationAcknowledged);
+                state.loop(),
+                config.notificationAddress(),
+                config.settings().seed() + 1,
+                this::onNotificationAcknowledged);
         submissions = new SubmissionHandler(state, scheduler, peers);
-        clientServer = new ClientServer(state.loop(), submissions, config.mostClients(), config.requestBytes());
+        clientServer =
+                new ClientServer(state.loop(), submissions, config.maxClientConnections(), config.requestMemoryBytes());
         completion = new MessageCompletion(state, scheduler, notifier, peers);
         attemptDispatcher = new AttemptDispatcher(folder, messages, scheduler, endpoints, upstream, peers);
         acceptance = new MessageAcceptance(folder, messages, scheduler, metrics, submissions, peers);
@@ -73,7 +77,7 @@
                 outcomes,
                 limits.connectTimeoutMicros(),
                 limits.idleConnectionLifeMicros(),
-                config.mostToReceivers(),
+                config.maxUpstreamConnections(),
                 config.reportNames());
     }
 
--- a/sender/src/main/java/amberroute/sender/FleetCoordination.java
+++ b/sender/src/main/java/amberroute/sender/FleetCoordination.java
@@ -77,7 +77,7 @@
         if (standalone.overload()) {
             startLoadReports(standalone);
         }
-        if (standalone.lease() != 0) {
+        if (standalone.slowStartLeaseMicros() != 0) {
             startHeartbeats(standalone);
         }
     }
@@ -106,13 +106,13 @@
                 new SlowStartLimits.FleetParameters(
                         fleetSize,
                         senderNames.indexOf(config.name()),
-                        standalone.lease(),
+                        standalone.slowStartLeaseMicros(),
                         new SlowStartLimit.Rules(
                                 rules.slowStartCapacity(),
                                 rules.slowStartMicros(),
                                 rules.overloadMultiple(),
                                 rules.overloadWindowMicros(),
-                                standalone.first())),
+                                standalone.initialSlowStartRate())),
                 folder.steadyMillis() * MICROS_PER_MILLI);
         heartbeats = new HeartbeatTransport(
                 loop,
--- a/sender/src/main/java/amberroute/sender/LifecycleComponents.java
+++ b/sender/src/main/java/amberroute/sender/LifecycleComponents.java
@@ -93,7 +93,7 @@
                 connections,
                 serviceManager,
                 exitCode,
-                standalone == null ? 0 : standalone.backMillis(),
+                standalone == null ? 0 : standalone.backAfterMillis(),
                 shutdownWork);
     }
 
--- a/sender/src/main/java/amberroute/sender/PeerServices.java
+++ b/sender/src/main/java/amberroute/sender/PeerServices.java
@@ -76,14 +76,14 @@
     /** Starts the replication of the journal if it is configured and there are enough senders. */
     void startReplication(ReplicationCoordinator.Host host) throws IOException {
         StandaloneConfig.Standalone standalone = config.standalone();
-        if (standalone == null || standalone.survive() == null) {
+        if (standalone == null || standalone.replication() == null) {
             return;
         }
         Map<String, InetSocketAddress> otherSenders = new LinkedHashMap<>(standalone.peers());
         otherSenders.remove(config.name());
-        if (otherSenders.size() + 1 < standalone.survive().copies()) {
+        if (otherSenders.size() + 1 < standalone.replication().copies()) {
             LogEvent.of("replication_disabled")
-                    .with("copies_configured", standalone.survive().copies())
+                    .with("copies_configured", standalone.replication().copies())
                     .with("senders", otherSenders.size() + 1)
                     .warn();
             return;
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -191,7 +191,7 @@
         if (hasControlSocket()) {
             controlSocket.listen(config.standalone().control());
         }
-        if (config.standalone().survive() != null) {
+        if (config.standalone().replication() != null) {
             SupersededReplicas.setAside(config.state());
         }
     }
--- a/sender/src/main/java/amberroute/sender/SenderCommands.java
+++ b/sender/src/main/java/amberroute/sender/SenderCommands.java
@@ -76,7 +76,7 @@
 
     @Override
     public long defaultStopMillis() {
-        return config.standalone().stopMillis();
+        return config.standalone().stopDeadlineMillis();
     }
 
     @Override
--- a/sender/src/main/java/amberroute/sender/SenderDaemon.java
+++ b/sender/src/main/java/amberroute/sender/SenderDaemon.java
@@ -68,7 +68,7 @@
                 .start());
         Runnable restart = () -> sender.loop()
                 .execute(() -> sender.beginStop(
-                        ShutdownMode.RESTART, config.standalone().stopMillis()));
+                        ShutdownMode.RESTART, config.standalone().stopDeadlineMillis()));
         SignalHandlers.install("TERM").then(restart);
         SignalHandlers.install("INT").then(restart);
     }
--- a/sender/src/main/java/amberroute/sender/SettingsReload.java
+++ b/sender/src/main/java/amberroute/sender/SettingsReload.java
@@ -131,6 +131,6 @@
                     .warn();
             endpoints.move(config.discovery());
         }
-        notifier.move(config.notices());
+        notifier.move(config.notificationAddress());
     }
 }
--- a/sender/src/main/java/amberroute/sender/ShutdownWork.java
+++ b/sender/src/main/java/amberroute/sender/ShutdownWork.java
@@ -78,7 +78,7 @@
     @Override
     public void announceReturn() {
         if (peers.replication() != null) {
-            peers.replication().announceRestart(config.standalone().backMillis());
+            peers.replication().announceRestart(config.standalone().backAfterMillis());
         }
     }
 
--- a/sender/src/main/java/amberroute/sender/client/ClientServer.java
+++ b/sender/src/main/java/amberroute/sender/client/ClientServer.java
@@ -99,16 +99,16 @@
     /**
      * Creates a server that does not listen yet.
      *
-     * @param mostConnections connections that may be open at one time, those that are being closed included
-     * @param roomBytes memory in bytes that incomplete requests of all connections may hold, and as much for those without a reply
+     * @param maxConnections connections that may be open at one time, those that are being closed included
+     * @param requestMemoryBytes memory in bytes that incomplete requests of all connections may hold, and as much for those without a reply
      */
-    public ClientServer(EventLoop loop, Acceptor acceptor, int mostConnections, long roomBytes) {
+    public ClientServer(EventLoop loop, Acceptor acceptor, int maxConnections, long requestMemoryBytes) {
         this.loop = loop;
         this.acceptor = acceptor;
         closing = new OrderlyClose(loop);
-        connections = new ConnectionTable(mostConnections, closing);
-        incompleteMemory = new RequestMemory(roomBytes);
-        unansweredMemory = new RequestMemory(roomBytes);
+        connections = new ConnectionTable(maxConnections, closing);
+        incompleteMemory = new RequestMemory(requestMemoryBytes);
+        unansweredMemory = new RequestMemory(requestMemoryBytes);
     }
 
     /** Accepts messages of these classes from now on. */
--- a/sender/src/main/java/amberroute/sender/config/SenderConfig.java
+++ b/sender/src/main/java/amberroute/sender/config/SenderConfig.java
@@ -50,7 +50,7 @@
     private static final double CLIENT_SHARE = 0.55;
 
     /** Bytes for requests that are not whole yet: a small part, as all else has to fit beside them. */
-    public long requestBytes() {
+    public long requestMemoryBytes() {
         return memoryBytes / 32;
     }
 
@@ -75,19 +75,19 @@
                 reloaded.reportNames,
                 ops,
                 reloaded.keys,
-                standalone == null ? null : standalone.withNotices(reloaded.notices()));
+                standalone == null ? null : standalone.withNotificationAddress(reloaded.notificationAddress()));
     }
 
     /**
-     * The configuration of a failover that runs in this process: the lost sender's name, the folder of its replica, a quarter of the
+     * The configuration of a failover that runs in this process: the journal as its name, the folder of its replica, a quarter of the
      * descriptors and no listener. Its slots are those of the lost process: destinations get no more calls for it than before.
      *
      * @param endpoints the endpoint list that it begins with, in discovery's form
      */
     public SenderConfig forFailover(
-            String theirs, Path folder, StandaloneConfig.Standalone there, JsonObject endpoints) {
+            String journalId, Path folder, StandaloneConfig.Standalone failoverStandalone, JsonObject endpoints) {
         return new SenderConfig(
-                theirs,
+                journalId,
                 null,
                 discovery,
                 folder,
@@ -102,21 +102,21 @@
                 reportNames,
                 null,
                 keys,
-                there);
+                failoverStandalone);
     }
 
     /** Who is told of messages that end undelivered. */
-    public InetSocketAddress notices() {
-        return standalone == null ? discovery : standalone.notices();
+    public InetSocketAddress notificationAddress() {
+        return standalone == null ? discovery : standalone.notificationAddress();
     }
 
-    public int mostClients() {
+    public int maxClientConnections() {
         return (int) Math.max(1, CLIENT_SHARE * (sockets - OWN_DESCRIPTORS));
     }
 
     /** Connections to receivers, with and without a call. */
-    public int mostToReceivers() {
-        return Math.max(1, sockets - OWN_DESCRIPTORS - mostClients());
+    public int maxUpstreamConnections() {
+        return Math.max(1, sockets - OWN_DESCRIPTORS - maxClientConnections());
     }
 
     /**
--- a/sender/src/main/java/amberroute/sender/config/StandaloneConfig.java
+++ b/sender/src/main/java/amberroute/sender/config/StandaloneConfig.java
@@ -139,42 +139,42 @@
             .tables("kind", KIND, 0, "a kind of destination; one with one message a call if there is none");
 
     /**
-     * What only a sender outside the platform has; spans in milliseconds. {@code endpoints} and {@code notices} may be
+     * What only a sender outside the platform has; spans in milliseconds. {@code endpoints} and {@code notificationAddress} may be
      * null.
      */
     public record Standalone(
             Path endpoints,
-            InetSocketAddress notices,
+            InetSocketAddress notificationAddress,
             Path control,
-            long stopMillis,
-            long backMillis,
+            long stopDeadlineMillis,
+            long backAfterMillis,
             InetSocketAddress handOver,
             Map<String, InetSocketAddress> peers,
             boolean adoption,
             List<Path> adopt,
-            long lease,
-            double first,
+            long slowStartLeaseMicros,
+            double initialSlowStartRate,
             Durability durability,
-            ReplicationSettings survive,
+            ReplicationSettings replication,
             String zone,
             boolean overload,
             boolean parts) {
         /** The same with another address for notices. */
-        Standalone withNotices(InetSocketAddress newNotices) {
+        Standalone withNotificationAddress(InetSocketAddress newAddress) {
             return new Standalone(
                     endpoints,
-                    newNotices,
+                    newAddress,
                     control,
-                    stopMillis,
-                    backMillis,
+                    stopDeadlineMillis,
+                    backAfterMillis,
                     handOver,
                     peers,
                     adoption,
                     adopt,
-                    lease,
-                    first,
+                    slowStartLeaseMicros,
+                    initialSlowStartRate,
                     durability,
-                    survive,
+                    replication,
                     zone,
                     overload,
                     parts);
@@ -184,16 +184,16 @@
         public Standalone forFailover(Map<String, InetSocketAddress> others) {
             return new Standalone(
                     endpoints,
-                    notices,
+                    notificationAddress,
                     null,
-                    stopMillis,
-                    backMillis,
+                    stopDeadlineMillis,
+                    backAfterMillis,
                     null,
                     others,
                     false,
                     List.of(),
                     0,
-                    first,
+                    initialSlowStartRate,
                     durability,
                     null,
                     zone,
@@ -285,7 +285,7 @@
                 gentle ? s.micros("fleet.lease") : 0,
                 s.real("fleet.first"),
                 Durability.valueOf(s.text("journal.durability").toUpperCase(Locale.ROOT)),
-                survive(s, handOver, peers),
+                replication(s, handOver, peers),
                 s.has("zone") ? s.text("zone") : zones.get(0),
                 s.flag("fleet.overload"),
                 s.flag("fleet.parts"));
@@ -367,7 +367,7 @@
         };
     }
 
-    private static ReplicationSettings survive(
+    private static ReplicationSettings replication(
             Settings s, InetSocketAddress handOver, Map<String, InetSocketAddress> peers) {
         if (!s.flag("survival.on")) {
             return null;
--- a/sender/src/main/java/amberroute/sender/peer/ReplicationCoordinator.java
+++ b/sender/src/main/java/amberroute/sender/peer/ReplicationCoordinator.java
@@ -83,8 +83,8 @@
                 membership,
                 store,
                 host,
-                settings.survive().copies(),
-                settings.survive().replaceMillis() * NANOS_PER_MILLISECOND);
+                settings.replication().copies(),
+                settings.replication().replaceMillis() * NANOS_PER_MILLISECOND);
         newJournal = journal.replicaSet() == null;
         ReplicaStore.StoredReplica own = store.findOrCreate(journalId(config.name(), journal));
         if (own == null) {
--- a/sender/src/test/java/amberroute/sender/BadClientsTest.java
+++ b/sender/src/test/java/amberroute/sender/BadClientsTest.java
@@ -153,7 +153,7 @@
     /** Many that come in one pass of the loop must each push out another, or descriptors run out. */
     @Test
     void staysWithinItsConnectionsInABurst() throws IOException {
-        int most = SenderConfig.read(world.environment()).mostClients();
+        int most = SenderConfig.read(world.environment()).maxClientConnections();
         sender.blockEventLoop(() -> {
             for (int i = 0; i < 300; i++) {
                 world.tryClient(sender);
@@ -168,7 +168,7 @@
     /** Clients may hold only so many connections: those that ask once and stay would keep the next message out. */
     @Test
     void closesConnectionsThatAskedOnceWhenThereAreMany() throws IOException {
-        int most = SenderConfig.read(world.environment()).mostClients();
+        int most = SenderConfig.read(world.environment()).maxClientConnections();
         SenderFixture.Client first = world.client(sender);
         assertEquals("+OK", first.submit("safe", SenderFixture.ID + "1", NO_KEY));
         for (int i = 0; i < most / 2; i++) {
@@ -182,7 +182,7 @@
     /** Clients that asked once and stay must not leave newcomers so few places that these push out each other. */
     @Test
     void letsNewcomersInWhereOthersStay() throws IOException {
-        int most = SenderConfig.read(world.environment()).mostClients();
+        int most = SenderConfig.read(world.environment()).maxClientConnections();
         for (int i = 0; i < most; i++) {
             assertEquals("+PONG", world.client(sender).ask("PING"));
         }
