--- a/sender/src/main/java/amberroute/sender/LifecycleComponents.java
+++ b/sender/src/main/java/amberroute/sender/LifecycleComponents.java
@@ -51,7 +51,7 @@
         failovers = new FailoverSenders(state.activeSettings());
         settingsReload = new SettingsReload(
                 state,
-                configSource.fingerprint(),
+                configSource,
                 settingsActivation,
                 delivery.endpoints,
                 endpointFile,
--- a/sender/src/main/java/amberroute/sender/PredecessorEvents.java
+++ b/sender/src/main/java/amberroute/sender/PredecessorEvents.java
@@ -3,6 +3,7 @@
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
 import amberroute.sender.client.ClientServer;
 import amberroute.sender.discovery.EndpointWatch;
+import amberroute.sender.lifecycle.HeapReserve;
 import amberroute.sender.lifecycle.IncomingTransfer;
 import amberroute.sender.lifecycle.StateFolder;
 import amberroute.sender.message.AcceptedMessage;
@@ -27,7 +28,7 @@
     private final ClientServer.Acceptor submissions;
     private final Runnable onPredecessorGone;
 
-    /** {@code onPredecessorGone} is run on a thread of its own when the predecessor has ended. */
+    /** {@code onPredecessorGone} is run on the event loop when the predecessor has ended. */
     PredecessorEvents(SenderState state, DeliveryComponents delivery, Runnable onPredecessorGone) {
         this.onPredecessorGone = onPredecessorGone;
         folder = state.folder();
@@ -92,6 +93,8 @@
 
     @Override
     public void predecessorGone() {
-        new Thread(onPredecessorGone, "successor").start();
+        // Both processes share one memory limit, so only now is there room for the whole heap.
+        new Thread(HeapReserve::commit, "heap").start();
+        onPredecessorGone.run();
     }
 }
--- a/sender/src/main/java/amberroute/sender/ReclaimOwner.java
+++ b/sender/src/main/java/amberroute/sender/ReclaimOwner.java
@@ -13,23 +13,17 @@
     private final DeliveryComponents delivery;
     private final LifecycleComponents lifecycleComponents;
     private final OwnershipAcquisition.FolderOpener folderOpener;
-    private final ConfigSource configSource;
 
-    /**
-     * {@code folderOpener} opens the state folder; {@code configSource} is read again, as the successor may have been told to
-     * reload.
-     */
+    /** {@code folderOpener} opens the state folder. */
     ReclaimOwner(
             SenderState state,
             DeliveryComponents delivery,
             LifecycleComponents lifecycleComponents,
-            OwnershipAcquisition.FolderOpener folderOpener,
-            ConfigSource configSource) {
+            OwnershipAcquisition.FolderOpener folderOpener) {
         this.state = state;
         this.delivery = delivery;
         this.lifecycleComponents = lifecycleComponents;
         this.folderOpener = folderOpener;
-        this.configSource = configSource;
     }
 
     @Override
@@ -65,7 +59,8 @@
         if (lifecycleComponents.connections.draining()) {
             beginStop(lifecycleComponents.connections.millisLeft());
         }
-        new Thread(() -> lifecycleComponents.settingsReload.reloadIfChanged(configSource), "reload").start();
+        // The successor may have been told to reload.
+        lifecycleComponents.settingsReload.reloadIfChanged();
     }
 
     /** Begins the stop that was requested while another process owned the messages. */
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -11,7 +11,6 @@
 import amberroute.sender.eventloop.EventLoopStallDetector;
 import amberroute.sender.eventloop.MillisecondSelectStrategy;
 import amberroute.sender.lifecycle.FolderReclaim;
-import amberroute.sender.lifecycle.HeapReserve;
 import amberroute.sender.lifecycle.LifecyclePhase;
 import amberroute.sender.lifecycle.LifecycleState;
 import amberroute.sender.lifecycle.OutgoingTransfer;
@@ -207,7 +206,7 @@
     }
 
     private void startReclaim() {
-        ReclaimOwner owner = new ReclaimOwner(state, delivery, lifecycleComponents, this::openFolder, configSource);
+        ReclaimOwner owner = new ReclaimOwner(state, delivery, lifecycleComponents, this::openFolder);
         OwnershipReclaim reclaimHost = new OwnershipReclaim(
                 state, delivery, lifecycleComponents.callsInFlight, lifecycleComponents.connections, owner);
         FolderReclaim reclaim = new FolderReclaim(loop, reclaimHost);
@@ -272,7 +271,7 @@
                     .with("name", config.name())
                     .with("address", address)
                     .warn();
-            reloadIfChangedMeanwhile();
+            lifecycleComponents.settingsReload.reloadAfterTransfer();
         }
     }
 
@@ -298,25 +297,11 @@
     }
 
     private void acquireOwnership() throws IOException, InterruptedException {
-        PredecessorEvents events = new PredecessorEvents(state, delivery, this::onPredecessorGone);
+        PredecessorEvents events =
+                new PredecessorEvents(state, delivery, lifecycleComponents.settingsReload::reloadAfterTransfer);
         new OwnershipAcquisition(state, delivery.endpoints, delivery.clientServer, events).acquire(this::openFolder);
     }
 
-    private void onPredecessorGone() {
-        // Both processes share one memory limit, so only now is there room for the whole heap.
-        HeapReserve.commit();
-        if (lifecycle.ready()) {
-            lifecycleComponents.settingsReload.reloadIfChanged(configSource);
-        }
-    }
-
-    /** The predecessor may have been told of a configuration that this process had not read when it started. */
-    private void reloadIfChangedMeanwhile() {
-        if (state.transfers().incoming() != null) {
-            new Thread(() -> lifecycleComponents.settingsReload.reloadIfChanged(configSource), "reload").start();
-        }
-    }
-
     private Void startReplication() throws IOException {
         delivery.peers.startReplication(new ReplicationHostAdapter(
                 state, delivery.endpoints, delivery.peers, lifecycleComponents.failovers, this::newFailoverSender));
--- a/sender/src/main/java/amberroute/sender/SettingsReload.java
+++ b/sender/src/main/java/amberroute/sender/SettingsReload.java
@@ -21,6 +21,8 @@
  */
 final class SettingsReload {
     private final SenderConfig startConfig;
+    private final ConfigSource source;
+    private final OwnershipTransfers transfers;
     private final EventLoop loop;
     private final LifecycleState lifecycle;
     private final SettingsActivation activation;
@@ -32,10 +34,9 @@
     /** Fingerprint of the configuration that was read last. */
     private volatile long fingerprint;
 
-    /** {@code fingerprint} is that of the configuration at the start, 0 if it is unknown. */
     SettingsReload(
             SenderState state,
-            long fingerprint,
+            ConfigSource source,
             SettingsActivation activation,
             EndpointWatch endpoints,
             EndpointFileFollower endpointFile,
@@ -44,7 +45,9 @@
         loop = state.loop();
         lifecycle = state.lifecycle();
         metrics = state.metrics();
-        this.fingerprint = fingerprint;
+        this.source = source;
+        fingerprint = source.fingerprint();
+        transfers = state.transfers();
         this.activation = activation;
         this.endpoints = endpoints;
         this.endpointFile = endpointFile;
@@ -53,13 +56,24 @@
         startConfig = state.config();
     }
 
-    /**
-     * Rereads the configuration if it differs from the one that was read last. To be called when this process takes over from another one,
-     * which may have been told of a new configuration, and again when that one is gone.
-     */
-    void reloadIfChanged(ConfigSource source) {
-        if (source.environment() != null && SenderConfig.fingerprint(source.environment()) != fingerprint) {
-            reload(source.environment());
+    /** Where this process took over from another one: that one may have been told of a configuration that this one has not read. */
+    void reloadAfterTransfer() {
+        if (transfers.incoming() != null) {
+            reloadIfChanged();
+        }
+    }
+
+    /** Rereads the configuration on a thread of its own if the sender serves and it differs from the one that was read last. */
+    void reloadIfChanged() {
+        Map<String, String> environment = source.environment();
+        if (environment != null && lifecycle.ready()) {
+            new Thread(() -> rereadIfChanged(environment), "reload").start();
+        }
+    }
+
+    private void rereadIfChanged(Map<String, String> environment) {
+        if (SenderConfig.fingerprint(environment) != fingerprint) {
+            reload(environment);
         }
     }
 
--- a/sender/src/test/java/amberroute/sender/client/RespDecoderTest.java
+++ b/sender/src/test/java/amberroute/sender/client/RespDecoderTest.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
+/** Requests are decoded as they are read, wherever reads cut them, and hold no more memory than they reserve. */
 class RespDecoderTest {
     private static final long MEMORY_BYTES = 1 << 20;
     private static final int SEEDS = 200;
