Let one reload of the configuration follow another

Found while reading the change once more: a process that takes another one's place now looks for a changed file by itself, on a thread of its own, beside SIGHUP. Two reloads at one time could read the file before and behind its replacement and apply them in the other order, and the older configuration would stay in force. Reloads now wait for one another; the event loop never does, it only applies.

No test brings the order about, and no run showed it.

--- a/sender/src/main/java/amberroute/sender/SettingsReload.java
+++ b/sender/src/main/java/amberroute/sender/SettingsReload.java
@@ -77,8 +77,11 @@
         }
     }
 
-    /** Rereads the configuration. Returns null, or the reason why it is rejected, in which case the active one stays. */
-    String reload(Map<String, String> environment) {
+    /**
+     * Rereads the configuration. Returns null, or the reason why it is rejected, in which case the active one stays. One reload follows
+     * another, as each must read the file behind what it replaces: a signal may come beside a look for a changed file.
+     */
+    synchronized String reload(Map<String, String> environment) {
         try {
             long newFingerprint = SenderConfig.fingerprint(environment);
             SenderConfig reread = SenderConfig.reread(environment);
