--- a/review/standins-2/src/rig/SecondCopy.java
+++ b/review/standins-2/src/rig/SecondCopy.java
@@ -11,7 +11,7 @@
 public final class SecondCopy implements Receiver.Behaviour {
     private static final long CUT_MS = 6_000;
     private static final long USUAL_MS = 1_300;
-    private static final long LONG_MS = 2_300;
+    private static final long LONG_MS = 3_400;
 
     private final Rec rec;
     /** Calls that are out, by message. */
--- a/review/standins-2/src/rig/WokenOwner.java
+++ b/review/standins-2/src/rig/WokenOwner.java
@@ -21,6 +21,10 @@
     private static final int ROUNDS = 6;
     /** One way, as between zones of the site. */
     private static final long LATENCY_MS = 20;
+    /** Of so many messages so many come at once, some 8 %. */
+    private static final int CLUMP_EVERY = 250;
+
+    private static final int CLUMP = 20;
     /** For each sender. */
     private static final double PER_SECOND = 120;
 
@@ -192,7 +196,9 @@
                     }
                 });
             }
-            next += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+            // Some messages come in clumps.
+            boolean clump = i % CLUMP_EVERY < CLUMP;
+            next += clump ? 0 : -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
             Net.sleep((long) (next - rec.ms()));
         }
     }
