--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,7 +7,7 @@
     exit 2
 fi
 work=$(mktemp -d "${TMPDIR:-/tmp}/case.XXXXXX") || exit 2
-timeout -k 3 115 java -Xmx384m -cp "$root/review/standins-2/target" rig.EmptyList "$root" "$work" "$here/record.txt"
+timeout -k 3 115 java -Xmx384m -cp "$root/review/standins-2/target" rig.FullJournal "$root" "$work" "$here/record.txt"
 code=$?
 rm -rf "$work"
 [ "$code" -le 1 ] && exit "$code"
