--- a/review/standins-2/src/rig/WokenOwner.java
+++ b/review/standins-2/src/rig/WokenOwner.java
@@ -18,7 +18,8 @@
 public final class WokenOwner implements Receiver.Behaviour {
     private static final long CUT_MS = 6_000;
     private static final double KEY_LIFE_MS = 2_000;
-    private static final int ROUNDS = 6;
+    /** The pages name two cuts in a run at most. */
+    private static final int ROUNDS = 2;
     /** One way, as between zones of the site. */
     private static final long LATENCY_MS = 20;
     /** Of so many messages so many come at once, some 8 %. */
