Take a whole list without entries: its endpoints are gone

Cause: EndpointWatch ignored a complete list without a usable entry, kept the watch, and so never heard of the removal again.

Now a complete list counts as it is. One of which no entry can be read is rejected as other unreadable events are: the known list stays and is asked for again. Related, with the same effect: a list or a change without its entries was dropped silently, and a change whose entry cannot be used was skipped while its version counted; the endpoint that it names is gone now.

--- a/sender/src/main/java/amberroute/sender/discovery/EndpointList.java
+++ b/sender/src/main/java/amberroute/sender/discovery/EndpointList.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongPredicate;
 
@@ -144,13 +145,31 @@
         return entry.kind() < kinds.size() ? kinds.get(entry.kind()) : null;
     }
 
-    /** Whether no entry of a list can be used, though endpoints are known: a discovery service that has just started has none. */
-    boolean wouldBeEmptiedBy(JsonObject list) {
-        return !listed.isEmpty() && !hasUsableEntry(list);
+    /** Whether an event has the complete list; throws a {@link RuntimeException} where that cannot be read. */
+    static boolean isComplete(JsonObject event) {
+        return event.has(COMPLETE) && event.get(COMPLETE).getAsBoolean();
     }
 
-    private boolean hasUsableEntry(JsonObject list) {
-        for (JsonElement item : list.getAsJsonArray(ENTRIES)) {
+    /**
+     * Takes a list or a change from discovery, as {@link #take} does. A complete list replaces the known one, also by none.
+     *
+     * @throws IllegalArgumentException if the event has no list of entries, or is a complete list of entries none of which can be used;
+     *     nothing has changed then
+     */
+    void takeFromDiscovery(JsonObject event, EndpointListKind kind) {
+        JsonElement items = event.get(ENTRIES);
+        if (items == null || !items.isJsonArray()) {
+            throw new IllegalArgumentException(ENTRIES + " is missing");
+        }
+        JsonArray entries = items.getAsJsonArray();
+        if (kind == EndpointListKind.FULL && !entries.isEmpty() && !hasUsableEntry(entries)) {
+            throw new IllegalArgumentException("no usable entry");
+        }
+        take(event, kind);
+    }
+
+    private boolean hasUsableEntry(JsonArray entries) {
+        for (JsonElement item : entries) {
             try {
                 EndpointListEntry.parse(item.getAsJsonObject(), config);
                 return true;
@@ -161,12 +180,7 @@
         return false;
     }
 
-    /** Whether an event has the complete list; throws a {@link RuntimeException} where that cannot be read. */
-    static boolean isComplete(JsonObject event) {
-        return event.has(COMPLETE) && event.get(COMPLETE).getAsBoolean();
-    }
-
-    /** Takes a list or a change in discovery's form; entries that cannot be used are skipped. */
+    /** Takes a list or a change in discovery's form; a listed endpoint whose new entry cannot be used is gone. */
     void take(JsonObject event, EndpointListKind kind) {
         JsonElement items = event.get(ENTRIES);
         if (items == null || !items.isJsonArray()) {
@@ -185,6 +199,7 @@
                 entries.add(takeEntry(item.getAsJsonObject()));
             } catch (RuntimeException e) {
                 LogEvent.of("endpoint_list_entry_skipped").cause(e).warn();
+                removeNamedBy(item).ifPresent(entries::add);
             }
         }
         current |= kind != EndpointListKind.CACHED;
@@ -207,6 +222,37 @@
                 number, entry.destination(), entry.state(), entry.weight(), entry.zone(), entry.kind());
     }
 
+    /**
+     * Removes the listed endpoint that an unusable entry names. Discovery does not repeat the entry, which may say that the endpoint takes
+     * no new calls or that its address serves another destination.
+     */
+    private Optional<DeliveryScheduler.EndpointEntry> removeNamedBy(JsonElement unusable) {
+        Endpoint endpoint = listedUnder(unusable);
+        if (endpoint == null) {
+            return Optional.empty();
+        }
+        listed.remove(endpoint.number());
+        rememberLeft(endpoint);
+        EndpointListEntry entry = endpoint.entry();
+        return Optional.of(new DeliveryScheduler.EndpointEntry(
+                endpoint.number(),
+                entry.destination(),
+                EndpointState.GONE,
+                entry.weight(),
+                entry.zone(),
+                entry.kind()));
+    }
+
+    /** The listed endpoint whose uid an entry has, or null. */
+    private Endpoint listedUnder(JsonElement item) {
+        JsonElement uid = item.isJsonObject() ? item.getAsJsonObject().get(UID) : null;
+        if (uid == null || !uid.isJsonPrimitive()) {
+            return null;
+        }
+        Long number = numbers.get(uid.getAsString());
+        return number == null ? null : listed.get(number);
+    }
+
     private void rememberLeft(Endpoint endpoint) {
         left.put(endpoint.number(), endpoint);
         if (left.size() > Math.max(MIN_REMEMBERED, listed.size())) {
--- a/sender/src/main/java/amberroute/sender/discovery/EndpointWatch.java
+++ b/sender/src/main/java/amberroute/sender/discovery/EndpointWatch.java
@@ -6,7 +6,6 @@
 import amberroute.sender.config.SenderConfig;
 import amberroute.sender.upstream.UpstreamClient;
 import amberroute.sender.util.Backoff;
-import amberroute.sender.util.LogEvent;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import io.netty.channel.EventLoop;
@@ -302,13 +301,7 @@
 
         @Override
         public void eventReceived(JsonObject event, boolean complete) {
-            if (complete && list.wouldBeEmptiedBy(event)) {
-                LogEvent.of("endpoint_list_ignored")
-                        .with("reason", "no usable entry")
-                        .warn();
-                return;
-            }
-            list.take(event, complete ? EndpointListKind.FULL : EndpointListKind.DELTA);
+            list.takeFromDiscovery(event, complete ? EndpointListKind.FULL : EndpointListKind.DELTA);
             backoff.good();
         }
 
--- a/sender/src/test/java/amberroute/sender/SenderFixture.java
+++ b/sender/src/test/java/amberroute/sender/SenderFixture.java
@@ -290,6 +290,13 @@
         return watch != null;
     }
 
+    /** Closes the watch that has the list. */
+    void endWatch() throws IOException {
+        await(() -> watch != null);
+        watch.close();
+        watch = null;
+    }
+
     /** A line to whoever watches. */
     void announce(String line) throws IOException {
         await(() -> watch != null);
