--- a/sender/src/main/java/amberroute/sender/journal/KeyHoldJournal.java
+++ b/sender/src/main/java/amberroute/sender/journal/KeyHoldJournal.java
@@ -14,8 +14,8 @@
  */
 final class KeyHoldJournal {
     private static final int BUDGET_DIVISOR = 8;
-    /** Bytes of a segment that a batch of holds leaves free. */
-    private static final int SEGMENT_MARGIN_BYTES = 1_024;
+    /** Bytes of the largest batch that a batch of holds leaves free, for the replication position. */
+    private static final int BATCH_MARGIN_BYTES = 1_024;
 
     private final JournalContents contents;
     private final JournalWriter writer;
@@ -33,7 +33,7 @@
             return false;
         }
         int holdsPerBatch =
-                (int) Math.max(1, (limits.segmentBytes() - SEGMENT_MARGIN_BYTES) / RecordSizes.KEY_HOLD_BYTES);
+                (int) Math.max(1, (limits.maxBatchBytes() - BATCH_MARGIN_BYTES) / RecordSizes.KEY_HOLD_BYTES);
         for (int from = 0; from < keys.size(); from += holdsPerBatch) {
             List<Long> chunk = keys.subList(from, Math.min(keys.size(), from + holdsPerBatch));
             Batch batch = new Batch();
--- a/sender/src/test/java/amberroute/sender/journal/JournalTest.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -70,6 +71,18 @@
         }
     }
 
+    /** Guards against holds in one batch that fit a segment of a large budget but not a record. */
+    @Test
+    void manyKeyHoldsAreWrittenInBatchesThatFitARecord() throws IOException {
+        List<Long> keys = LongStream.rangeClosed(1, 10_000).boxed().toList();
+        try (Journal journal = Journal.open(folder, 64 << 20)) {
+            assertTrue(journal.holdKeys("origin", keys, 1_000));
+        }
+        try (Journal journal = Journal.open(folder, 64 << 20)) {
+            assertTrue(keys.stream().allMatch(journal.keyHolds()::isHeld));
+        }
+    }
+
     /** Compaction and a restart change nothing, including notices and ids of completed messages. */
     @Test
     void contentsAfterCompactionAndRestartAreUnchanged() throws IOException {
--- a/storage/src/main/java/amberroute/storage/Compactor.java
+++ b/storage/src/main/java/amberroute/storage/Compactor.java
@@ -174,7 +174,7 @@
     private void copySlice(long maxBytes) throws IOException {
         Slice slice = new Slice();
         long limitBytes = Math.min(
-                maxBytes,
+                Math.min(maxBytes, SegmentFormat.MAX_ITEMS_BYTES),
                 files.limits.segmentBytes()
                         - 4 * SegmentFormat.SEGMENT_HEADER_BYTES
                         - SegmentFormat.RECORD_HEADER_BYTES);
--- a/storage/src/main/java/amberroute/storage/LogFullException.java
+++ b/storage/src/main/java/amberroute/storage/LogFullException.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 
-/** Thrown if a batch does not fit the log's budget, even after all possible compaction, or is larger than a segment. */
+/** Thrown if a batch does not fit the log's budget, even after all possible compaction, or is larger than a record. */
 public final class LogFullException extends IOException {
     private static final long serialVersionUID = 1;
 
@@ -10,9 +10,9 @@
         super(message);
     }
 
-    static LogFullException batchExceedsSegment(long batchBytes, long segmentBytes) {
+    static LogFullException batchExceedsRecord(long recordBytes, long maxRecordBytes) {
         return new LogFullException(
-                "batch of " + batchBytes + " bytes exceeds the segment limit of " + segmentBytes + " bytes");
+                "batch in a record of " + recordBytes + " bytes exceeds the limit of " + maxRecordBytes + " bytes");
     }
 
     static LogFullException budgetExhausted(long usedBytes, long budgetBytes, long liveBytes) {
--- a/storage/src/main/java/amberroute/storage/LogLimits.java
+++ b/storage/src/main/java/amberroute/storage/LogLimits.java
@@ -38,6 +38,18 @@
         }
     }
 
+    /** Returns the size of the largest record that fits a segment, with its header, in bytes. */
+    long maxRecordBytes() {
+        return Math.min(
+                SegmentFormat.RECORD_HEADER_BYTES + SegmentFormat.MAX_ITEMS_BYTES,
+                segmentBytes - 2 * SegmentFormat.SEGMENT_HEADER_BYTES);
+    }
+
+    /** Returns the size of the largest batch that can be written, in bytes: its contents, and at most 32 bytes for each of them. */
+    public long maxBatchBytes() {
+        return maxRecordBytes() - SegmentFormat.RECORD_HEADER_BYTES;
+    }
+
     /**
      * Returns the limits for a budget in bytes: {@value #DEFAULT_SEGMENTS} segments, or fewer if the segments would be too small for
      * the largest message, but at least {@value #MIN_DEFAULT_SEGMENTS}.
--- a/storage/src/main/java/amberroute/storage/SegmentLog.java
+++ b/storage/src/main/java/amberroute/storage/SegmentLog.java
@@ -98,7 +98,7 @@
      * Writes a batch atomically.
      *
      * @return the sequence number of the last record
-     * @throws LogFullException if the budget has no room for the batch
+     * @throws LogFullException if the budget has no room for the batch, or it exceeds {@link LogLimits#maxBatchBytes}
      * @throws IOException if the write failed; the log is then unchanged, unless {@link #hasUncertainWrite} returns true
      * @throws IllegalArgumentException if the batch has a content that is not exclusive, of an owner that already has an
      *     exclusive one
@@ -176,8 +176,8 @@
     /** Compacts until the record fits the budget together with a segment that compaction itself needs. */
     private void makeRoom(long recordBytes) throws IOException {
         LogLimits limits = files.limits;
-        if (recordBytes + 2 * SegmentFormat.SEGMENT_HEADER_BYTES > limits.segmentBytes()) {
-            throw LogFullException.batchExceedsSegment(recordBytes, limits.segmentBytes());
+        if (recordBytes > limits.maxRecordBytes()) {
+            throw LogFullException.batchExceedsRecord(recordBytes, limits.maxRecordBytes());
         }
         long neededBytes = SegmentTotals.roundUpToBlocks(recordBytes)
                 + ROUNDING_BLOCKS * SegmentTotals.BLOCK_BYTES
--- a/storage/src/test/java/amberroute/storage/SegmentLogTest.java
+++ b/storage/src/test/java/amberroute/storage/SegmentLogTest.java
@@ -230,6 +230,43 @@
         assertTrue(log.copiedBytes() > 3 * 40_000, "too few live bytes copied from the retired segments");
     }
 
+    /** Guards against records over their size limit where room is made by whole segments, which may be larger than a record. */
+    @Test
+    void compactionForRoomKeepsRecordsWithinTheirLimit() throws Exception {
+        LogLimits limits = LogLimits.forBudget(16 << 20, false);
+        SimulatedDisk disk = new SimulatedDisk();
+        SegmentLog log = StorageScenario.openLog(disk, limits, 1);
+        SplittableRandom random = new SplittableRandom(1);
+        List<Long> liveOwnerIds = new ArrayList<>();
+        for (int i = 0; i < 2_000; i++) {
+            long ownerId = log.nextOwnerId();
+            log.write(new Batch().put(ownerId, 1, new byte[40_000]));
+            liveOwnerIds.add(ownerId);
+            // Like the journal, keeps the space free that compaction needs.
+            while (log.liveBytes() + 40_100 > limits.budgetBytes() - log.reservedBytes()) {
+                log.write(new Batch().delete(liveOwnerIds.remove(random.nextInt(liveOwnerIds.size()))));
+            }
+        }
+        assertTrue(log.retiredSegments() > 50, log.retiredSegments() + " segments retired");
+        assertEquals(
+                liveOwnerIds, List.copyOf(readContents(disk).keySet()).stream().toList());
+    }
+
+    /** Guards against an unchecked error for a batch that fits a segment but not a record. */
+    @Test
+    void batchLargerThanARecordIsRejectedAndChangesNothing() throws Exception {
+        SimulatedDisk disk = new SimulatedDisk();
+        SegmentLog log = StorageScenario.openLog(disk, new LogLimits(16 << 20, 1 << 20, 0, false), 1);
+        Batch batch = new Batch();
+        for (int i = 0; i < 7; i++) {
+            batch.put(log.nextOwnerId(), 1, new byte[40_000]);
+        }
+        assertThrows(LogFullException.class, () -> log.write(batch));
+        long ownerId = log.nextOwnerId();
+        log.write(new Batch().put(ownerId, 1, new byte[40_000]));
+        assertEquals(List.of(ownerId), List.copyOf(readContents(disk).keySet()));
+    }
+
     /** A damaged byte loses only the record that contains it and is reported; the damaged file is kept unchanged. */
     @Test
     void damagedByteLosesOnlyItsRecordAndIsReported() throws Exception {
