--- a/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
+++ b/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
@@ -12,6 +12,7 @@
 import amberroute.sender.upstream.CallBatching;
 import amberroute.sender.upstream.IdempotencyWindow;
 import amberroute.sender.upstream.UpstreamClient;
+import amberroute.sender.util.Log;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -54,7 +55,25 @@
                 sends.add(send);
             }
         }
-        CallBatching.of(sends, endpoints::messagesPerCall).forEach(this::startCall);
+        for (List<Send> batch : CallBatching.of(sends, endpoints::messagesPerCall)) {
+            if (!Log.guarded("call", () -> startCall(batch))) {
+                batch.forEach(this::abortUnstarted);
+            }
+        }
+    }
+
+    /** Ends an attempt that a defect has kept from being made: the scheduler takes it for one that is out. */
+    private void abortUnstarted(Send send) {
+        AcceptedMessage message = messages.accepted().get(send.id());
+        if (message == null || upstream.isCalled(message)) {
+            return;
+        }
+        if (message.attemptInFlight) {
+            folder.journal().recordOutcome(message, false);
+        } else {
+            message.attempts++;
+        }
+        reportMoot(message.number, message.attempts - 1, send.endpoint(), false);
     }
 
     private void startCall(List<Send> batch) {
@@ -80,8 +99,7 @@
                     allRetrySafe ? SchedulerDriver.UNLIMITED_MICROS : scheduler.longestTrustedIdleMicros();
             folder.journal()
                     .whenDurable(
-                            () -> startUncancelled(
-                                    route, callMessages, attemptDeadlineMicros, longestTrustedIdleMicros),
+                            () -> startGuarded(route, callMessages, attemptDeadlineMicros, longestTrustedIdleMicros),
                             () -> abortAttempts(route, callMessages));
         }
     }
@@ -102,6 +120,22 @@
         return true;
     }
 
+    /** Makes the call, perhaps long after the decision; attempts that a defect keeps from being made end like cancelled ones. */
+    private void startGuarded(
+            UpstreamClient.Route route,
+            List<UpstreamClient.CallMessage> callMessages,
+            long attemptDeadlineMicros,
+            long longestTrustedIdleMicros) {
+        Runnable start = () -> startUncancelled(route, callMessages, attemptDeadlineMicros, longestTrustedIdleMicros);
+        if (!Log.guarded("call", start)) {
+            abortAttempts(
+                    route,
+                    callMessages.stream()
+                            .filter(callMessage -> !upstream.isCalled(callMessage.message()))
+                            .toList());
+        }
+    }
+
     /** Makes the call without attempts that were cancelled, or whose message completed, while the record was being forced. */
     private void startUncancelled(
             UpstreamClient.Route route,
--- a/sender/src/main/java/amberroute/sender/MessageAcceptance.java
+++ b/sender/src/main/java/amberroute/sender/MessageAcceptance.java
@@ -7,6 +7,7 @@
 import amberroute.sender.decision.SchedulerAction.Reject;
 import amberroute.sender.lifecycle.StateFolder;
 import amberroute.sender.message.AcceptedMessage;
+import amberroute.sender.util.Log;
 import java.util.List;
 
 /**
@@ -46,12 +47,33 @@
                 rejectSubmission(fail.id(), 0);
             }
         }
-        messages.pendingAcceptances().values().forEach(this::accept);
+        List<PendingAcceptance> accepted =
+                List.copyOf(messages.pendingAcceptances().values());
         messages.pendingAcceptances().clear();
         messages.pendingAcceptanceIds().clear();
+        accepted.forEach(this::acceptGuarded);
         submissions.retryDuplicates();
     }
 
+    /**
+     * Accepts a message. A defect that it brings to light must not leave other submissions to a later iteration, in which the scheduler no
+     * longer knows them; the message itself is called if it is in the table, else it is over.
+     */
+    private void acceptGuarded(PendingAcceptance pendingAcceptance) {
+        AcceptedMessage message = pendingAcceptance.message();
+        if (!Log.guarded("accept", () -> accept(pendingAcceptance))
+                && !messages.accepted().containsKey(message.number)) {
+            scheduler.submit(new Event.MessageCancelled(message.number));
+            Log.guarded("reply", () -> replyUncertain(pendingAcceptance));
+        }
+    }
+
+    /** The next process may find the record, but a rejection would promise that the message is not delivered. */
+    private void replyUncertain(PendingAcceptance pendingAcceptance) {
+        metrics.completed(pendingAcceptance.message().className, SenderMetrics.MessageResult.ERRORS);
+        pendingAcceptance.reply().error("the message could not be recorded, or may have been");
+    }
+
     private void rejectSubmission(long messageNumber, long retryAfterMillis) {
         PendingAcceptance rejected = messages.pendingAcceptances().remove(messageNumber);
         if (rejected != null) {
@@ -75,9 +97,7 @@
                                             .reply()
                                             .error("the message could not be forced to the disk"));
         } else if (folder.journal().lastWriteUncertain()) {
-            // The next process may find the record, but a rejection would promise that the message is not delivered.
-            metrics.completed(message.className, SenderMetrics.MessageResult.ERRORS);
-            pendingAcceptance.reply().error("the message could not be recorded, or may have been");
+            replyUncertain(pendingAcceptance);
             scheduler.submit(new Event.MessageCancelled(message.number));
         } else {
             submissions.shed(
--- a/sender/src/main/java/amberroute/sender/Sender.java
+++ b/sender/src/main/java/amberroute/sender/Sender.java
@@ -391,7 +391,7 @@
             Log.guarded("call", () -> delivery.attemptDispatcher.startCalls(actions));
         }
         actions.forEach(action -> Log.guarded("other", () -> delivery.schedulerActions.carryOut(action)));
-        folder.journal().compactStep();
+        Log.guarded("compact", folder.journal()::compactStep);
         delivery.attemptDispatcher.clearCancelledOnceDurable();
     }
 
--- a/sender/src/main/java/amberroute/sender/journal/JournalWriter.java
+++ b/sender/src/main/java/amberroute/sender/journal/JournalWriter.java
@@ -26,6 +26,9 @@
     /** Null if the folder cannot be taken over. */
     private File fencingTokenFile;
 
+    /** Whether the last write ended with an unchecked error, so that its record may be on the disk. */
+    private boolean lastWriteBroken;
+
     private Runnable onFenced = () -> {};
     /** Null if the journal is not replicated. */
     private JournalChangeListener listener;
@@ -76,19 +79,16 @@
         return pendingWrites.isEmpty() && !log.hasUncertainWrite() && !log.needsRewrite();
     }
 
-    /** Returns whether a batch whose write failed may be found after a restart. */
+    /** Returns whether the last batch whose write failed may be found after a restart. */
     boolean hasUncertainWrite() {
-        return log.hasUncertainWrite();
+        return log.hasUncertainWrite() || lastWriteBroken;
     }
 
     /** Appends a batch; false if the disk or the budget does not allow it. */
     boolean write(Batch batch) {
         byte[] position = listener == null || batch.isEmpty() ? null : listener.replicationPosition();
         Batch replicatedBatch = position == null ? batch : withPosition(batch, position);
-        try {
-            log.write(replicatedBatch);
-        } catch (IOException e) {
-            failure.report(e);
+        if (!append(replicatedBatch)) {
             return false;
         }
         if (position != null) {
@@ -105,6 +105,21 @@
         return true;
     }
 
+    /** An unchecked error counts as a failed write, or it would leave the callers between the journal and their tables. */
+    private boolean append(Batch batch) {
+        lastWriteBroken = false;
+        try {
+            log.write(batch);
+            return true;
+        } catch (IOException e) {
+            failure.report(e);
+        } catch (RuntimeException e) {
+            lastWriteBroken = true;
+            failure.report(new IOException("write ended with a defect: " + e, e));
+        }
+        return false;
+    }
+
     private Batch withPosition(Batch batch, byte[] position) {
         return new Batch()
                 .addAll(batch)
--- a/sender/src/main/java/amberroute/sender/upstream/UpstreamClient.java
+++ b/sender/src/main/java/amberroute/sender/upstream/UpstreamClient.java
@@ -171,6 +171,11 @@
         return calls.size();
     }
 
+    /** Whether a call with this message is in flight. */
+    public boolean isCalled(AcceptedMessage message) {
+        return callByMessage.containsKey(message.number);
+    }
+
     /** All calls whose outcome is still to be reported. */
     public List<UpstreamCall> callsInFlight() {
         return List.copyOf(calls);
--- a/sender/src/main/java/amberroute/sender/util/Log.java
+++ b/sender/src/main/java/amberroute/sender/util/Log.java
@@ -35,17 +35,19 @@
     /**
      * Carries out one of several actions. A defect that it brings to light must not drop the others: whoever decided on them
      * takes them for carried out, and their messages would never end. Nothing else would tell of it, as the event loop's own
-     * log is off.
+     * log is off. Returns whether the action was carried out.
      */
-    public static void guarded(String what, Runnable action) {
+    public static boolean guarded(String what, Runnable action) {
         try {
             action.run();
+            return true;
         } catch (RuntimeException e) {
             LogEvent.of("action_failed")
                     .with("action", what)
                     .cause(e)
                     .with("at", e.getStackTrace()[0])
                     .warn();
+            return false;
         }
     }
 }
--- a/sender/src/test/java/amberroute/sender/journal/JournalTest.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalTest.java
@@ -9,12 +9,14 @@
 import amberroute.decisions.DeliveryScheduler;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.message.MessageClassRegistry;
+import amberroute.storage.Disk;
 import amberroute.storage.SimulatedDisk;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -27,6 +29,42 @@
     @TempDir
     Path folder;
 
+    /** Throws an unchecked exception, as a defect would, while it is broken and a file is opened to be written. */
+    private record BreakableDisk(Disk disk, AtomicBoolean broken) implements Disk {
+        @Override
+        public List<String> list() throws IOException {
+            return disk.list();
+        }
+
+        @Override
+        public Handle openForWriting(String name) throws IOException {
+            if (broken.get()) {
+                throw new IllegalStateException("a defect");
+            }
+            return disk.openForWriting(name);
+        }
+
+        @Override
+        public Handle openForReading(String name) throws IOException {
+            return disk.openForReading(name);
+        }
+
+        @Override
+        public void rename(String oldName, String newName) throws IOException {
+            disk.rename(oldName, newName);
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            disk.delete(name);
+        }
+
+        @Override
+        public void forceFolder() throws IOException {
+            disk.forceFolder();
+        }
+    }
+
     private AcceptedMessage numberedMessage(Journal journal) {
         long number = journal.nextNumber();
         String padded = String.format("%06d", number);
@@ -83,6 +121,21 @@
         }
     }
 
+    /** Guards against unchecked errors of a write that leave callers in the middle: they count as failed, perhaps recorded. */
+    @Test
+    void uncheckedErrorOfAWriteIsAFailedWrite() throws IOException {
+        AtomicBoolean broken = new AtomicBoolean();
+        Disk disk = new BreakableDisk(new SimulatedDisk(), broken);
+        try (Journal journal = Journal.open(folder, disk, BUDGET_BYTES)) {
+            broken.set(true);
+            assertFalse(journal.accept(numberedMessage(journal)));
+            assertTrue(journal.lastWriteUncertain(), "the record may be there");
+            broken.set(false);
+            assertTrue(journal.accept(numberedMessage(journal)));
+            assertFalse(journal.lastWriteUncertain());
+        }
+    }
+
     /** Compaction and a restart change nothing, including notices and ids of completed messages. */
     @Test
     void contentsAfterCompactionAndRestartAreUnchanged() throws IOException {
