Make no call on waking that a process decided on before it stood still

Now an effect that waited for longer than its time-out fails when its record is acknowledged, if it can fail, and a call behind its time-out is not written.

--- a/sender/src/main/java/amberroute/sender/peer/DeferredEffects.java
+++ b/sender/src/main/java/amberroute/sender/peer/DeferredEffects.java
@@ -11,7 +11,7 @@
 
 /**
  * Effects that wait until a quorum has the record that allows them, in the order of their records. Invariant: an effect runs once
- * its index is committed and not before; one that has waited for {@link #PATIENCE_NANOS} may fail instead, if it can. Bounded by what is
+ * its index is committed and not before; one that has waited for {@link #PATIENCE_NANOS} fails instead, if it can. Bounded by what is
  * pending in the journal. Lives on the event loop.
  */
 final class DeferredEffects {
@@ -57,10 +57,17 @@
         loop.schedule(this::timeOut, delayNanos, TimeUnit.NANOSECONDS);
     }
 
-    /** Runs what this committed index allows. */
+    /**
+     * Runs what this committed index allows. What could have failed by now fails: where the process stood still, the acknowledgements are as
+     * old, and another owner may have begun its term behind them.
+     */
     void releaseUpTo(long committedIndex) {
+        long now = System.nanoTime();
         while (!waiting.isEmpty() && committedIndex >= 0 && waiting.peek().index() <= committedIndex) {
-            Log.guarded("an effect", waiting.poll().effect());
+            DeferredEffect released = waiting.poll();
+            boolean late = released.onTimeout() != null && now - released.sinceNanos() >= PATIENCE_NANOS;
+            timedOut += late ? 1 : 0;
+            Log.guarded("an effect", late ? released.onTimeout() : released.effect());
         }
     }
 
--- a/sender/src/main/java/amberroute/sender/upstream/UpstreamCall.java
+++ b/sender/src/main/java/amberroute/sender/upstream/UpstreamCall.java
@@ -57,7 +57,8 @@
 
     /** Whether it is too late to write the call, or forbidden since it was started. */
     boolean mayNotBeWritten() {
-        return barred || elapsedMicros() / MICROS_PER_MILLI > writeWithinMillis;
+        // Behind the time-out another owner of the messages may make an attempt, if this process stood still.
+        return barred || remainingMicros() <= 0 || elapsedMicros() / MICROS_PER_MILLI > writeWithinMillis;
     }
 
     /** Whether the call carries several messages. */
--- a/sender/src/test/java/amberroute/sender/UpstreamClientTest.java
+++ b/sender/src/test/java/amberroute/sender/UpstreamClientTest.java
@@ -192,6 +192,26 @@
         }
     }
 
+    /** Guards against a call that a process which stood still writes behind its time-out, when the successor has made one. */
+    @Test
+    void aCallBehindItsTimeoutIsNotWritten() throws Exception {
+        loop.submit((Runnable) this::start).sync();
+        try (Socket accepted = receiver.accept()) {
+            SenderFixture.write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(AttemptOutcome.OK, results.poll(10, TimeUnit.SECONDS).outcome());
+            accepted.getInputStream().readNBytes(accepted.getInputStream().available());
+            loop.submit(() -> upstreamClient.start(
+                            new UpstreamClient.Route(1, address(receiver), 7),
+                            List.of(new UpstreamClient.CallMessage(message(0), 0)),
+                            0,
+                            10_000_000,
+                            IdempotencyWindow.UNBOUNDED))
+                    .sync();
+            assertEquals(AttemptOutcome.MOOT, results.poll(10, TimeUnit.SECONDS).outcome());
+            assertEquals(0, accepted.getInputStream().available());
+        }
+    }
+
     @Test
     void onlyKeyedMessagesInDoubtHaveAnEndToTheirRepeats() {
         List<UpstreamClient.CallMessage> fresh = List.of(new UpstreamClient.CallMessage(message(0), 0));
