Wait for attempts of a former owner that may still be in flight

Cause: recovery took an attempt that was in flight for one that had ended with its process. That holds for a restart on the own folder; a former owner that is frozen or cut off lives, with its connections open, and nobody else can see when its attempt ends.

Now an attempt is journaled with the time at which it is given up, by which its owner closes the connection. The same where a folder is adopted whose process may live; that is recorded, so that it holds behind a restart of the adopter. Records without the time, of an earlier version, count as in flight up to the message's deadline; an earlier version passes over the new fields.

--- a/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
+++ b/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
@@ -85,7 +85,7 @@
             AcceptedMessage message = messages.accepted().get(send.id());
             if (message == null) {
                 reportMoot(send.id(), 0, endpoint, true);
-            } else if (route != null && recordAttempt(message, endpoints.uid(endpoint))) {
+            } else if (route != null && recordAttempt(message, endpoints.uid(endpoint), attemptDeadlineMicros)) {
                 callMessages.add(new UpstreamClient.CallMessage(message, message.attempts - 1));
             } else {
                 message.attempts++;
@@ -105,18 +105,21 @@
     }
 
     /**
-     * Journals an attempt. Returns whether it may be made: an attempt of an idempotent message may, even if the disk takes no
+     * Journals an attempt with the time at which it is given up. Returns whether it may be made: an attempt of an idempotent message may, even if the disk takes no
      * record, unless the journal is replicated.
      */
-    private boolean recordAttempt(AcceptedMessage message, String endpointUid) {
-        if (folder.journal().recordAttempt(message, endpointUid, folder.steadyMillis())) {
+    private boolean recordAttempt(AcceptedMessage message, String endpointUid, long attemptDeadlineMicros) {
+        long nowMillis = folder.steadyMillis();
+        long giveUpMillis =
+                nowMillis + SchedulerActions.millisRoundedUp(attemptDeadlineMicros - SchedulerClock.micros());
+        if (folder.journal().recordAttempt(message, endpointUid, nowMillis, giveUpMillis)) {
             return true;
         }
         if (messages.classes().type(message.classNumber).idempotency() != DeliveryScheduler.Idempotency.IDEMPOTENT
                 || peers.isReplicated()) {
             return false;
         }
-        folder.journal().recordAttemptEventually(message, endpointUid, folder.steadyMillis());
+        folder.journal().recordAttemptEventually(message, endpointUid, nowMillis, giveUpMillis);
         return true;
     }
 
--- a/sender/src/main/java/amberroute/sender/DeliveryComponents.java
+++ b/sender/src/main/java/amberroute/sender/DeliveryComponents.java
@@ -31,6 +31,7 @@
     final MessageAcceptance acceptance;
     final SchedulerActions schedulerActions;
     final KeyHoldTracker keyHolds;
+    final FormerOwnerAttempts formerOwnerAttempts;
     final MessageRecovery recovery;
     private final EndpointListUpdates endpointListUpdates;
 
@@ -64,7 +65,9 @@
         schedulerActions =
                 new SchedulerActions(state, scheduler, completion, attemptDispatcher, endpoints, upstream, fleet);
         keyHolds = new KeyHoldTracker(config.name(), folder, messages, scheduler, peers);
-        recovery = new MessageRecovery(state, scheduler, notifier, endpoints, fleet, keyHolds);
+        formerOwnerAttempts = new FormerOwnerAttempts(state, scheduler, endpoints, outcomes);
+        recovery =
+                new MessageRecovery(state, scheduler, notifier, endpoints, fleet, keyHolds, peers, formerOwnerAttempts);
         endpointListUpdates = new EndpointListUpdates(endpoints, upstream, fleet, scheduler);
     }
 
--- a/sender/src/main/java/amberroute/sender/FolderAdoption.java
+++ b/sender/src/main/java/amberroute/sender/FolderAdoption.java
@@ -67,7 +67,8 @@
                 checkFencingPossible(orphanedFolder, fenced);
             }
             checkCapacity(JournalView.read(orphanedFolder).pendingCount());
-            return adoptFenced(FencingToken.create(orphanedFolder, config.name(), config.state()), orphanedFolder);
+            FencingToken token = FencingToken.create(orphanedFolder, config.name(), config.state());
+            return adoptFenced(token, orphanedFolder, orphanedLock == null);
         } finally {
             if (orphanedLock != null) {
                 orphanedLock.close();
@@ -117,14 +118,14 @@
     }
 
     /** Adopts the messages after the fencing token is raised: from then on nothing is added to the orphaned journal. */
-    private Result adoptFenced(FencingToken token, Path orphanedFolder) throws IOException {
+    private Result adoptFenced(FencingToken token, Path orphanedFolder, boolean ownerMayLive) throws IOException {
         int adopted = 0;
         int adoptedBefore = 0;
         try (Journal journal = Journal.openReadOnly(orphanedFolder)) {
             Map<String, List<AcceptedMessage>> batches = OrphanedJournalRecovery.batches(
                     token.handoffId(), journal.pendingMessages(), folder.steadyMillis());
             for (Map.Entry<String, List<AcceptedMessage>> batch : batches.entrySet()) {
-                int adoptedFromBatch = adoptOnEventLoop(batch.getKey(), batch.getValue(), orphanedFolder);
+                int adoptedFromBatch = adoptOnEventLoop(batch.getKey(), batch.getValue(), orphanedFolder, ownerMayLive);
                 adopted += adoptedFromBatch;
                 adoptedBefore += adoptedFromBatch == 0 ? batch.getValue().size() : 0;
             }
@@ -139,9 +140,10 @@
         return new Result(adopted, adoptedBefore);
     }
 
-    private int adoptOnEventLoop(String batchId, List<AcceptedMessage> orphanedMessages, Path orphanedFolder)
+    private int adoptOnEventLoop(
+            String batchId, List<AcceptedMessage> orphanedMessages, Path orphanedFolder, boolean ownerMayLive)
             throws IOException {
-        int adopted = loop.submit(() -> adoptBatch(batchId, orphanedMessages))
+        int adopted = loop.submit(() -> adoptBatch(batchId, orphanedMessages, ownerMayLive))
                 .syncUninterruptibly()
                 .getNow();
         if (adopted < 0) {
@@ -174,12 +176,12 @@
      * Returns the number of adopted messages, 0 if the batch was adopted before, or -1 if the journal has no capacity for it or
      * this process has released its ownership.
      */
-    private int adoptBatch(String batchId, List<AcceptedMessage> orphanedMessages) {
+    private int adoptBatch(String batchId, List<AcceptedMessage> orphanedMessages, boolean ownerMayLive) {
         if (folder.journal().handoffBatches().containsKey(batchId)) {
             return 0;
         }
         List<AcceptedMessage> copies = orphanedMessages.stream()
-                .map(orphan -> OrphanedJournalRecovery.copy(orphan, folder.journal()::nextNumber))
+                .map(orphan -> OrphanedJournalRecovery.copy(orphan, folder.journal()::nextNumber, ownerMayLive))
                 .toList();
         copies.forEach(copy -> copy.classNumber = messages.classes().number(copy.className));
         // It is unknown whether a message of an unknown class may be retried, so it has failed.
@@ -206,7 +208,7 @@
             recovery.resumeNotification(message);
         } else {
             messages.accepted().put(message.number, message);
-            recovery.resume(message, attemptInterrupted);
+            recovery.resumeAdopted(message, attemptInterrupted);
         }
     }
 }
--- a/sender/src/main/java/amberroute/sender/MessageRecovery.java
+++ b/sender/src/main/java/amberroute/sender/MessageRecovery.java
@@ -34,6 +34,8 @@
     private final FleetCoordination fleet;
     private final KeyHoldTracker keyHolds;
     private final OwnershipTransfers transfers;
+    private final PeerServices peers;
+    private final FormerOwnerAttempts formerOwnerAttempts;
 
     MessageRecovery(
             SenderState state,
@@ -41,7 +43,9 @@
             FailureNotifier notifier,
             EndpointWatch endpoints,
             FleetCoordination fleet,
-            KeyHoldTracker keyHolds) {
+            KeyHoldTracker keyHolds,
+            PeerServices peers,
+            FormerOwnerAttempts formerOwnerAttempts) {
         folder = state.folder();
         messages = state.messages();
         metrics = state.metrics();
@@ -51,6 +55,8 @@
         this.endpoints = endpoints;
         this.fleet = fleet;
         this.keyHolds = keyHolds;
+        this.peers = peers;
+        this.formerOwnerAttempts = formerOwnerAttempts;
     }
 
     /**
@@ -141,14 +147,43 @@
         if (message.pendingNotification != null) {
             resumeNotification(message);
         } else if (!message.offeredToPeer) {
-            boolean attemptInterrupted = message.attemptInFlight
-                    && !transfers.transferredCallMessages().contains(message.number);
-            if (attemptInterrupted) {
-                folder.journal().recordOutcome(message, true);
-            }
-            messages.accepted().put(message.number, message);
-            resume(message, attemptInterrupted);
+            restorePending(message);
+        }
+    }
+
+    private void restorePending(AcceptedMessage message) {
+        messages.accepted().put(message.number, message);
+        message.attemptByFormerOwner |= message.attemptInFlight && peers.isFailover();
+        if (formerOwnerAttempts.mayBeInFlight(message)) {
+            resumeInFlight(message);
+            return;
         }
+        boolean attemptInterrupted =
+                message.attemptInFlight && !transfers.transferredCallMessages().contains(message.number);
+        if (attemptInterrupted) {
+            folder.journal().recordOutcome(message, true);
+        }
+        resume(message, attemptInterrupted);
+    }
+
+    /**
+     * Passes an adopted message to the scheduler; {@code attemptInterrupted} states that an attempt of its former owner was in flight.
+     */
+    void resumeAdopted(AcceptedMessage message, boolean attemptInterrupted) {
+        if (formerOwnerAttempts.mayBeInFlight(message)) {
+            resumeInFlight(message);
+            return;
+        }
+        if (message.attemptInFlight) {
+            folder.journal().recordOutcome(message, true);
+        }
+        resume(message, attemptInterrupted);
+    }
+
+    /** Passes an accepted message to the scheduler whose last attempt, by a former owner, may still be in flight. */
+    private void resumeInFlight(AcceptedMessage message) {
+        submitRecovered(message, message.attempts - 1, false);
+        formerOwnerAttempts.follow(message);
     }
 
     /** Sends the notification of a completed message again; the next message of its key waits until it is acknowledged. */
@@ -164,13 +199,17 @@
      */
     void resume(AcceptedMessage message, boolean attemptInterrupted) {
         boolean callInFlight = transfers.transferredCallMessages().contains(message.number);
+        submitRecovered(message, message.attempts - (callInFlight ? 1 : 0), attemptInterrupted);
+    }
+
+    private void submitRecovered(AcceptedMessage message, int endedAttempts, boolean attemptInterrupted) {
         scheduler.submit(new Event.MessageRecovered(
                 message.number,
                 message.classNumber,
                 message.key,
                 (message.deadlineMillis - folder.steadyMillis()) * MICROS_PER_MILLI,
                 message.destination,
-                message.attempts - (callInFlight ? 1 : 0),
+                endedAttempts,
                 unknownOutcomeAgeMicros(message),
                 endpointNumber(message.unknownOutcomeEndpoint),
                 attemptInterrupted));
--- a/sender/src/main/java/amberroute/sender/PeerServices.java
+++ b/sender/src/main/java/amberroute/sender/PeerServices.java
@@ -54,6 +54,11 @@
         return failoverReplicator;
     }
 
+    /** Whether this sender continues the replicated journal of another one. */
+    boolean isFailover() {
+        return failoverReplicator != null;
+    }
+
     void setFailoverReplicator(JournalReplicator replicator) {
         failoverReplicator = replicator;
     }
--- a/sender/src/main/java/amberroute/sender/discovery/EndpointList.java
+++ b/sender/src/main/java/amberroute/sender/discovery/EndpointList.java
@@ -342,6 +342,16 @@
         return leaving;
     }
 
+    /** An entry of an endpoint that is not listed, by which the scheduler can count a call to it: it takes no new ones. */
+    DeliveryScheduler.EndpointEntry unlistedEntry(String uid, int destination, EndpointState state) {
+        int kind = listed.values().stream()
+                .filter(endpoint -> endpoint.entry().destination() == destination)
+                .mapToInt(endpoint -> endpoint.entry().kind())
+                .findFirst()
+                .orElse(0);
+        return new DeliveryScheduler.EndpointEntry(number(uid), destination, state, 1, 0, kind);
+    }
+
     /** Removes entries that were listed for their calls alone. */
     void release(JsonArray leaving) {
         leaving.forEach(item -> item.getAsJsonObject().addProperty(STATE, STATE_GONE));
--- a/sender/src/main/java/amberroute/sender/discovery/EndpointWatch.java
+++ b/sender/src/main/java/amberroute/sender/discovery/EndpointWatch.java
@@ -180,6 +180,12 @@
         list.release(leaving);
     }
 
+    /** An entry of an endpoint that is not listed, by which the scheduler can count a call to it. */
+    public DeliveryScheduler.EndpointEntry unlistedEntry(
+            String uid, int destination, DeliveryScheduler.EndpointState state) {
+        return list.unlistedEntry(uid, destination, state);
+    }
+
     /** Takes a complete list that did not come by the watch. */
     public void replace(JsonObject other) {
         list.take(other, EndpointListKind.FULL);
--- a/sender/src/main/java/amberroute/sender/journal/AttemptHistory.java
+++ b/sender/src/main/java/amberroute/sender/journal/AttemptHistory.java
@@ -10,7 +10,9 @@
  * @param unknownOutcomeEndpoint uid of the endpoint of that attempt
  * @param attemptInFlight whether an attempt was in flight
  * @param lastSentAtMillis steady-clock time of the last attempt
+ * @param lastGiveUpMillis steady-clock time at which the last attempt is given up, 0 in records of earlier versions
  * @param lastEndpoint uid of the endpoint of the last attempt
+ * @param lastByFormerOwner whether the last attempt is that of a former owner, whose process may live
  */
 record AttemptHistory(
         int attempts,
@@ -18,7 +20,9 @@
         String unknownOutcomeEndpoint,
         boolean attemptInFlight,
         long lastSentAtMillis,
-        String lastEndpoint) {
+        long lastGiveUpMillis,
+        String lastEndpoint,
+        boolean lastByFormerOwner) {
 
     void applyTo(AcceptedMessage message) {
         message.attempts = attempts;
@@ -26,6 +30,8 @@
         message.unknownOutcomeEndpoint = unknownOutcomeEndpoint;
         message.attemptInFlight = attemptInFlight;
         message.attemptSentAtMillis = lastSentAtMillis;
+        message.attemptGiveUpMillis = lastGiveUpMillis;
         message.attemptEndpoint = lastEndpoint;
+        message.attemptByFormerOwner = lastByFormerOwner;
     }
 }
--- a/sender/src/main/java/amberroute/sender/journal/Journal.java
+++ b/sender/src/main/java/amberroute/sender/journal/Journal.java
@@ -300,11 +300,12 @@
     /**
      * Writes an attempt before its first byte is sent: a restart has to know that the upstream may have executed it.
      *
+     * @param giveUpMillis time at which the attempt is given up; another owner makes no second one before
      * @return false if the disk rejects it; then the attempt must not be made, and the message is unchanged
      */
-    public boolean recordAttempt(AcceptedMessage message, String uid, long nowMillis) {
+    public boolean recordAttempt(AcceptedMessage message, String uid, long nowMillis, long giveUpMillis) {
         AcceptedMessage.Attempts previous = message.attempts();
-        message.attempt(uid, nowMillis);
+        message.attempt(uid, nowMillis, giveUpMillis);
         if (writer.pendingWrites().hasEffect(message.number)
                 || !writer.write(MessageRecords.putAttempts(new Batch(), message))) {
             message.restore(previous);
@@ -320,8 +321,8 @@
      * Writes an attempt of an idempotent message, now or when the disk accepts it. The attempt may be made meanwhile: a
      * restart before the write repeats it.
      */
-    public void recordAttemptEventually(AcceptedMessage message, String uid, long nowMillis) {
-        message.attempt(uid, nowMillis);
+    public void recordAttemptEventually(AcceptedMessage message, String uid, long nowMillis, long giveUpMillis) {
+        message.attempt(uid, nowMillis, giveUpMillis);
         writeAttempts(message);
     }
 
--- a/sender/src/main/java/amberroute/sender/journal/JournalRecordCodec.java
+++ b/sender/src/main/java/amberroute/sender/journal/JournalRecordCodec.java
@@ -23,7 +23,8 @@
  *                rank:long bodyLength:int body
  *   ended (1)    as pending up to rank, then attempts:int notice:utf
  *   completed(2) id:utf contentHash:int idempotency:byte
- * ATTEMPTS       attempts:int unknownSince:long unknownAt:utf inFlight:byte sentAt:long sentTo:utf
+ * ATTEMPTS       attempts:int unknownSince:long unknownAt:utf inFlight:byte sentAt:long sentTo:utf, then,
+ *                unless written by an earlier version: giveUpAt:long byFormerOwner:byte
  * HANDOFF_BATCH  name:utf generation:long status:utf peer:utf until:long count:int messageNumber:long...
  * KEY_HOLD       origin:utf key:long until:long
  * HEALTH         destination:int uid:utf status:utf since:long callsPerSecond:double usualLatencyMicros:double
@@ -142,12 +143,25 @@
             out.writeBoolean(message.attemptInFlight);
             out.writeLong(message.attemptSentAtMillis);
             out.writeUTF(message.attemptEndpoint);
+            if (message.attemptGiveUpMillis != 0) {
+                out.writeLong(message.attemptGiveUpMillis);
+                out.writeBoolean(message.attemptByFormerOwner);
+            }
         });
     }
 
     static AttemptHistory decodeAttempts(ByteBuffer in, ModifiedUtf8 stringCache) throws IOException {
+        int attempts = in.getInt();
+        long unknownSinceMillis = in.getLong();
+        String unknownAt = stringCache.shared(in);
+        boolean inFlight = in.get() != 0;
+        long sentAtMillis = in.getLong();
+        String sentTo = stringCache.shared(in);
+        boolean hasGiveUp = in.hasRemaining();
+        long giveUpMillis = hasGiveUp ? in.getLong() : 0;
+        boolean byFormerOwner = hasGiveUp && in.get() != 0;
         return new AttemptHistory(
-                in.getInt(), in.getLong(), stringCache.shared(in), in.get() != 0, in.getLong(), stringCache.shared(in));
+                attempts, unknownSinceMillis, unknownAt, inFlight, sentAtMillis, giveUpMillis, sentTo, byFormerOwner);
     }
 
     static byte[] encodeRank(long rank) {
--- a/sender/src/main/java/amberroute/sender/journal/LegacyJournalReader.java
+++ b/sender/src/main/java/amberroute/sender/journal/LegacyJournalReader.java
@@ -209,7 +209,7 @@
         switch (type) {
             case ATTEMPT -> {
                 long sentAtMillis = in.readLong();
-                message.attempt(in.readUTF(), sentAtMillis);
+                message.attempt(in.readUTF(), sentAtMillis, 0);
             }
             case OUTCOME -> message.outcome(in.readBoolean());
             case ENDED -> message.end(in.readUTF());
@@ -281,6 +281,6 @@
 
     private static AttemptHistory readAttempts(DataInputStream in) throws IOException {
         return new AttemptHistory(
-                in.readInt(), in.readLong(), in.readUTF(), in.readBoolean(), in.readLong(), in.readUTF());
+                in.readInt(), in.readLong(), in.readUTF(), in.readBoolean(), in.readLong(), 0, in.readUTF(), false);
     }
 }
--- a/sender/src/main/java/amberroute/sender/journal/RecordSizes.java
+++ b/sender/src/main/java/amberroute/sender/journal/RecordSizes.java
@@ -17,7 +17,7 @@
     /** Number of items that one message can have at once. */
     private static final int MESSAGE_ITEMS = 5;
     /** Later records of a message: attempts with two uids of up to 128 characters, rank and notice. */
-    private static final int LATER_RECORD_BYTES = 480;
+    private static final int LATER_RECORD_BYTES = 492;
 
     private static final int CLASS_BYTES = 80;
     /** A character takes at most three bytes in modified UTF-8. */
--- a/sender/src/main/java/amberroute/sender/lifecycle/OrphanedJournalRecovery.java
+++ b/sender/src/main/java/amberroute/sender/lifecycle/OrphanedJournalRecovery.java
@@ -55,8 +55,10 @@
     /**
      * The message as its new owner has it: a call in flight may have run, and a notification that is not acknowledged is sent again. A
      * message that was offered to a peer may be that peer's, and only its old owner could ask: it has failed, which promises nothing.
+     *
+     * @param ownerMayLive whether the old owner's process may live, so that a call of it may still be in flight
      */
-    public static AcceptedMessage copy(AcceptedMessage message, LongSupplier numbers) {
+    public static AcceptedMessage copy(AcceptedMessage message, LongSupplier numbers, boolean ownerMayLive) {
         AcceptedMessage copy = new AcceptedMessage(
                 numbers.getAsLong(),
                 message.id,
@@ -70,8 +72,11 @@
         copy.unknownOutcomeSinceMillis = message.unknownOutcomeSinceMillis;
         copy.unknownOutcomeEndpoint = message.unknownOutcomeEndpoint;
         copy.attemptSentAtMillis = message.attemptSentAtMillis;
+        copy.attemptGiveUpMillis = message.attemptGiveUpMillis;
         copy.attemptEndpoint = message.attemptEndpoint;
-        if (message.attemptInFlight) {
+        copy.attemptInFlight = message.attemptInFlight;
+        copy.attemptByFormerOwner = message.attemptInFlight && ownerMayLive;
+        if (message.attemptInFlight && !ownerMayLive) {
             copy.outcome(true);
         }
         if (message.pendingNotification != null || message.offeredToPeer) {
--- a/sender/src/main/java/amberroute/sender/message/AcceptedMessage.java
+++ b/sender/src/main/java/amberroute/sender/message/AcceptedMessage.java
@@ -45,7 +45,12 @@
     public boolean adopted;
 
     public long attemptSentAtMillis;
+    /** Milliseconds of the steady clock at which the last attempt is given up at the latest, 0 where that is not known. */
+    public long attemptGiveUpMillis;
+
     public String attemptEndpoint = "";
+    /** Whether the last attempt is that of a former owner, whose process may live. */
+    public boolean attemptByFormerOwner;
     /** The notice that ends it, until it is answered; null while the message goes on. */
     public String pendingNotification;
     /** Place in the order of acceptance; its number, unless it went behind others. */
@@ -100,25 +105,42 @@
         return Objects.hash(className, key, destination, idempotencyKey, Arrays.hashCode(body)) | 1;
     }
 
-    public void attempt(String uid, long wall) {
+    /** Begins an attempt at the endpoint with this uid; both times are milliseconds of the steady clock. */
+    public void attempt(String uid, long sentAtMillis, long giveUpMillis) {
         attempts++;
         attemptInFlight = true;
-        attemptSentAtMillis = wall;
+        attemptSentAtMillis = sentAtMillis;
+        attemptGiveUpMillis = giveUpMillis;
         attemptEndpoint = uid;
+        attemptByFormerOwner = false;
+    }
+
+    /** Milliseconds of the steady clock from when on the last attempt is out no longer, if its process lives: at its deadline at the latest. */
+    public long attemptEndMillis() {
+        return attemptGiveUpMillis == 0 ? deadlineMillis : attemptGiveUpMillis;
     }
 
     /** What attempts change, to be put back where one could not be recorded. */
-    public record Attempts(int attempts, boolean out, long sentAt, String sentTo) {}
+    public record Attempts(
+            int attempts, boolean out, long sentAt, long giveUpAt, String sentTo, boolean byFormerOwner) {}
 
     public Attempts attempts() {
-        return new Attempts(attempts, attemptInFlight, attemptSentAtMillis, attemptEndpoint);
+        return new Attempts(
+                attempts,
+                attemptInFlight,
+                attemptSentAtMillis,
+                attemptGiveUpMillis,
+                attemptEndpoint,
+                attemptByFormerOwner);
     }
 
     public void restore(Attempts before) {
         attempts = before.attempts();
         attemptInFlight = before.out();
         attemptSentAtMillis = before.sentAt();
+        attemptGiveUpMillis = before.giveUpAt();
         attemptEndpoint = before.sentTo();
+        attemptByFormerOwner = before.byFormerOwner();
     }
 
     public void outcome(boolean mayHaveRun) {
--- a/sender/src/test/java/amberroute/sender/HandoffTest.java
+++ b/sender/src/test/java/amberroute/sender/HandoffTest.java
@@ -557,7 +557,7 @@
                     ("body of " + id).getBytes());
             journal.accept(m);
             if (id.equals("k0") || id.equals("lost")) {
-                journal.recordAttempt(m, "s-1", System.currentTimeMillis());
+                journal.recordAttempt(m, "s-1", System.currentTimeMillis(), 0);
                 journal.recordOutcome(m, true);
             }
         }
@@ -872,7 +872,7 @@
                 System.currentTimeMillis() + 15_000,
                 "body of k".getBytes());
         journal.accept(m);
-        journal.recordAttempt(m, "s-1", System.currentTimeMillis() - 2_500);
+        journal.recordAttempt(m, "s-1", System.currentTimeMillis() - 2_500, 0);
         journal.recordOutcome(m, true);
         journal.close();
         world.receiver.answers = r -> ok(503, "", "Retry-After: 3");
--- a/sender/src/test/java/amberroute/sender/OrphanedJournalRecoveryTest.java
+++ b/sender/src/test/java/amberroute/sender/OrphanedJournalRecoveryTest.java
@@ -12,6 +12,7 @@
 import amberroute.sender.config.SenderConfig;
 import amberroute.sender.journal.FencingToken;
 import amberroute.sender.journal.Journal;
+import amberroute.sender.journal.StateLock;
 import amberroute.sender.lifecycle.OrphanedJournalRecovery;
 import amberroute.sender.lifecycle.StateFolder;
 import amberroute.sender.message.AcceptedMessage;
@@ -133,11 +134,11 @@
     void everyMessageGoesOnAsItStood() throws Exception {
         try (Journal journal = Journal.open(orphan, 3_000_000)) {
             message(journal, "fresh", "unsafe", 0, 7);
-            journal.recordAttempt(message(journal, "out", "unsafe", 0, 7), "s-1", System.currentTimeMillis());
+            journal.recordAttempt(message(journal, "out", "unsafe", 0, 7), "s-1", System.currentTimeMillis(), 0);
             AcceptedMessage refused = message(journal, "refused", "unsafe", 0, 7);
-            journal.recordAttempt(refused, "s-1", System.currentTimeMillis());
+            journal.recordAttempt(refused, "s-1", System.currentTimeMillis(), 0);
             journal.recordOutcome(refused, false);
-            journal.recordAttempt(message(journal, "k0", "keyed", KEY, 7), "s-1", System.currentTimeMillis());
+            journal.recordAttempt(message(journal, "k0", "keyed", KEY, 7), "s-1", System.currentTimeMillis(), 0);
             message(journal, "k1", "keyed", KEY, 7);
             message(journal, "k2", "keyed", KEY, 7);
             AcceptedMessage ended = message(journal, "ended", "safe", 0, 7);
@@ -369,6 +370,39 @@
         }
     }
 
+    /** Guards against a second attempt by the adopter, also behind its restart, while a frozen owner's call may be in flight. */
+    @Test
+    void adopterRepeatsNoAttemptThatMayBeInFlight() throws Exception {
+        long giveUpMillis = System.currentTimeMillis() + 3_000;
+        StateLock ownersLock = StateLock.tryAcquire(orphan, true);
+        ownersLock.recordFencingChecked();
+        try (Journal journal = Journal.open(orphan, 3_000_000)) {
+            long sentAtMillis = System.currentTimeMillis();
+            journal.recordAttempt(message(journal, "safe", "safe", 0, 7), "s-1", sentAtMillis, giveUpMillis);
+            journal.recordAttempt(message(journal, "k0", "keyed", KEY, 7), "s-1", sentAtMillis, giveUpMillis);
+            message(journal, "k1", "keyed", KEY, 7);
+            journal.recordAttempt(message(journal, "left", "safe", 0, 7), "s-gone", sentAtMillis, giveUpMillis);
+            message(journal, "fresh", "safe", 0, 7);
+        }
+        Sender first = start("heir", 50);
+        assertEquals(5, adopt("heir", orphan, true).get("adopted").getAsInt());
+        await(() -> calls("fresh") == 1);
+        first.stop();
+        senders.clear();
+        assertEquals(1, world.receiver.requests.size());
+        Sender again = start("heir", 50);
+        await(() -> world.receiver.requests.size() > 1);
+        assertTrue(System.currentTimeMillis() >= giveUpMillis, "called again before the give-up time");
+        await(() -> again.pendingMessageCount() == 0);
+        assertEquals(List.of(1, 1, 1), List.of(calls("safe"), calls("k1"), calls("left")));
+        // Its key's life is nearly over by then; the next message of its order waits for its end.
+        assertEquals(0, calls("k0"));
+        assertEquals(
+                1,
+                world.notices.stream().filter(line -> line.contains("\"k0\"")).count());
+        ownersLock.close();
+    }
+
     /** A record that comes after the fence allows nothing, and neither does an effect behind an earlier record. */
     @Test
     void theFenceIsSeenBehindTheRecord() throws IOException {
@@ -378,7 +412,7 @@
             AcceptedMessage m = message(journal, "a", "unsafe", 0, 7);
             journal.checkFencingToken();
             FencingToken.create(orphan, "heir", folder.resolve("heir"));
-            assertThrows(IllegalStateException.class, () -> journal.recordAttempt(m, "s-1", 1));
+            assertThrows(IllegalStateException.class, () -> journal.recordAttempt(m, "s-1", 1, 0));
             assertThrows(IllegalStateException.class, journal::checkFencingToken);
             assertEquals(2, seen[0]);
         }
--- a/sender/src/test/java/amberroute/sender/journal/CompatibilityScenario.java
+++ b/sender/src/test/java/amberroute/sender/journal/CompatibilityScenario.java
@@ -150,23 +150,23 @@
         accept(journal, "untried", 0, 7, 300);
         accept(journal, "empty", 3, 0, 0);
         AcceptedMessage inFlight = accept(journal, "in-flight", 0, 8, 500);
-        journal.recordAttempt(inFlight, "endpoint-1", START_MILLIS);
+        journal.recordAttempt(inFlight, "endpoint-1", START_MILLIS, 0);
         AcceptedMessage unknown = accept(journal, "unknown", 0, 9, 200);
-        journal.recordAttempt(unknown, "endpoint-2", START_MILLIS + 1);
+        journal.recordAttempt(unknown, "endpoint-2", START_MILLIS + 1, 0);
         journal.recordOutcome(unknown, true);
-        journal.recordAttempt(unknown, "endpoint-3", START_MILLIS + 2);
+        journal.recordAttempt(unknown, "endpoint-3", START_MILLIS + 2, 0);
         journal.recordOutcome(unknown, false);
         AcceptedMessage notRun = accept(journal, "not-run", 3, 0, 100);
-        journal.recordAttempt(notRun, "endpoint-1", START_MILLIS + 3);
+        journal.recordAttempt(notRun, "endpoint-1", START_MILLIS + 3, 0);
         journal.recordOutcome(notRun, false);
-        journal.recordAttemptEventually(notRun, "endpoint-4", START_MILLIS + 4);
+        journal.recordAttemptEventually(notRun, "endpoint-4", START_MILLIS + 4, 0);
         AcceptedMessage failed = accept(journal, "failed", 0, 9, 400);
-        journal.recordAttempt(failed, "endpoint-1", START_MILLIS + 5);
+        journal.recordAttempt(failed, "endpoint-1", START_MILLIS + 5, 0);
         journal.endWithNotice(failed, failed.failed());
         AcceptedMessage returned = accept(journal, "returned", 3, 0, 50);
         journal.endWithNotice(returned, returned.returned(2_500));
         AcceptedMessage completed = accept(journal, "completed", 0, 1, 800);
-        journal.recordAttempt(completed, "endpoint-1", START_MILLIS + 6);
+        journal.recordAttempt(completed, "endpoint-1", START_MILLIS + 6, 0);
         journal.complete(completed);
         journal.complete(accept(journal, "completed-idempotent", 3, 0, 30));
         AcceptedMessage unclassified = message(journal, "unclassified", 3, 0, 20);
@@ -197,7 +197,7 @@
     private static void acceptAndFinishMessages(Journal journal, String idPrefix, int compactionSteps) {
         for (int i = 0; i < SHORT_LIVED_MESSAGES; i++) {
             AcceptedMessage message = accept(journal, idPrefix + "-" + i, i % 2 == 0 ? 0 : 3, i % 5, 300 + 13 * i);
-            journal.recordAttempt(message, "endpoint-" + i % 4, START_MILLIS + 100 + i);
+            journal.recordAttempt(message, "endpoint-" + i % 4, START_MILLIS + 100 + i, 0);
             journal.recordOutcome(message, i % 3 == 0);
             if (i % 10 == 9) {
                 journal.endWithNotice(message, message.failed());
--- a/sender/src/test/java/amberroute/sender/journal/JournalMeasurement.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalMeasurement.java
@@ -56,7 +56,7 @@
 
         @Override
         public boolean attempt(Object journal, AcceptedMessage message) {
-            return ((Journal) journal).recordAttempt(message, "uid-of-an-endpoint", 5);
+            return ((Journal) journal).recordAttempt(message, "uid-of-an-endpoint", 5, 0);
         }
 
         @Override
@@ -235,7 +235,7 @@
                         number, "id" + number, "", "quote-status", 0, 7, DEADLINE_MILLIS, new byte[200]);
                 journal.accept(message);
                 journal.whenDurable(() -> acknowledged[0]++, null);
-                journal.recordAttempt(message, "uid", 5);
+                journal.recordAttempt(message, "uid", 5, 0);
                 journal.whenDurable(() -> journal.complete(message), null);
             }
             while (!dueWork.isEmpty()) {
--- a/sender/src/test/java/amberroute/sender/journal/JournalPowerLossTest.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalPowerLossTest.java
@@ -104,7 +104,7 @@
                             case 2 -> {
                                 if (message.pendingNotification == null
                                         && !message.attemptInFlight
-                                        && journal.recordAttempt(message, "uid", 5)) {
+                                        && journal.recordAttempt(message, "uid", 5, 0)) {
                                     int attemptCount = message.attempts;
                                     journal.whenDurable(() -> reportedAttempts.put(message.id, attemptCount), null);
                                 }
--- a/sender/src/test/java/amberroute/sender/journal/JournalTest.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalTest.java
@@ -94,7 +94,7 @@
             for (int round = 0; round < 3; round++) {
                 for (AcceptedMessage message : List.copyOf(journal.pendingMessages())) {
                     for (int i = 0; i < 12; i++) {
-                        assertTrue(journal.recordAttempt(message, ENDPOINT_UID, 5), "no space for an attempt");
+                        assertTrue(journal.recordAttempt(message, ENDPOINT_UID, 5, 0), "no space for an attempt");
                         journal.recordOutcome(message, true);
                     }
                     assertWithinBudget();
@@ -149,10 +149,10 @@
                     .get(journal.pendingMessages().size() - 1);
             journal.complete(List.copyOf(journal.pendingMessages()).get(1));
             for (int i = 0; i < 3_000; i++) {
-                journal.recordAttempt(last, ENDPOINT_UID, 5 + i);
+                journal.recordAttempt(last, ENDPOINT_UID, 5 + i, 0);
                 journal.recordOutcome(last, i > 0);
             }
-            journal.recordAttempt(last, ENDPOINT_UID, 77);
+            journal.recordAttempt(last, ENDPOINT_UID, 77, 0);
             assertWithinBudget();
         }
         try (Journal journal = Journal.open(folder, BUDGET_BYTES)) {
@@ -195,7 +195,7 @@
             AcceptedMessage ending = newMessage(journal, "ending");
             AcceptedMessage completing = newMessage(journal, "over");
             List.of(attempted, ending, completing).forEach(message -> assertTrue(journal.accept(message)));
-            assertTrue(journal.recordAttempt(attempted, "uid", 5) && journal.recordAttempt(completing, "uid", 5));
+            assertTrue(journal.recordAttempt(attempted, "uid", 5, 0) && journal.recordAttempt(completing, "uid", 5, 0));
             assertEquals(0, journal.retryAfterMillis());
             // The reserve does not help on a disk that accepts no write at all.
             disk.restart(4, fault, 1);
@@ -203,7 +203,7 @@
             assertFalse(journal.accept(newMessage(journal, "new")));
             assertTrue(journal.retryAfterMillis() > 0
                     && !journal.writeFailureReason().isEmpty());
-            assertFalse(journal.recordAttempt(ending, "uid", 6));
+            assertFalse(journal.recordAttempt(ending, "uid", 6, 0));
             assertEquals(0, ending.attempts, "an attempt that is not recorded must not be made");
             journal.recordOutcome(attempted, true);
             journal.endWithNotice(ending, ending.failed(), () -> effects.add("ending"));
@@ -333,7 +333,7 @@
                 assertTrue(journal.accept(newMessage(journal, "m" + i)));
             }
             AcceptedMessage completed = journal.pendingMessages().iterator().next();
-            journal.recordAttempt(completed, "uid", 5);
+            journal.recordAttempt(completed, "uid", 5, 0);
             journal.complete(completed);
         }
         Path segment;
--- a/sender/src/test/java/amberroute/sender/journal/JournalTrial.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalTrial.java
@@ -302,7 +302,7 @@
             target.callInterrupted = false;
         } else if (choice < 8) {
             target.callInterrupted = true;
-            boolean recorded = journal.recordAttempt(target.message, "uid-" + choice, NOW_MILLIS);
+            boolean recorded = journal.recordAttempt(target.message, "uid-" + choice, NOW_MILLIS, 0);
             target.callInterrupted = false;
             counts.failedWrites += recorded ? 0 : 1;
             // Not made, but possibly recorded.
@@ -369,7 +369,7 @@
                 journal.recordOutcome(message, true);
             } else if (random.nextInt(3) > 0) {
                 out.println("? " + message.id);
-                if (journal.recordAttempt(message, "uid", NOW_MILLIS)) {
+                if (journal.recordAttempt(message, "uid", NOW_MILLIS, 0)) {
                     out.println("T " + message.id + " " + message.attempts);
                 }
             } else {
--- a/sender/src/test/java/amberroute/sender/journal/SingleFileJournal.java
+++ b/sender/src/test/java/amberroute/sender/journal/SingleFileJournal.java
@@ -223,7 +223,7 @@
         if (!appendRecord(record)) {
             return false;
         }
-        message.attempt(uid, wallMillis);
+        message.attempt(uid, wallMillis, 0);
         return true;
     }
 
@@ -754,7 +754,7 @@
         switch (type) {
             case 'T' -> {
                 long wallMillis = in.readLong();
-                message.attempt(in.readUTF(), wallMillis);
+                message.attempt(in.readUTF(), wallMillis, 0);
             }
             case 'O' -> message.outcome(in.readBoolean());
             case 'E' -> {
--- a/sender/src/test/java/amberroute/sender/peer/ReplicaStoreTest.java
+++ b/sender/src/test/java/amberroute/sender/peer/ReplicaStoreTest.java
@@ -103,7 +103,7 @@
             ReplicaStore.StoredReplica kept = whole(store, owner, this);
             long had = owner.number;
             owner.changes.clear();
-            assertTrue(owner.journal.recordAttempt(first, "p1", 5));
+            assertTrue(owner.journal.recordAttempt(first, "p1", 5, 0));
             owner.accept("second");
             assertTrue(store.append(kept, kept.state.onAppend(1, "s1", had, owner.number), owner.changes));
             store.close();
