--- a/sender/src/main/java/amberroute/sender/PeerServices.java
+++ b/sender/src/main/java/amberroute/sender/PeerServices.java
@@ -114,7 +114,13 @@
             return false;
         }
         handoff = new HandoffCoordinator(
-                loop, config.name(), standalone.peers(), host, folder.journal(), folder::steadyMillis);
+                loop,
+                config.name(),
+                standalone.peers(),
+                host,
+                folder.journal(),
+                folder.journalBegunMillis(),
+                folder::steadyMillis);
         handoff.recoverOffers();
         return true;
     }
--- a/sender/src/main/java/amberroute/sender/lifecycle/StateFolder.java
+++ b/sender/src/main/java/amberroute/sender/lifecycle/StateFolder.java
@@ -6,6 +6,7 @@
 import amberroute.sender.config.StandaloneConfig;
 import amberroute.sender.journal.FencingToken;
 import amberroute.sender.journal.Journal;
+import amberroute.sender.journal.JournalAge;
 import amberroute.sender.journal.StateLock;
 import amberroute.sender.journal.SteadyClock;
 import amberroute.sender.util.LogEvent;
@@ -38,6 +39,7 @@
 
     private Journal journal;
     private SteadyClock clock;
+    private long journalBegunMillis;
     private boolean fenceChecked;
 
     /** Takes no lock and opens nothing. */
@@ -81,6 +83,11 @@
         return clock.millis();
     }
 
+    /** When the journal was begun, in milliseconds of {@link #steadyMillis}; 0 if that is not known, as on the platform. */
+    public long journalBegunMillis() {
+        return journalBegunMillis;
+    }
+
     /**
      * Opens the journal and the clock; the lock has to be held. Not on the event loop.
      *
@@ -95,6 +102,7 @@
         listener.lockHeld();
         StandaloneConfig.Standalone standalone = config.standalone();
         clock = SteadyClock.open(config.state());
+        journalBegunMillis = standalone == null ? 0 : JournalAge.begunAtMillis(config.state(), steadyMillis());
         openJournal(loop, standalone == null ? Durability.NONE : standalone.durability());
         if (standalone != null && standalone.adoption()) {
             guardWithFence(loop);
--- a/sender/src/main/java/amberroute/sender/peer/HandoffCodec.java
+++ b/sender/src/main/java/amberroute/sender/peer/HandoffCodec.java
@@ -7,6 +7,7 @@
 import amberroute.sender.client.SubmitCommand;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.peer.HandoffProtocolMessage.CancelMessage;
+import amberroute.sender.peer.HandoffProtocolMessage.EarlierOffer;
 import amberroute.sender.peer.HandoffProtocolMessage.KeyHoldReply;
 import amberroute.sender.peer.HandoffProtocolMessage.KeyHoldRequest;
 import amberroute.sender.peer.HandoffProtocolMessage.KeyHoldStatusRequest;
@@ -57,6 +58,8 @@
     private static final String ORIGINS = "origins";
     private static final String ORIGIN = "origin";
     private static final String UNTIL = "until";
+    private static final String EARLIER_RECIPIENT = "offered_to";
+    private static final String EARLIER_SENT_AT = "offered_at";
     private static final String UNTILS = "untils";
     private static final String BATCH_NUMBER = "batch";
     private static final String KEYS = "keys";
@@ -120,6 +123,10 @@
         offer.holdOriginsByKey().forEach((key, names) -> origins.add(Long.toHexString(key), names(names)));
         json.add(ORIGINS, origins);
         json.addProperty(UNTIL, offer.holdUntilMillis());
+        offer.earlier().ifPresent(earlier -> {
+            json.addProperty(EARLIER_RECIPIENT, earlier.recipient());
+            json.addProperty(EARLIER_SENT_AT, earlier.sentAtMillis());
+        });
         return json;
     }
 
@@ -228,7 +235,10 @@
                 messages,
                 line.has(CLASSES) ? classMeanings(line.object(CLASSES).fields()) : Map.of(),
                 line.has(ORIGINS) ? decodeOrigins(line.object(ORIGINS).fields()) : Map.of(),
-                line.has(UNTIL) ? line.integer(UNTIL) : 0);
+                line.has(UNTIL) ? line.integer(UNTIL) : 0,
+                line.has(EARLIER_RECIPIENT)
+                        ? Optional.of(new EarlierOffer(line.name(EARLIER_RECIPIENT), line.integer(EARLIER_SENT_AT)))
+                        : Optional.empty());
     }
 
     private static Map<Long, List<String>> decodeOrigins(JsonObject json) {
--- a/sender/src/main/java/amberroute/sender/peer/HandoffContext.java
+++ b/sender/src/main/java/amberroute/sender/peer/HandoffContext.java
@@ -14,6 +14,7 @@
  *
  * @param self name of this daemon
  * @param peers addresses of the other daemons in the settings' order
+ * @param journalBegunMillis when the journal was begun, 0 if that is not known
  * @param wallMillis milliseconds as the journal's times have them
  */
 record HandoffContext(
@@ -22,6 +23,7 @@
         Map<String, InetSocketAddress> peers,
         HandoffCoordinator.Host host,
         Journal journal,
+        long journalBegunMillis,
         LongSupplier wallMillis) {
     /** Peers that are served at a time, and names of which something is kept: so many, and some for each configured peer. */
     private static final int MIN_PEERS = 128;
--- a/sender/src/main/java/amberroute/sender/peer/HandoffCoordinator.java
+++ b/sender/src/main/java/amberroute/sender/peer/HandoffCoordinator.java
@@ -108,17 +108,18 @@
     /** Null where nothing is replicated. */
     private ReplicationRequests replication;
 
-    /** {@code wallMillis} are milliseconds as the journal's times have them. */
+    /** {@code wallMillis} are milliseconds as the journal's times have them, also {@code journalBegunMillis}, 0 if that is not known. */
     public HandoffCoordinator(
             EventLoop loop,
             String name,
             Map<String, InetSocketAddress> peers,
             Host host,
             Journal journal,
+            long journalBegunMillis,
             LongSupplier wallMillis) {
         Map<String, InetSocketAddress> others = new LinkedHashMap<>(peers);
         others.remove(name);
-        context = new HandoffContext(loop, name, others, host, journal, wallMillis);
+        context = new HandoffContext(loop, name, others, host, journal, journalBegunMillis, wallMillis);
         placement = new HandoffPlacement(others.keySet());
         codec = new HandoffCodec(host::nextMessageNumber, System::currentTimeMillis);
         adoptedKeys = new AdoptedKeys(context.maxPeers());
--- a/sender/src/main/java/amberroute/sender/peer/HandoffProtocolMessage.java
+++ b/sender/src/main/java/amberroute/sender/peer/HandoffProtocolMessage.java
@@ -14,6 +14,14 @@
  * the accepted messages that an offer carries.
  */
 public sealed interface HandoffProtocolMessage {
+    /**
+     * An earlier message with the same offer, which may have been accepted.
+     *
+     * @param recipient name of the successor
+     * @param sentAtMillis when it was sent first, in milliseconds of the sender's steady clock
+     */
+    record EarlierOffer(String recipient, long sentAtMillis) {}
+
     /**
      * Offers a batch of messages to a successor.
      *
@@ -21,6 +29,7 @@
      * @param classMeanings what the sender takes each class of the messages to mean
      * @param holdOriginsByKey for each ordered key the daemons on whose behalf peers may hold it
      * @param holdUntilMillis end of the sender's own hold on those keys, 0 for none
+     * @param earlier the first message with this offer, empty in that one and in those of earlier versions
      */
     record OfferMessage(
             String sender,
@@ -29,7 +38,8 @@
             List<AcceptedMessage> messages,
             Map<String, String> classMeanings,
             Map<Long, ? extends Collection<String>> holdOriginsByKey,
-            long holdUntilMillis)
+            long holdUntilMillis,
+            Optional<EarlierOffer> earlier)
             implements HandoffProtocolMessage {}
 
     /** Withdraws an offer. The reply tells whether the successor had accepted it before. */
--- a/sender/src/main/java/amberroute/sender/peer/IncomingOffers.java
+++ b/sender/src/main/java/amberroute/sender/peer/IncomingOffers.java
@@ -3,11 +3,14 @@
 import amberroute.handoff.HandoffEffect;
 import amberroute.handoff.HandoffMessage;
 import amberroute.handoff.HandoffPlacement;
+import amberroute.handoff.KeyHoldAnnouncement;
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.peer.HandoffProtocolMessage.CancelMessage;
+import amberroute.sender.peer.HandoffProtocolMessage.EarlierOffer;
 import amberroute.sender.peer.HandoffProtocolMessage.OfferMessage;
 import amberroute.sender.peer.HandoffProtocolMessage.OfferReply;
+import amberroute.sender.util.LogEvent;
 import io.netty.channel.ChannelHandlerContext;
 import java.util.List;
 import java.util.Map;
@@ -32,16 +35,45 @@
     }
 
     void onOffer(ChannelHandlerContext channel, OfferMessage offer) {
+        if (mayHaveBeenAcceptedElsewhere(offer)) {
+            // Neither answer would be true; the owner reports a failure at the deadline, which promises nothing.
+            LogEvent.of("handoff_offer_unanswered")
+                    .with("batch", offer.batchId())
+                    .with("sender", offer.sender())
+                    .warn();
+            return;
+        }
         HandoffPlacement.RejectionReason reason = offer.messages().isEmpty()
                 ? HandoffPlacement.RejectionReason.UNFIT
                 : context.host().rejectionReason(offer.messages(), HandoffCodec.classMeanings(offer.classMeanings()));
         decide(channel, HandoffMessage.Kind.OFFER, offer, reason);
     }
 
+    /**
+     * Whether an offer that is repeated here was first sent to another daemon, or to one of this name whose journal is gone: what that one
+     * decided is not known here.
+     */
+    private boolean mayHaveBeenAcceptedElsewhere(OfferMessage offer) {
+        if (offer.earlier().isEmpty() || context.journal().handoffBatches().containsKey(offer.batchId())) {
+            return false;
+        }
+        EarlierOffer earlier = offer.earlier().get();
+        return !earlier.recipient().equals(context.self())
+                || context.journalBegunMillis() + KeyHoldAnnouncement.CLOCK_SKEW_MILLIS > earlier.sentAtMillis()
+                        && context.journalBegunMillis() != 0;
+    }
+
     /** A withdrawal carries no messages: where it comes before its offer the batch is rejected, and stays so. */
     void onCancel(ChannelHandlerContext channel, CancelMessage cancel) {
         OfferMessage withdrawn = new OfferMessage(
-                cancel.sender(), cancel.batchId(), cancel.generation(), List.of(), Map.of(), Map.of(), 0);
+                cancel.sender(),
+                cancel.batchId(),
+                cancel.generation(),
+                List.of(),
+                Map.of(),
+                Map.of(),
+                0,
+                Optional.empty());
         decide(channel, HandoffMessage.Kind.CANCEL, withdrawn, HandoffPlacement.RejectionReason.UNFIT);
     }
 
--- a/sender/src/main/java/amberroute/sender/peer/OutgoingOffers.java
+++ b/sender/src/main/java/amberroute/sender/peer/OutgoingOffers.java
@@ -8,6 +8,7 @@
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.peer.HandoffProtocolMessage.CancelMessage;
+import amberroute.sender.peer.HandoffProtocolMessage.EarlierOffer;
 import amberroute.sender.peer.HandoffProtocolMessage.OfferMessage;
 import amberroute.sender.peer.HandoffProtocolMessage.OfferReply;
 import io.netty.channel.Channel;
@@ -16,6 +17,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -49,6 +51,8 @@
 
         Channel sentOn;
         long sentAtMillis;
+        /** When it was sent first, in milliseconds of the journal's clock; 0 before. */
+        long firstSentAtMillis;
 
         Offer(
                 String batchId,
@@ -291,11 +295,18 @@
                         () -> {
                             if (connection.isReady()) {
                                 sentBytes += connection.sendNow(messageOf(offer, send.message()));
+                                rememberFirst(offer);
                             }
                         },
                         () -> offer.sentAtMillis = 0);
     }
 
+    private void rememberFirst(Offer offer) {
+        if (offer.firstSentAtMillis == 0) {
+            offer.firstSentAtMillis = context.wallMillis().getAsLong();
+        }
+    }
+
     private HandoffProtocolMessage messageOf(Offer offer, HandoffMessage message) {
         if (message.kind() == HandoffMessage.Kind.CANCEL) {
             return new CancelMessage(context.self(), message.batchId(), message.generation());
@@ -313,6 +324,9 @@
                 offer.messages,
                 HandoffCodec.classMeanings(context.host().classMeanings(offer.messages)),
                 originsByKey,
-                offer.holdUntilMillis);
+                offer.holdUntilMillis,
+                offer.firstSentAtMillis == 0
+                        ? Optional.empty()
+                        : Optional.of(new EarlierOffer(offer.ownership.peer(), offer.firstSentAtMillis)));
     }
 }
--- a/sender/src/test/java/amberroute/sender/HandoffTest.java
+++ b/sender/src/test/java/amberroute/sender/HandoffTest.java
@@ -16,11 +16,14 @@
 import amberroute.sender.lifecycle.ShutdownSequence;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.peer.HandoffCoordinator;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -245,6 +248,63 @@
         assertTrue(gaveUp, "no lot was given up");
     }
 
+    /** Guards against a new process at the address of a peer that is gone, without its folder, being taken for that peer. */
+    @Test
+    void aNewProcessAtThePeersAddressIsNotOfferedWhatThePeerMayHaveRun() throws Exception {
+        try (ServerSocket peersAddress = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Sender leaver = start("leaver", "\"heir=127.0.0.1:" + peersAddress.getLocalPort() + "\"");
+            SenderFixture.Client client = world.client(leaver);
+            world.prove(leaver, client);
+            hang(client);
+            assertEquals("+OK", client.submit("unsafe", "u", NO_KEY));
+            leaver.blockEventLoop(() -> leaver.beginStop(ShutdownMode.FINAL, 4_000));
+            try (Socket peer = peersAddress.accept()) {
+                // It takes the offer, may call, and is gone before it answers.
+                readLineWith(peer, "\"u\"");
+            }
+            Sender newProcess = start("heir", "");
+            world.receiver.requests.clear();
+            world.receiver.answers = r -> ok(200, "");
+            Socket connection = peersAddress.accept();
+            forward(connection, newProcess.handoffAddress().getPort());
+            assertEquals(0, leaver.stopped().get(20, TimeUnit.SECONDS));
+            await(() -> newProcess.pendingMessageCount() == 0);
+            assertEquals(
+                    0,
+                    world.receiver.requests.stream()
+                            .filter(r -> r.body().equals("body of u"))
+                            .count());
+            assertTrue(noticed("u", "failed"), world.notices.toString());
+            connection.close();
+        }
+    }
+
+    private static void readLineWith(Socket from, String text) throws IOException {
+        BufferedReader lines = new BufferedReader(new InputStreamReader(from.getInputStream(), StandardCharsets.UTF_8));
+        String line = lines.readLine();
+        while (line != null && !line.contains(text)) {
+            line = lines.readLine();
+        }
+    }
+
+    /** Joins a connection with one to this port, for as long as both are open. */
+    private static void forward(Socket connection, int port) throws IOException {
+        Socket target = new Socket(InetAddress.getLoopbackAddress(), port);
+        copyInBackground(connection, target);
+        copyInBackground(target, connection);
+    }
+
+    private static void copyInBackground(Socket from, Socket to) {
+        SenderFixture.daemon(() -> {
+            try (from;
+                    to) {
+                from.getInputStream().transferTo(to.getOutputStream());
+            } catch (IOException e) {
+                // One of them is closed.
+            }
+        });
+    }
+
     /** The leaver dies with an offer out; its next process asks, and the heir's word counts, yes or no. */
     @Test
     void aLeaverThatDiesBeforeItHeardAsksAgain() throws Exception {
--- a/sender/src/test/java/amberroute/sender/SenderFixture.java
+++ b/sender/src/test/java/amberroute/sender/SenderFixture.java
@@ -472,7 +472,7 @@
         out.flush();
     }
 
-    private static Thread daemon(Runnable work) {
+    static Thread daemon(Runnable work) {
         Thread thread = new Thread(work);
         thread.setDaemon(true);
         thread.start();
