--- a/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
+++ b/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
@@ -105,8 +105,8 @@
     }
 
     /**
-     * Journals an attempt with the time at which it is given up. Returns whether it may be made: an attempt of an idempotent message may, even if the disk takes no
-     * record, unless the journal is replicated.
+     * Journals an attempt with the time at which it is given up. Returns whether it may be made: an attempt of an idempotent message
+     * may, even if the disk takes no record, unless the journal is replicated.
      */
     private boolean recordAttempt(AcceptedMessage message, String endpointUid, long attemptDeadlineMicros) {
         long nowMillis = folder.steadyMillis();
