Make no call behind a wait for replicas to an endpoint that drains by then

Callers would see a drain broken: a call that waits until its record is replicated or forced was written to an endpoint that drained, or was gone, meanwhile.

Cause: the route was taken when the attempt was decided on, and the list was not asked again when the wait was over; only calls that wait for a connection were barred.

Now the attempt ends as not made where its endpoint takes no new calls by then.

--- a/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
+++ b/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
@@ -139,14 +139,18 @@
         }
     }
 
-    /** Makes the call without attempts that were cancelled, or whose message completed, while the record was being forced. */
+    /**
+     * Makes the call without attempts that were cancelled, or whose message completed, while the record was being forced; none to an endpoint
+     * that takes no new calls by now.
+     */
     private void startUncancelled(
             UpstreamClient.Route route,
             List<UpstreamClient.CallMessage> callMessages,
             long attemptDeadlineMicros,
             long longestTrustedIdleMicros) {
         List<UpstreamClient.CallMessage> remaining = callMessages.stream()
-                .filter(callMessage -> messages.accepted().containsKey(callMessage.message().number)
+                .filter(callMessage -> endpoints.isReady(route.endpoint())
+                        && messages.accepted().containsKey(callMessage.message().number)
                         && !cancelled.contains(callMessage))
                 .toList();
         List<UpstreamClient.CallMessage> dropped = callMessages.stream()
--- a/sender/src/test/java/amberroute/sender/DiscoveryFaultTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryFaultTest.java
@@ -5,8 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberroute.sender.discovery.EndpointWatch;
+import amberroute.sender.journal.JournalChangeListener;
+import amberroute.storage.Batch;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -143,6 +147,62 @@
         }
     }
 
+    /** Holds back the effects of records, as long as no replica has them. */
+    private static final class HeldEffects implements JournalChangeListener {
+        private final List<Runnable> effects = new ArrayList<>();
+
+        @Override
+        public byte[] replicationPosition() {
+            return null;
+        }
+
+        @Override
+        public void batchWritten(Batch batch) {}
+
+        @Override
+        public void whenReplicated(Runnable effect, Runnable failed) {
+            effects.add(effect);
+        }
+
+        int release() {
+            List<Runnable> released = List.copyOf(effects);
+            effects.clear();
+            released.forEach(Runnable::run);
+            return released.size();
+        }
+    }
+
+    /** Guards against a call that waits for replicas and is made when its endpoint drains or is gone by then. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Terminating", "Gone"})
+    void aCallThatWaitsForReplicasIsNotMadeToAnEndpointThatDrainsMeanwhile(String state) throws Exception {
+        sender = world.start();
+        await(() -> sender.isEndpointReady("s-1"));
+        HeldEffects held = new HeldEffects();
+        sender.state()
+                .loop()
+                .submit(() -> sender.state().folder().journal().replicateTo(held))
+                .sync();
+        SenderFixture.Client client = world.client(sender);
+        client.write(SenderFixture.command("SUBMIT", NO_KEY, ID, "c=safe,d=8000,dest=7", "body"));
+        // The reply and the call.
+        await(() -> effectCount(held) == 2);
+        world.announce(world.list(9, false, state));
+        await(() -> !sender.isEndpointReady("s-1"));
+        assertEquals(2, sender.state().loop().submit(held::release).sync().getNow());
+        assertEquals("+OK", client.answer());
+        pause(300);
+        assertEquals(0, world.receiver.requests.size());
+    }
+
+    private int effectCount(HeldEffects held) {
+        return sender.state()
+                .loop()
+                .submit(() -> held.effects.size())
+                .syncUninterruptibly()
+                .getNow();
+    }
+
     /** Guards against calls to an endpoint of which the latest change cannot be used: its version counts, so it never comes again. */
     @ParameterizedTest
     @ValueSource(
