--- a/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
+++ b/sender/src/main/java/amberroute/sender/AttemptDispatcher.java
@@ -55,25 +55,8 @@
                 sends.add(send);
             }
         }
-        for (List<Send> batch : CallBatching.of(sends, endpoints::messagesPerCall)) {
-            if (!Log.guarded("call", () -> startCall(batch))) {
-                batch.forEach(this::abortUnstarted);
-            }
-        }
-    }
-
-    /** Ends an attempt that a defect has kept from being made: the scheduler takes it for one that is out. */
-    private void abortUnstarted(Send send) {
-        AcceptedMessage message = messages.accepted().get(send.id());
-        if (message == null || upstream.isCalled(message)) {
-            return;
-        }
-        if (message.attemptInFlight) {
-            folder.journal().recordOutcome(message, false);
-        } else {
-            message.attempts++;
-        }
-        reportMoot(message.number, message.attempts - 1, send.endpoint(), false);
+        CallBatching.of(sends, endpoints::messagesPerCall)
+                .forEach(batch -> Log.guarded("call", () -> startCall(batch)));
     }
 
     private void startCall(List<Send> batch) {
@@ -93,17 +76,33 @@
             }
         }
         if (!callMessages.isEmpty()) {
-            boolean allRetrySafe =
-                    callMessages.stream().allMatch(callMessage -> messages.isRetrySafe(callMessage.message()));
-            long longestTrustedIdleMicros =
-                    allRetrySafe ? SchedulerDriver.UNLIMITED_MICROS : scheduler.longestTrustedIdleMicros();
-            folder.journal()
-                    .whenDurable(
-                            () -> startGuarded(route, callMessages, attemptDeadlineMicros, longestTrustedIdleMicros),
-                            () -> abortAttempts(route, callMessages));
+            startOrAbort(route, callMessages, () -> startWhenDurable(route, callMessages, attemptDeadlineMicros));
+        }
+    }
+
+    /** Runs {@code start}; attempts that a defect keeps from being made end, as the scheduler takes them for calls in flight. */
+    private void startOrAbort(
+            UpstreamClient.Route route, List<UpstreamClient.CallMessage> callMessages, Runnable start) {
+        if (!Log.guarded("call", start)) {
+            abortAttempts(
+                    route,
+                    callMessages.stream()
+                            .filter(callMessage -> !upstream.isCalled(callMessage.message()))
+                            .toList());
         }
     }
 
+    private void startWhenDurable(
+            UpstreamClient.Route route, List<UpstreamClient.CallMessage> callMessages, long attemptDeadlineMicros) {
+        boolean allRetrySafe =
+                callMessages.stream().allMatch(callMessage -> messages.isRetrySafe(callMessage.message()));
+        long longestTrustedIdleMicros =
+                allRetrySafe ? SchedulerDriver.UNLIMITED_MICROS : scheduler.longestTrustedIdleMicros();
+        Runnable start = () -> startUncancelled(route, callMessages, attemptDeadlineMicros, longestTrustedIdleMicros);
+        folder.journal()
+                .whenDurable(() -> startOrAbort(route, callMessages, start), () -> abortAttempts(route, callMessages));
+    }
+
     /**
      * Journals an attempt with the time at which it is given up. Returns whether it may be made: an attempt of an idempotent message
      * may, even if the disk takes no record, unless the journal is replicated.
@@ -123,22 +122,6 @@
         return true;
     }
 
-    /** Makes the call, perhaps long after the decision; attempts that a defect keeps from being made end like cancelled ones. */
-    private void startGuarded(
-            UpstreamClient.Route route,
-            List<UpstreamClient.CallMessage> callMessages,
-            long attemptDeadlineMicros,
-            long longestTrustedIdleMicros) {
-        Runnable start = () -> startUncancelled(route, callMessages, attemptDeadlineMicros, longestTrustedIdleMicros);
-        if (!Log.guarded("call", start)) {
-            abortAttempts(
-                    route,
-                    callMessages.stream()
-                            .filter(callMessage -> !upstream.isCalled(callMessage.message()))
-                            .toList());
-        }
-    }
-
     /**
      * Makes the call without attempts that were cancelled, or whose message completed, while the record was being forced; none to an endpoint
      * that takes no new calls by now.
@@ -148,8 +131,9 @@
             List<UpstreamClient.CallMessage> callMessages,
             long attemptDeadlineMicros,
             long longestTrustedIdleMicros) {
+        boolean takesCalls = endpoints.isReady(route.endpoint());
         List<UpstreamClient.CallMessage> remaining = callMessages.stream()
-                .filter(callMessage -> endpoints.isReady(route.endpoint())
+                .filter(callMessage -> takesCalls
                         && messages.accepted().containsKey(callMessage.message().number)
                         && !cancelled.contains(callMessage))
                 .toList();
--- a/sender/src/main/java/amberroute/sender/FolderAdoption.java
+++ b/sender/src/main/java/amberroute/sender/FolderAdoption.java
@@ -197,18 +197,15 @@
             return -1;
         }
         folder.forceOrHalt();
-        for (int i = 0; i < copies.size(); i++) {
-            resume(copies.get(i), orphanedMessages.get(i).attemptInFlight);
-        }
+        copies.forEach(this::resume);
         return copies.size();
     }
 
-    private void resume(AcceptedMessage message, boolean attemptInterrupted) {
+    private void resume(AcceptedMessage message) {
         if (message.pendingNotification != null) {
             recovery.resumeNotification(message);
         } else {
-            messages.accepted().put(message.number, message);
-            recovery.resumeAdopted(message, attemptInterrupted);
+            recovery.restorePending(message);
         }
     }
 }
--- a/sender/src/main/java/amberroute/sender/FormerOwnerAttempts.java
+++ b/sender/src/main/java/amberroute/sender/FormerOwnerAttempts.java
@@ -71,7 +71,8 @@
             // Counts until the call has ended.
             submitUnlisted(message, EndpointState.GONE);
         }
-        loop.schedule(() -> giveUp(message, endpoint), millisLeft(message), TimeUnit.MILLISECONDS);
+        int attempt = message.attempts - 1;
+        loop.schedule(() -> giveUp(message, attempt, endpoint), millisLeft(message), TimeUnit.MILLISECONDS);
     }
 
     private void submitUnlisted(AcceptedMessage message, EndpointState state) {
@@ -80,13 +81,16 @@
                 List.of(endpoints.unlistedEntry(message.attemptEndpoint, message.destination, state))));
     }
 
-    private void giveUp(AcceptedMessage message, long endpoint) {
-        if (lifecycle.ownershipReleased()) {
+    private void giveUp(AcceptedMessage message, int attempt, long endpoint) {
+        AcceptedMessage current = messages.accepted().get(message.number);
+        // Read from the journal again, as after a reclaim, it is followed anew.
+        boolean readAgain = current != null && current != message;
+        if (lifecycle.ownershipReleased() || readAgain || message.attempts - 1 != attempt) {
             return;
         }
         outcomes.process(new UpstreamClient.Result(
                 message,
-                message.attempts - 1,
+                attempt,
                 endpoint,
                 AttemptOutcome.CANCELLED,
                 Math.max(0, folder.steadyMillis() - message.attemptSentAtMillis) * MICROS_PER_MILLI,
--- a/sender/src/main/java/amberroute/sender/MessageRecovery.java
+++ b/sender/src/main/java/amberroute/sender/MessageRecovery.java
@@ -151,7 +151,8 @@
         }
     }
 
-    private void restorePending(AcceptedMessage message) {
+    /** Puts a message that another process or owner had accepted into delivery, with the attempt that it may have had in flight. */
+    void restorePending(AcceptedMessage message) {
         messages.accepted().put(message.number, message);
         message.attemptByFormerOwner |= message.attemptInFlight && peers.isFailover();
         if (formerOwnerAttempts.mayBeInFlight(message)) {
@@ -166,20 +167,6 @@
         resume(message, attemptInterrupted);
     }
 
-    /**
-     * Passes an adopted message to the scheduler; {@code attemptInterrupted} states that an attempt of its former owner was in flight.
-     */
-    void resumeAdopted(AcceptedMessage message, boolean attemptInterrupted) {
-        if (formerOwnerAttempts.mayBeInFlight(message)) {
-            resumeInFlight(message);
-            return;
-        }
-        if (message.attemptInFlight) {
-            folder.journal().recordOutcome(message, true);
-        }
-        resume(message, attemptInterrupted);
-    }
-
     /** Passes an accepted message to the scheduler whose last attempt, by a former owner, may still be in flight. */
     private void resumeInFlight(AcceptedMessage message) {
         submitRecovered(message, message.attempts - 1, false);
--- a/sender/src/main/java/amberroute/sender/journal/JournalAge.java
+++ b/sender/src/main/java/amberroute/sender/journal/JournalAge.java
@@ -16,8 +16,6 @@
     private static final long UNKNOWN = 0;
 
     private static final String FILE_NAME = "begun";
-    /** The file of each journal, by which a folder with one is known. */
-    private static final String JOURNAL_MARKER = "journal";
 
     private JournalAge() {}
 
@@ -25,7 +23,7 @@
     public static long begunAtMillis(Path folder, long nowMillis) {
         Path file = folder.resolve(FILE_NAME);
         try {
-            if (!Files.exists(folder.resolve(JOURNAL_MARKER))) {
+            if (!Files.exists(folder.resolve(LegacyJournalReader.FILE_NAME))) {
                 write(file, nowMillis);
                 return nowMillis;
             }
--- a/sender/src/main/java/amberroute/sender/journal/JournalRecordCodec.java
+++ b/sender/src/main/java/amberroute/sender/journal/JournalRecordCodec.java
@@ -143,7 +143,7 @@
             out.writeBoolean(message.attemptInFlight);
             out.writeLong(message.attemptSentAtMillis);
             out.writeUTF(message.attemptEndpoint);
-            if (message.attemptGiveUpMillis != 0) {
+            if (message.attemptGiveUpMillis != 0 || message.attemptByFormerOwner) {
                 out.writeLong(message.attemptGiveUpMillis);
                 out.writeBoolean(message.attemptByFormerOwner);
             }
--- a/sender/src/main/java/amberroute/sender/lifecycle/OrphanedJournalRecovery.java
+++ b/sender/src/main/java/amberroute/sender/lifecycle/OrphanedJournalRecovery.java
@@ -53,7 +53,7 @@
     }
 
     /**
-     * The message as its new owner has it: a call in flight may have run, and a notification that is not acknowledged is sent again. A
+     * The message as its new owner has it: with the call that was in flight, and a notification that is not acknowledged is sent again. A
      * message that was offered to a peer may be that peer's, and only its old owner could ask: it has failed, which promises nothing.
      *
      * @param ownerMayLive whether the old owner's process may live, so that a call of it may still be in flight
@@ -76,9 +76,6 @@
         copy.attemptEndpoint = message.attemptEndpoint;
         copy.attemptInFlight = message.attemptInFlight;
         copy.attemptByFormerOwner = message.attemptInFlight && ownerMayLive;
-        if (message.attemptInFlight && !ownerMayLive) {
-            copy.outcome(true);
-        }
         if (message.pendingNotification != null || message.offeredToPeer) {
             copy.end(message.pendingNotification != null ? message.pendingNotification : message.failed());
         }
