Log the first failure of a destination and each call to one in doubt

Need: the report's log could not tell which senders had been told of the outage, since when, and which of them called the destination when it was back; upstream_state_changed speaks of open breakers only, and told is one failed or refused call. Change: upstream_observed, a line for the first failure or rejection behind some time without an answer, and for each trial, call behind a failure and first call, with the message's id; calls of a slow start stay counted.

--- a/decisions/src/main/java/amberroute/decisions/AtcDeliveryScheduler.java
+++ b/decisions/src/main/java/amberroute/decisions/AtcDeliveryScheduler.java
@@ -86,7 +86,8 @@
         DispatchRisk risk = new DispatchRisk(attemptTimeout);
         EndpointSelector endpoints =
                 new EndpointSelector(settings, gate, risk, shutdownPolicy, connections, candidates, timer);
-        return new DispatchSelector(pending, candidates, index, calls, endpoints, risk, shutdownPolicy, attemptTimeout);
+        return new DispatchSelector(
+                pending, candidates, index, calls, endpoints, risk, shutdownPolicy, attemptTimeout, states);
     }
 
     private AttemptOutcomeHandler createOutcomeHandler(
@@ -103,7 +104,8 @@
                 attemptTimeout,
                 connections,
                 breaker,
-                rateLimiter);
+                rateLimiter,
+                states);
     }
 
     // ---- Events. ----
--- a/decisions/src/main/java/amberroute/decisions/AttemptOutcomeHandler.java
+++ b/decisions/src/main/java/amberroute/decisions/AttemptOutcomeHandler.java
@@ -22,6 +22,7 @@
     private final ConnectionReusePolicy connections;
     private final CircuitBreaker breaker;
     private final RateLimiter rateLimiter;
+    private final UpstreamStates states;
 
     AttemptOutcomeHandler(
             CurrentSettings settings,
@@ -35,7 +36,8 @@
             AttemptTimeout attemptTimeout,
             ConnectionReusePolicy connections,
             CircuitBreaker breaker,
-            RateLimiter rateLimiter) {
+            RateLimiter rateLimiter,
+            UpstreamStates states) {
         this.settings = settings;
         this.messages = messages;
         this.calls = calls;
@@ -48,6 +50,7 @@
         this.connections = connections;
         this.breaker = breaker;
         this.rateLimiter = rateLimiter;
+        this.states = states;
     }
 
     /** Handles an outcome; ignores attempts that are not in flight. */
@@ -103,6 +106,10 @@
         if (outcome.mayHaveRun()) {
             health.failureRatio += UpstreamHealth.RECENT_CALL_WEIGHT_RATIO * (1 - success - health.failureRatio);
         }
+        boolean withdrawn = outcome == AttemptOutcome.CANCELLED && !call.silent;
+        if (outcome != AttemptOutcome.MOOT && !withdrawn) {
+            states.recordOutcome(now, health, outcome, message.id);
+        }
         switch (outcome) {
             case OK -> handleSuccess(now, call, event);
             case FULL -> handleRejection(now, message, call, event, wasTrial);
--- a/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
+++ b/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
@@ -270,38 +270,6 @@
     /** A paused key: its messages wait for {@code remainingMicros}, except the message {@code exemptMessage} (0 for none). */
     record KeyPause(long key, long remainingMicros, long exemptMessage) {}
 
-    /** Whether an upstream accepts calls, as far as this sender has seen. */
-    enum UpstreamStatus {
-        HEALTHY("WELL"),
-        UNAVAILABLE("OUT"),
-        SLOW_START("COLD");
-
-        private final String storedName;
-
-        UpstreamStatus(String storedName) {
-            this.storedName = storedName;
-        }
-
-        /** Returns the name in journals, ownership transfers and decision traces; it must never change. */
-        public String storedName() {
-            return storedName;
-        }
-
-        /**
-         * Returns the status with this stored name.
-         *
-         * @throws IllegalArgumentException if there is none
-         */
-        public static UpstreamStatus ofStoredName(String name) {
-            for (UpstreamStatus status : values()) {
-                if (status.storedName.equals(name)) {
-                    return status;
-                }
-            }
-            throw new IllegalArgumentException("unknown upstream status " + name);
-        }
-    }
-
     /** Something that happened. Messages and destinations are named by ids, classes by their index in the settings. */
     sealed interface Event {
         /** A new message, which may be delivered within {@code timeLeftMicros}; a tenant of -1 means none. */
@@ -496,5 +464,8 @@
 
         /** Reports a change of the state of an upstream to operators; callers may ignore it. */
         default void upstreamStateChanged(UpstreamStateChange change) {}
+
+        /** Reports a call to an upstream that is not known to be healthy, or its first failure; callers may ignore it. */
+        default void upstreamObserved(UpstreamObservation observation) {}
     }
 }
--- a/decisions/src/main/java/amberroute/decisions/DispatchSelector.java
+++ b/decisions/src/main/java/amberroute/decisions/DispatchSelector.java
@@ -19,6 +19,7 @@
     private final DispatchRisk risk;
     private final ShutdownPolicy shutdownPolicy;
     private final AttemptTimeout attemptTimeout;
+    private final UpstreamStates states;
     /** Number of the current selection round; some results are valid for one round. */
     private long round;
 
@@ -35,7 +36,8 @@
             EndpointSelector endpointSelector,
             DispatchRisk risk,
             ShutdownPolicy shutdownPolicy,
-            AttemptTimeout attemptTimeout) {
+            AttemptTimeout attemptTimeout,
+            UpstreamStates states) {
         this.pending = pending;
         this.candidates = candidates;
         this.index = index;
@@ -44,6 +46,7 @@
         this.risk = risk;
         this.shutdownPolicy = shutdownPolicy;
         this.attemptTimeout = attemptTimeout;
+        this.states = states;
     }
 
     /** Sends the messages that may be sent now, and requests a wake-up for those that may be sent later. */
@@ -62,6 +65,7 @@
 
     private void send(long now, UpstreamCall call, Actions actions) {
         long timeoutAt = attemptTimeout.timeoutAt(now, call);
+        states.recordCall(now, call.endpoint.health, call.messages.get(0).id);
         for (PendingMessage message : call.messages) {
             actions.send(message.id, call.endpoint.id, timeoutAt);
         }
--- a/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
+++ b/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
@@ -2,7 +2,6 @@
 
 import amberroute.decisions.DeliveryScheduler.HealthCheckpoint;
 import amberroute.decisions.DeliveryScheduler.UpstreamSnapshot;
-import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
 import amberroute.decisions.UpstreamStateChange.Reason;
 
 /**
--- a/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamHealth.java
@@ -60,6 +60,9 @@
     /** When the breaker came into its state, 0 if it has always been in it. */
     long stateSince;
 
+    /** Since when calls have failed with no answer in between, while the last answer is some time ago; NEVER if none has. */
+    long suspectedSince = Micros.NEVER;
+
     final CallCounter callsInState = new CallCounter();
     long openedAt;
     /** Whether the breaker has opened during a slow start, which goes on if that was a false alarm. */
--- a/decisions/src/main/java/amberroute/decisions/UpstreamStateChange.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamStateChange.java
@@ -1,7 +1,5 @@
 package amberroute.decisions;
 
-import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
-
 /**
  * A change of the state of an upstream, for operators. Durations are microseconds.
  *
--- a/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
+++ b/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
@@ -44,6 +44,7 @@
     final List<Send> cancelled = new ArrayList<>();
     final List<Long> closedEndpoints = new ArrayList<>();
     final List<UpstreamStateChange> stateChanges = new ArrayList<>();
+    final List<UpstreamObservation> observations = new ArrayList<>();
     int subscriptions;
     long now = START;
 
@@ -318,4 +319,9 @@
     public void upstreamStateChanged(UpstreamStateChange change) {
         stateChanges.add(change);
     }
+
+    @Override
+    public void upstreamObserved(UpstreamObservation observation) {
+        observations.add(observation);
+    }
 }
--- a/decisions/src/test/java/amberroute/decisions/UpstreamStateChangeTest.java
+++ b/decisions/src/test/java/amberroute/decisions/UpstreamStateChangeTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
-import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
+import amberroute.decisions.UpstreamObservation.Kind;
 import amberroute.decisions.UpstreamStateChange.Reason;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -131,4 +131,20 @@
         assertEquals(Reason.SLOW_START_OVER, end.reason());
         assertTrue(end.previousMicros() >= SLOW_START_MICROS, end.toString());
     }
+
+    /** Guards against an outage whose first failure and trials, by message, no log tells. */
+    @Test
+    void firstFailureAndCallsInDoubtAreReported() {
+        SchedulerScript script =
+                new SchedulerScript(SchedulerScript.settings(8, false, 1)).listEndpoints(DESTINATION, 2);
+        long id = submit(script);
+        script.complete(id, AttemptOutcome.ERROR).decide();
+        assertEquals(
+                List.of(Kind.FIRST_CALL, Kind.FIRST_FAILURE, Kind.CALL_AFTER_FAILURE),
+                script.observations.stream().map(UpstreamObservation::kind).toList());
+        completeUntilChanged(script, AttemptOutcome.ERROR);
+        completeUntilChanged(script, AttemptOutcome.OK);
+        UpstreamObservation last = script.observations.get(script.observations.size() - 1);
+        assertEquals(new UpstreamObservation(DESTINATION, 0, Kind.TRIAL, id, -1), last);
+    }
 }
--- a/decisions/src/test/java/amberroute/decisions/reference/DecisionTrace.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/DecisionTrace.java
@@ -5,6 +5,7 @@
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
 import amberroute.decisions.DeliveryScheduler.EndpointListKind;
 import amberroute.decisions.DeliveryScheduler.Event;
+import amberroute.decisions.UpstreamStatus;
 import java.lang.reflect.RecordComponent;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -190,7 +191,7 @@
     }
 
     private Event restored(int destination) {
-        DeliveryScheduler.UpstreamStatus[] statuses = DeliveryScheduler.UpstreamStatus.values();
+        UpstreamStatus[] statuses = UpstreamStatus.values();
         return new Event.HealthRestored(
                 new DeliveryScheduler.HealthCheckpoint(
                         destination,
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
@@ -1,6 +1,7 @@
 package amberroute.decisions.reference;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.decisions.reference.ReferenceState.*;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/sender/src/main/java/amberroute/sender/FleetCoordination.java
+++ b/sender/src/main/java/amberroute/sender/FleetCoordination.java
@@ -3,6 +3,7 @@
 import amberroute.decisions.DeliveryScheduler;
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
 import amberroute.decisions.DeliveryScheduler.Event;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.membership.Heartbeat;
 import amberroute.quota.SlowStartLimit;
 import amberroute.quota.SlowStartLimits;
@@ -192,7 +193,7 @@
     }
 
     /** Records the health of a destination; {@code sinceMicros} is as in {@link SlowStartLimits#onHealthChanged}. */
-    void onHealthChanged(int destination, DeliveryScheduler.UpstreamStatus status, long sinceMicros) {
+    void onHealthChanged(int destination, UpstreamStatus status, long sinceMicros) {
         if (slowStartLimits != null) {
             slowStartLimits.onHealthChanged(
                     SchedulerClock.micros(), destination, toHeartbeatHealth(status), sinceMicros);
@@ -229,7 +230,7 @@
         return pendingCountByDestination.getOrDefault(destination, 0);
     }
 
-    private static Heartbeat.Health toHeartbeatHealth(DeliveryScheduler.UpstreamStatus status) {
+    private static Heartbeat.Health toHeartbeatHealth(UpstreamStatus status) {
         return switch (status) {
             case HEALTHY -> Heartbeat.Health.HEALTHY;
             case UNAVAILABLE -> Heartbeat.Health.UNAVAILABLE;
--- a/sender/src/main/java/amberroute/sender/SchedulerActions.java
+++ b/sender/src/main/java/amberroute/sender/SchedulerActions.java
@@ -6,6 +6,7 @@
 import amberroute.sender.decision.SchedulerAction.CloseIdle;
 import amberroute.sender.decision.SchedulerAction.Fail;
 import amberroute.sender.decision.SchedulerAction.Reject;
+import amberroute.sender.decision.SchedulerAction.ReportUpstreamObservation;
 import amberroute.sender.decision.SchedulerAction.ReportUpstreamState;
 import amberroute.sender.decision.SchedulerAction.SaveCheckpoint;
 import amberroute.sender.decision.SchedulerAction.ScheduleTimer;
@@ -71,6 +72,10 @@
             saveCheckpoint(save.memory());
         } else if (action instanceof ReportUpstreamState report) {
             upstreamReporter.onStateChanged(report.change());
+        } else if (action instanceof ReportUpstreamObservation report) {
+            upstreamReporter.onObserved(
+                    report.observation(),
+                    messages.accepted().get(report.observation().messageId()));
         }
     }
 
--- a/sender/src/main/java/amberroute/sender/UpstreamReporter.java
+++ b/sender/src/main/java/amberroute/sender/UpstreamReporter.java
@@ -1,7 +1,9 @@
 package amberroute.sender;
 
+import amberroute.decisions.UpstreamObservation;
 import amberroute.decisions.UpstreamStateChange;
 import amberroute.sender.admin.SenderMetrics;
+import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.util.LogEvent;
 import java.util.Locale;
 import java.util.function.LongFunction;
@@ -41,6 +43,22 @@
                 .warn();
     }
 
+    /** {@code message} is the one of the call, null if it has its end by now. */
+    void onObserved(UpstreamObservation observation, AcceptedMessage message) {
+        LogEvent event = LogEvent.of("upstream_observed").with("destination", observation.destination());
+        if (observation.endpoint() != 0) {
+            event.with("endpoint", endpointUids.apply(observation.endpoint()));
+        }
+        event.with("kind", name(observation.kind()));
+        if (message != null) {
+            event.with("id", message.id).with("attempts", message.attempts);
+        }
+        if (observation.sinceSuccessMicros() >= 0) {
+            event.with("answered_ms_ago", observation.sinceSuccessMicros() / MICROS_PER_MILLI);
+        }
+        event.warn();
+    }
+
     private static String name(Enum<?> constant) {
         return constant.name().toLowerCase(Locale.ROOT);
     }
--- a/sender/src/main/java/amberroute/sender/admin/SenderMetrics.java
+++ b/sender/src/main/java/amberroute/sender/admin/SenderMetrics.java
@@ -1,7 +1,7 @@
 package amberroute.sender.admin;
 
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
-import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
+import amberroute.decisions.UpstreamStatus;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/sender/src/main/java/amberroute/sender/admin/UpstreamMetrics.java
+++ b/sender/src/main/java/amberroute/sender/admin/UpstreamMetrics.java
@@ -1,7 +1,7 @@
 package amberroute.sender.admin;
 
 import amberroute.decisions.DeliveryScheduler.AttemptOutcome;
-import amberroute.decisions.DeliveryScheduler.UpstreamStatus;
+import amberroute.decisions.UpstreamStatus;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
--- a/sender/src/main/java/amberroute/sender/decision/ActionRecorder.java
+++ b/sender/src/main/java/amberroute/sender/decision/ActionRecorder.java
@@ -1,6 +1,7 @@
 package amberroute.sender.decision;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamObservation;
 import amberroute.decisions.UpstreamStateChange;
 import java.util.ArrayList;
 import java.util.List;
@@ -76,4 +77,9 @@
     public void upstreamStateChanged(UpstreamStateChange change) {
         actions.add(new SchedulerAction.ReportUpstreamState(change));
     }
+
+    @Override
+    public void upstreamObserved(UpstreamObservation observation) {
+        actions.add(new SchedulerAction.ReportUpstreamObservation(observation));
+    }
 }
--- a/sender/src/main/java/amberroute/sender/decision/DecisionTrace.java
+++ b/sender/src/main/java/amberroute/sender/decision/DecisionTrace.java
@@ -1,6 +1,7 @@
 package amberroute.sender.decision;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamObservation;
 import amberroute.decisions.UpstreamStateChange;
 import java.io.PrintStream;
 import java.util.List;
@@ -138,5 +139,10 @@
         public void upstreamStateChanged(UpstreamStateChange change) {
             to.upstreamStateChanged(change);
         }
+
+        @Override
+        public void upstreamObserved(UpstreamObservation observation) {
+            to.upstreamObserved(observation);
+        }
     }
 }
--- a/sender/src/main/java/amberroute/sender/decision/SchedulerAction.java
+++ b/sender/src/main/java/amberroute/sender/decision/SchedulerAction.java
@@ -1,6 +1,7 @@
 package amberroute.sender.decision;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamObservation;
 import amberroute.decisions.UpstreamStateChange;
 
 /** What the decision module has decided in a turn, for the sender to carry out; spans in microseconds. */
@@ -28,4 +29,7 @@
 
     /** The state of an upstream has changed, which operators are told. */
     record ReportUpstreamState(UpstreamStateChange change) implements SchedulerAction {}
+
+    /** A call to an upstream that is not known to be healthy, or its first failure, which operators are told. */
+    record ReportUpstreamObservation(UpstreamObservation observation) implements SchedulerAction {}
 }
--- a/sender/src/main/java/amberroute/sender/journal/HealthJournal.java
+++ b/sender/src/main/java/amberroute/sender/journal/HealthJournal.java
@@ -1,6 +1,6 @@
 package amberroute.sender.journal;
 
-import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.storage.Batch;
 
 /**
@@ -28,7 +28,7 @@
     void record(HealthRecord record) {
         Batch batch = new Batch();
         remove(record.upstreamKey(), batch);
-        long owner = record.status() == DeliveryScheduler.UpstreamStatus.HEALTHY ? 0 : put(record, batch);
+        long owner = record.status() == UpstreamStatus.HEALTHY ? 0 : put(record, batch);
         if (!batch.isEmpty()) {
             writer.writeEventually(owner, batch, PendingWrites.NO_EFFECT);
         }
--- a/sender/src/main/java/amberroute/sender/journal/HealthRecord.java
+++ b/sender/src/main/java/amberroute/sender/journal/HealthRecord.java
@@ -1,6 +1,6 @@
 package amberroute.sender.journal;
 
-import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 
 /**
  * The journaled health of one endpoint, or of a whole destination if {@code uid} is empty.
@@ -15,7 +15,7 @@
 public record HealthRecord(
         int destination,
         String uid,
-        DeliveryScheduler.UpstreamStatus status,
+        UpstreamStatus status,
         long sinceMillis,
         double callsPerSecond,
         double usualLatencyMicros) {
--- a/sender/src/main/java/amberroute/sender/journal/JournalRecordCodec.java
+++ b/sender/src/main/java/amberroute/sender/journal/JournalRecordCodec.java
@@ -1,6 +1,7 @@
 package amberroute.sender.journal;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.handoff.KeyHolds;
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
@@ -220,7 +221,7 @@
         return new HealthRecord(
                 in.readInt(),
                 in.readUTF(),
-                DeliveryScheduler.UpstreamStatus.ofStoredName(in.readUTF()),
+                UpstreamStatus.ofStoredName(in.readUTF()),
                 in.readLong(),
                 in.readDouble(),
                 in.readDouble());
--- a/sender/src/main/java/amberroute/sender/journal/LegacyJournalReader.java
+++ b/sender/src/main/java/amberroute/sender/journal/LegacyJournalReader.java
@@ -1,6 +1,7 @@
 package amberroute.sender.journal;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.handoff.KeyHolds;
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
@@ -190,7 +191,7 @@
     private void replayHealth(DataInputStream in) throws IOException {
         HealthRecord record = JournalRecordCodec.decodeHealth(in);
         health.remove(record.upstreamKey());
-        if (record.status() != DeliveryScheduler.UpstreamStatus.HEALTHY) {
+        if (record.status() != UpstreamStatus.HEALTHY) {
             health.put(record.upstreamKey(), record);
         }
     }
--- a/sender/src/main/java/amberroute/sender/lifecycle/TransferredState.java
+++ b/sender/src/main/java/amberroute/sender/lifecycle/TransferredState.java
@@ -1,6 +1,7 @@
 package amberroute.sender.lifecycle;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -128,8 +129,7 @@
                 new DeliveryScheduler.HealthCheckpoint(
                         json.get("destination").getAsInt(),
                         uid.isEmpty() ? 0 : endpointNumbers.applyAsLong(uid),
-                        DeliveryScheduler.UpstreamStatus.ofStoredName(
-                                json.get("health").getAsString()),
+                        UpstreamStatus.ofStoredName(json.get("health").getAsString()),
                         json.get("since").getAsLong(),
                         json.get("former_pace").getAsDouble(),
                         json.get("usual").getAsDouble()),
--- a/sender/src/test/java/amberroute/sender/OwnershipTransferTest.java
+++ b/sender/src/test/java/amberroute/sender/OwnershipTransferTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.decisions.settings.InvalidSettingsException;
 import amberroute.sender.config.SenderConfig;
 import amberroute.sender.lifecycle.TransferredState;
@@ -476,8 +477,7 @@
                 List.of(new TransferredState.CallInFlight(List.of(5L, 6L), "s-1", 77)),
                 List.of(
                         new DeliveryScheduler.UpstreamSnapshot(
-                                new DeliveryScheduler.HealthCheckpoint(
-                                        3, 0, DeliveryScheduler.UpstreamStatus.UNAVAILABLE, 1, 2.5, 3.5),
+                                new DeliveryScheduler.HealthCheckpoint(3, 0, UpstreamStatus.UNAVAILABLE, 1, 2.5, 3.5),
                                 4,
                                 5,
                                 Double.POSITIVE_INFINITY,
@@ -491,8 +491,7 @@
                                 3.75,
                                 0.125),
                         new DeliveryScheduler.UpstreamSnapshot(
-                                new DeliveryScheduler.HealthCheckpoint(
-                                        3, 9, DeliveryScheduler.UpstreamStatus.HEALTHY, 1, 2, 3),
+                                new DeliveryScheduler.HealthCheckpoint(3, 9, UpstreamStatus.HEALTHY, 1, 2, 3),
                                 4,
                                 5,
                                 1.75,
--- a/sender/src/test/java/amberroute/sender/journal/CompatibilityScenario.java
+++ b/sender/src/test/java/amberroute/sender/journal/CompatibilityScenario.java
@@ -1,6 +1,7 @@
 package amberroute.sender.journal;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.handoff.KeyHolds;
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
@@ -175,22 +176,21 @@
         journal.complete(unclassified);
     }
 
-    private static HealthRecord healthRecord(
-            int destination, String uid, DeliveryScheduler.UpstreamStatus status, int step) {
+    private static HealthRecord healthRecord(int destination, String uid, UpstreamStatus status, int step) {
         return new HealthRecord(destination, uid, status, START_MILLIS + step, 12.5 + step, 800.25 * step);
     }
 
     private static void recordHealth(Journal journal) {
-        journal.recordHealth(healthRecord(1, "", DeliveryScheduler.UpstreamStatus.UNAVAILABLE, 1));
-        journal.recordHealth(healthRecord(1, "endpoint-1", DeliveryScheduler.UpstreamStatus.SLOW_START, 2));
-        journal.recordHealth(healthRecord(2, "endpoint-9", DeliveryScheduler.UpstreamStatus.UNAVAILABLE, 3));
-        journal.recordHealth(healthRecord(1, "endpoint-1", DeliveryScheduler.UpstreamStatus.UNAVAILABLE, 4));
-        journal.recordHealth(healthRecord(2, "endpoint-9", DeliveryScheduler.UpstreamStatus.HEALTHY, 5));
+        journal.recordHealth(healthRecord(1, "", UpstreamStatus.UNAVAILABLE, 1));
+        journal.recordHealth(healthRecord(1, "endpoint-1", UpstreamStatus.SLOW_START, 2));
+        journal.recordHealth(healthRecord(2, "endpoint-9", UpstreamStatus.UNAVAILABLE, 3));
+        journal.recordHealth(healthRecord(1, "endpoint-1", UpstreamStatus.UNAVAILABLE, 4));
+        journal.recordHealth(healthRecord(2, "endpoint-9", UpstreamStatus.HEALTHY, 5));
     }
 
     private static void recordMoreHealth(Journal journal) {
-        journal.recordHealth(healthRecord(1, "", DeliveryScheduler.UpstreamStatus.SLOW_START, 6));
-        journal.recordHealth(healthRecord(4, "endpoint-é", DeliveryScheduler.UpstreamStatus.UNAVAILABLE, 7));
+        journal.recordHealth(healthRecord(1, "", UpstreamStatus.SLOW_START, 6));
+        journal.recordHealth(healthRecord(4, "endpoint-é", UpstreamStatus.UNAVAILABLE, 7));
     }
 
     /** Writes and ends short-lived messages, so that segments are filled, compacted and deleted. */
--- a/sender/src/test/java/amberroute/sender/journal/JournalTest.java
+++ b/sender/src/test/java/amberroute/sender/journal/JournalTest.java
@@ -266,15 +266,14 @@
     void healthRecordsOfThousandUpstreamsSurviveRestart() throws IOException {
         try (Journal journal = Journal.open(folder, 3_000_000)) {
             for (int i = 0; i < 1_500; i++) {
-                journal.recordHealth(new HealthRecord(
-                        i, "", amberroute.decisions.DeliveryScheduler.UpstreamStatus.UNAVAILABLE, i, 1, 2));
+                journal.recordHealth(new HealthRecord(i, "", amberroute.decisions.UpstreamStatus.UNAVAILABLE, i, 1, 2));
             }
         }
         try (Journal journal = Journal.open(folder, 3_000_000)) {
             assertEquals(1_500, journal.healthRecords().size());
             for (int i = 0; i < 1_500; i++) {
-                journal.recordHealth(new HealthRecord(
-                        5_000 + i, "", amberroute.decisions.DeliveryScheduler.UpstreamStatus.UNAVAILABLE, i, 1, 2));
+                journal.recordHealth(
+                        new HealthRecord(5_000 + i, "", amberroute.decisions.UpstreamStatus.UNAVAILABLE, i, 1, 2));
             }
             assertEquals(
                     1_950, journal.healthRecords().size(), "health records are bounded by their part of the budget");
--- a/sender/src/test/java/amberroute/sender/journal/LegacyJournalReaderTest.java
+++ b/sender/src/test/java/amberroute/sender/journal/LegacyJournalReaderTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
 import amberroute.sender.message.MessageClassRegistry;
@@ -76,7 +77,7 @@
         assertTrue(journal.containsId("over") && journal.hasDifferentContent("over", 5));
         assertEquals(1, journal.healthRecords().size());
         assertEquals(
-                DeliveryScheduler.UpstreamStatus.UNAVAILABLE,
+                UpstreamStatus.UNAVAILABLE,
                 journal.healthRecords().iterator().next().status());
         assertEquals("policy-order", journal.classes().get(1).name());
         assertTrue(journal.keyHolds().isHeld(31) && !journal.keyHolds().isHeld(32));
@@ -221,8 +222,7 @@
                     List.of(messages[2]));
             journal.conclude(accepted);
             journal.release("peer", List.of(32L));
-            journal.remember(new SingleFileJournal.Memory(
-                    3, "uid-a", DeliveryScheduler.UpstreamStatus.UNAVAILABLE, 5, 1.5, 2.5));
+            journal.remember(new SingleFileJournal.Memory(3, "uid-a", UpstreamStatus.UNAVAILABLE, 5, 1.5, 2.5));
         }
     }
 }
--- a/sender/src/test/java/amberroute/sender/journal/SingleFileJournal.java
+++ b/sender/src/test/java/amberroute/sender/journal/SingleFileJournal.java
@@ -1,6 +1,7 @@
 package amberroute.sender.journal;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.handoff.KeyHolds;
 import amberroute.handoff.Ownership;
 import amberroute.sender.message.AcceptedMessage;
@@ -70,13 +71,7 @@
     private static final int REWRITE_BUFFER_BYTES = 16 * 1024;
 
     /** The journaled health of an endpoint, or of a whole destination if {@code uid} is empty; wall-clock time. */
-    record Memory(
-            int destination,
-            String uid,
-            DeliveryScheduler.UpstreamStatus health,
-            long since,
-            double pace,
-            double usual) {}
+    record Memory(int destination, String uid, UpstreamStatus health, long since, double pace, double usual) {}
 
     /**
      * The journaled state of a handoff batch: who owns it, until when that has to be retained (wall-clock time), and
@@ -725,7 +720,7 @@
             putHealth(new Memory(
                     in.readInt(),
                     in.readUTF(),
-                    DeliveryScheduler.UpstreamStatus.ofStoredName(in.readUTF()),
+                    UpstreamStatus.ofStoredName(in.readUTF()),
                     in.readLong(),
                     in.readDouble(),
                     in.readDouble()));
@@ -842,7 +837,7 @@
     private void putHealth(Memory record) {
         String upstreamKey = record.destination() + " " + record.uid();
         removeHealth(upstreamKey);
-        if (record.health() != DeliveryScheduler.UpstreamStatus.HEALTHY) {
+        if (record.health() != UpstreamStatus.HEALTHY) {
             healthRecords.put(upstreamKey, record);
             reservedBytes += HEALTH_BYTES + record.uid().length();
         }
