Spread the trials of restarted senders over the time that the destination can take them

Callers saw: a destination that came back went down again under calls of senders that had been told of its outage. Cause: HealthTransfer.restore made the first trial of an unavailable upstream due at once, so senders that start in one instant made one trial each, together. Evidence: upstream_observed of 38 real senders, 11 trials of restored senders at one destination within 0.35 s. Change: TrialSchedule holds when trials come; behind a start the first one comes at a random moment within half a call interval of the sender's slow start, at most 1.2 s for each sender of the fleet. So the sum of all senders is a rate, whichever of them start together.

--- a/decisions/src/main/java/amberroute/decisions/AtcDeliveryScheduler.java
+++ b/decisions/src/main/java/amberroute/decisions/AtcDeliveryScheduler.java
@@ -67,10 +67,11 @@
         messages = new MessageLifecycle(this.settings, registry, keyOrdering, pending);
 
         RecoveryRamp recoveryRamp = new RecoveryRamp(this.settings, states);
-        healthTransfer = new HealthTransfer(registry, serviceTimes, pending, recoveryRamp, states);
+        TrialSchedule trials = new TrialSchedule(this.settings, backoff, recoveryRamp, random);
+        healthTransfer = new HealthTransfer(registry, serviceTimes, pending, recoveryRamp, trials, states);
         RateLimiter rateLimiter = new RateLimiter(this.settings);
         UpstreamGate gate = new UpstreamGate(this.settings, recoveryRamp, rateLimiter);
-        breaker = new CircuitBreaker(this.settings, backoff, recoveryRamp, candidates, states);
+        breaker = new CircuitBreaker(this.settings, trials, recoveryRamp, candidates, states);
         connections = new ConnectionReusePolicy(this.settings);
         calls = new CallsInFlight(this.settings, serviceTimes, pending, attemptTimeout, gate, connections, registry);
 
--- a/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
+++ b/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
@@ -23,25 +23,21 @@
     static final long MIN_OUTAGE_MICROS = 2_500_000;
     /** Age, as a share of the longest deadline, above which a success is no evidence that the upstream is healthy. */
     private static final double STALE_SUCCESS_DEADLINE_RATIO = 0.5;
-    /** Longest time between trials, to be multiplied by the number of senders. */
-    private static final long MAX_TRIAL_INTERVAL_MICROS = 700_000;
-    /** Longest time between trials, in call intervals at the initial pace of a slow start. */
-    private static final double MAX_TRIAL_INTERVAL_CALLS = 1.5;
 
     private final CurrentSettings settings;
-    private final Backoff backoff;
+    private final TrialSchedule trials;
     private final RecoveryRamp recoveryRamp;
     private final DispatchCandidates candidates;
     private final UpstreamStates states;
 
     CircuitBreaker(
             CurrentSettings settings,
-            Backoff backoff,
+            TrialSchedule trials,
             RecoveryRamp recoveryRamp,
             DispatchCandidates candidates,
             UpstreamStates states) {
         this.settings = settings;
-        this.backoff = backoff;
+        this.trials = trials;
         this.recoveryRamp = recoveryRamp;
         this.candidates = candidates;
         this.states = states;
@@ -159,23 +155,6 @@
             health.failedTrials = 0;
             states.change(now, health, BreakerState.OPEN, reason, recoveryRamp.callsPerSecond(0, health));
         }
-        health.failedTrials++;
-        health.nextTrialAt = now + trialIntervalMicros(health);
-    }
-
-    /**
-     * Returns a jittered backoff with two limits: {@link #MAX_TRIAL_INTERVAL_CALLS} call intervals at the initial pace of a slow
-     * start, jittered, as a recovering upstream can take calls at that pace; and {@link #MAX_TRIAL_INTERVAL_MICROS} times the
-     * number of senders.
-     */
-    private long trialIntervalMicros(UpstreamHealth health) {
-        long interval = backoff.delayMicros(
-                Backoff.SENDER_SPACING_MICROS,
-                Backoff.BASE_MICROS,
-                settings.longestDeadlineMicros(),
-                1 + health.failedTrials);
-        double maxMicros = MAX_TRIAL_INTERVAL_CALLS * Micros.PER_SECOND / recoveryRamp.callsPerSecond(0, health);
-        interval = Math.min(interval, backoff.jitter((long) maxMicros));
-        return Math.min(MAX_TRIAL_INTERVAL_MICROS * settings.get().senderCount(), interval);
+        trials.scheduleAfterFailure(now, health);
     }
 }
--- a/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
+++ b/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
@@ -16,6 +16,7 @@
     private final ServiceTimes serviceTimes;
     private final PendingMessages pending;
     private final RecoveryRamp recoveryRamp;
+    private final TrialSchedule trials;
     private final UpstreamStates states;
 
     HealthTransfer(
@@ -23,11 +24,13 @@
             ServiceTimes serviceTimes,
             PendingMessages pending,
             RecoveryRamp recoveryRamp,
+            TrialSchedule trials,
             UpstreamStates states) {
         this.registry = registry;
         this.serviceTimes = serviceTimes;
         this.pending = pending;
         this.recoveryRamp = recoveryRamp;
+        this.trials = trials;
         this.states = states;
     }
 
@@ -89,7 +92,7 @@
         health.openedInSlowStart = unavailable;
         health.slowStartBeganAt = now - ageMicros;
         health.lastSlowStartCallAt = now;
-        health.nextTrialAt = now;
+        trials.scheduleAfterRestore(now, health);
         health.failureRatio = unavailable ? 1 : 0;
         pending.updateEstimatesAndWake(now, destination);
     }
--- /dev/null
+++ b/decisions/src/main/java/amberroute/decisions/TrialSchedule.java
@@ -0,0 +1,60 @@
+package amberroute.decisions;
+
+import java.util.SplittableRandom;
+
+/**
+ * Decides when an upstream whose breaker is open gets its next half-open trial. No sender knows which others also wait for it, and all
+ * of them may begin to wait in one instant: their processes start, or they learn of an outage, together. So what counts is the sum of
+ * the trials of all senders, which a recovering upstream has to take beside the calls of their slow starts. Times are microseconds on
+ * the caller's clock.
+ *
+ * <p>Cost of an interval that is too long: the end of an outage is noticed late. Cost of one that is too short: the trials bring the
+ * upstream down again.
+ */
+final class TrialSchedule {
+    /** Longest time between trials after a failure, to be multiplied by the number of senders. */
+    private static final long MAX_BACKOFF_MICROS = 700_000;
+    /** Longest time between trials after a failure, in call intervals at the initial pace of a slow start. */
+    private static final double MAX_BACKOFF_CALLS = 1.5;
+    /** Time in which one trial may come from all senders together, however small the upstream. */
+    private static final long FLEET_TRIAL_SPACING_MICROS = 1_200_000;
+    /** Time over which trials are spread, in call intervals at the initial pace of a slow start. */
+    private static final double SPREAD_CALLS = 0.5;
+
+    private final CurrentSettings settings;
+    private final Backoff backoff;
+    private final RecoveryRamp recoveryRamp;
+    private final SplittableRandom random;
+
+    TrialSchedule(CurrentSettings settings, Backoff backoff, RecoveryRamp recoveryRamp, SplittableRandom random) {
+        this.settings = settings;
+        this.backoff = backoff;
+        this.recoveryRamp = recoveryRamp;
+        this.random = random;
+    }
+
+    /** Schedules the next trial after a failure that has opened the breaker, or of a trial; counts it. */
+    void scheduleAfterFailure(long now, UpstreamHealth health) {
+        health.failedTrials++;
+        long intervalMicros = backoff.delayMicros(
+                Backoff.SENDER_SPACING_MICROS,
+                Backoff.BASE_MICROS,
+                settings.longestDeadlineMicros(),
+                1 + health.failedTrials);
+        double maxMicros = MAX_BACKOFF_CALLS * Micros.PER_SECOND / recoveryRamp.callsPerSecond(0, health);
+        intervalMicros = Math.min(intervalMicros, backoff.jitter((long) maxMicros));
+        health.nextTrialAt = now + Math.min(MAX_BACKOFF_MICROS * settings.get().senderCount(), intervalMicros);
+    }
+
+    /** Schedules the next trial of an upstream whose outage an earlier process has seen. */
+    void scheduleAfterRestore(long now, UpstreamHealth health) {
+        health.nextTrialAt = now + random.nextLong(spreadMicros(health));
+    }
+
+    /** Returns the time over which the trials of all senders come at a rate that a recovering upstream can take; above 0. */
+    private long spreadMicros(UpstreamHealth health) {
+        double slowStartMicros = SPREAD_CALLS * Micros.PER_SECOND / recoveryRamp.callsPerSecond(0, health);
+        long fleetMicros = FLEET_TRIAL_SPACING_MICROS * settings.get().senderCount();
+        return Math.max(1, Math.min(fleetMicros, (long) slowStartMicros));
+    }
+}
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
@@ -373,7 +373,7 @@
         health.openedInSlowStart = checkpoint.status() == UpstreamStatus.UNAVAILABLE;
         health.slowStartBeganAt = now - ageMicros;
         health.lastSlowStartCallAt = now;
-        health.nextTrialAt = now;
+        health.nextTrialAt = now + random.nextLong(trialSpreadMicros(health));
         health.failureRatio = checkpoint.status() == UpstreamStatus.UNAVAILABLE ? 1 : 0;
     }
 
@@ -1541,6 +1541,12 @@
         health.nextTrialAt = now + Math.min(MAX_TRIAL_INTERVAL_MICROS * settings.senderCount(), intervalMicros);
     }
 
+    /** Returns the time over which the trials of all senders are spread, which may all begin to wait in one instant. */
+    private long trialSpreadMicros(UpstreamHealth health) {
+        double slowStartMicros = 0.5 * MICROS_PER_SECOND / slowStartCallsPerSecond(0, health);
+        return Math.max(1, (long) Math.min(1_200_000L * settings.senderCount(), slowStartMicros));
+    }
+
     private double slowStartProgress(long now, UpstreamHealth health) {
         double durationMicros = settings.rules().slowStartMicros() + 1;
         return health.breaker == BreakerState.OPEN ? 0 : Math.min(1, (now - health.slowStartBeganAt) / durationMicros);
