Let the next process of a sender know of an outage that one call told it of

Callers saw: a destination that came back went down again under calls of senders that had been told of its outage. Cause: told is one failed or refused call, but a checkpoint was written only when the breaker opened, with two failures or one at each endpoint; a sender that was killed before knew nothing in its next process and sent all recovered messages at once.

--- a/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
+++ b/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
@@ -36,14 +36,36 @@
 
     /** Returns the state that has to survive the process. */
     static HealthCheckpoint checkpoint(long now, UpstreamHealth health) {
-        UpstreamStatus status = UpstreamStates.status(health.breaker);
-        long statusSince = status == UpstreamStatus.UNAVAILABLE ? health.openedAt : health.slowStartBeganAt;
+        return switch (health.breaker) {
+            case OPEN -> checkpoint(
+                    health, UpstreamStatus.UNAVAILABLE, now - health.openedAt, health.servedPerSecondBeforeOutage);
+            case SLOW_START -> checkpoint(
+                    health,
+                    UpstreamStatus.SLOW_START,
+                    now - health.slowStartBeganAt,
+                    health.servedPerSecondBeforeOutage);
+            case CLOSED -> health.suspectedSince == Micros.NEVER
+                    ? checkpoint(
+                            health,
+                            UpstreamStatus.HEALTHY,
+                            now - health.slowStartBeganAt,
+                            health.servedPerSecondBeforeOutage)
+                    : checkpoint(
+                            health,
+                            UpstreamStatus.SUSPECTED,
+                            now - health.suspectedSince,
+                            health.servedRate.perSecondAtLastEvent());
+        };
+    }
+
+    private static HealthCheckpoint checkpoint(
+            UpstreamHealth health, UpstreamStatus status, long sinceMicros, double servedPerSecond) {
         return new HealthCheckpoint(
                 health.destinationId,
                 health.endpointId,
                 status,
-                now - statusSince,
-                health.servedPerSecondBeforeOutage,
+                sinceMicros,
+                servedPerSecond,
                 health.usualLatencyMicros);
     }
 
@@ -77,7 +99,7 @@
         }
         Destination destination = registry.destination(checkpoint.destination());
         UpstreamHealth health = healthOf(checkpoint);
-        boolean unavailable = checkpoint.status() == UpstreamStatus.UNAVAILABLE;
+        boolean unavailable = checkpoint.status() != UpstreamStatus.SLOW_START;
         health.usualLatencyMicros = checkpoint.usualLatencyMicros();
         health.presentLatencyMicros = checkpoint.usualLatencyMicros();
         health.servedPerSecondBeforeOutage = checkpoint.callsPerSecond();
--- a/decisions/src/main/java/amberroute/decisions/UpstreamStates.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamStates.java
@@ -47,14 +47,22 @@
      */
     void recordOutcome(long now, UpstreamHealth health, AttemptOutcome outcome, long messageId) {
         if (outcome == AttemptOutcome.OK) {
-            health.suspectedSince = Micros.NEVER;
+            endSuspicion(health);
         } else if (health.suspectedSince == Micros.NEVER
                 && now - health.lastSuccessAt >= CircuitBreaker.MIN_OUTAGE_MICROS) {
             health.suspectedSince = now;
+            outdatedCheckpoints.add(health);
             observe(now, health, outcome == AttemptOutcome.FULL ? Kind.FIRST_REJECTION : Kind.FIRST_FAILURE, messageId);
         }
     }
 
+    private void endSuspicion(UpstreamHealth health) {
+        if (health.suspectedSince != Micros.NEVER) {
+            health.suspectedSince = Micros.NEVER;
+            outdatedCheckpoints.add(health);
+        }
+    }
+
     /** Records a call that is being sent, if its upstream is not known to be healthy. */
     void recordCall(long now, UpstreamHealth health, long messageId) {
         if (health.breaker == BreakerState.OPEN) {
--- a/decisions/src/main/java/amberroute/decisions/UpstreamStatus.java
+++ b/decisions/src/main/java/amberroute/decisions/UpstreamStatus.java
@@ -4,6 +4,8 @@
 public enum UpstreamStatus {
     HEALTHY("WELL"),
     UNAVAILABLE("OUT"),
+    /** Calls have failed, too few for an outage here; the next process takes it for one, as it does not know them. */
+    SUSPECTED("OUT"),
     SLOW_START("COLD");
 
     private final String storedName;
@@ -18,7 +20,7 @@
     }
 
     /**
-     * Returns the status with this stored name.
+     * Returns the first status with this stored name.
      *
      * @throws IllegalArgumentException if there is none
      */
--- a/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
+++ b/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
@@ -45,6 +45,7 @@
     final List<Long> closedEndpoints = new ArrayList<>();
     final List<UpstreamStateChange> stateChanges = new ArrayList<>();
     final List<UpstreamObservation> observations = new ArrayList<>();
+    final List<DeliveryScheduler.HealthCheckpoint> checkpoints = new ArrayList<>();
     int subscriptions;
     long now = START;
 
@@ -320,6 +321,11 @@
         stateChanges.add(change);
     }
 
+    @Override
+    public void saveCheckpoint(DeliveryScheduler.HealthCheckpoint checkpoint) {
+        checkpoints.add(checkpoint);
+    }
+
     @Override
     public void upstreamObserved(UpstreamObservation observation) {
         observations.add(observation);
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
@@ -368,13 +368,14 @@
             destination.serviceMicros = checkpoint.usualLatencyMicros();
             destination.serviceMeasured = true;
         }
-        health.breaker = checkpoint.status() == UpstreamStatus.UNAVAILABLE ? BreakerState.OPEN : BreakerState.RAMP;
+        boolean unavailable = checkpoint.status() != UpstreamStatus.SLOW_START;
+        health.breaker = unavailable ? BreakerState.OPEN : BreakerState.RAMP;
         health.openedAt = now - ageMicros;
-        health.openedInSlowStart = checkpoint.status() == UpstreamStatus.UNAVAILABLE;
+        health.openedInSlowStart = unavailable;
         health.slowStartBeganAt = now - ageMicros;
         health.lastSlowStartCallAt = now;
         health.nextTrialAt = now + random.nextLong(trialSpreadMicros(health));
-        health.failureRatio = checkpoint.status() == UpstreamStatus.UNAVAILABLE ? 1 : 0;
+        health.failureRatio = unavailable ? 1 : 0;
     }
 
     /** Saves checkpoints of upstreams whose breaker has changed. What has to survive the process changes only then. */
@@ -388,15 +389,22 @@
                 switch (health.breaker) {
                     case OPEN -> UpstreamStatus.UNAVAILABLE;
                     case RAMP -> UpstreamStatus.SLOW_START;
-                    case CLOSED -> UpstreamStatus.HEALTHY;
+                    case CLOSED -> health.suspectedSince == NEVER ? UpstreamStatus.HEALTHY : UpstreamStatus.SUSPECTED;
+                };
+        long sinceMicros = now
+                - switch (status) {
+                    case UNAVAILABLE -> health.openedAt;
+                    case SUSPECTED -> health.suspectedSince;
+                    case SLOW_START, HEALTHY -> health.slowStartBeganAt;
                 };
-        long sinceMicros = now - (status == UpstreamStatus.UNAVAILABLE ? health.openedAt : health.slowStartBeganAt);
         return new HealthCheckpoint(
                 health.destinationId,
                 health.endpointId,
                 status,
                 sinceMicros,
-                health.servedPerSecondBeforeOutage,
+                status == UpstreamStatus.SUSPECTED
+                        ? health.servedRate.perSecondAtLastEvent()
+                        : health.servedPerSecondBeforeOutage,
                 health.usualLatencyMicros);
     }
 
@@ -1356,6 +1364,10 @@
             health.failureRatio +=
                     RECENT_CALL_WEIGHT_RATIO * ((event.outcome() == AttemptOutcome.OK ? 0 : 1) - health.failureRatio);
         }
+        boolean withdrawn = event.outcome() == AttemptOutcome.CANCELLED && !call.silent;
+        if (event.outcome() != AttemptOutcome.MOOT && !withdrawn) {
+            updateSuspicion(now, health, event.outcome());
+        }
         switch (event.outcome()) {
             case OK -> onSuccess(now, call, event);
             case FULL -> onRejection(now, message, call, event, wasTrial);
@@ -1389,6 +1401,17 @@
         }
     }
 
+    private void updateSuspicion(long now, UpstreamHealth health, AttemptOutcome outcome) {
+        boolean begins = outcome != AttemptOutcome.OK
+                && health.suspectedSince == NEVER
+                && now - health.lastSuccessAt >= MIN_OUTAGE_MICROS;
+        boolean ends = outcome == AttemptOutcome.OK && health.suspectedSince != NEVER;
+        if (begins || ends) {
+            health.suspectedSince = begins ? now : NEVER;
+            changedUpstreams.add(health);
+        }
+    }
+
     private void onSuccess(long now, Call call, Event.AttemptCompleted event) {
         UpstreamHealth health = call.endpoint.health;
         Destination destination = call.endpoint.destination;
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceState.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceState.java
@@ -140,6 +140,9 @@
         double presentLatencyMicros;
         long retryAfterUntil;
         long backoffUntil;
+        /** Since when calls have failed with no answer in between, while the last one is some time ago; NEVER if none has. */
+        long suspectedSince = Long.MAX_VALUE;
+
         double pacePerSecond = Double.POSITIVE_INFINITY;
         long nextPacedCallAt;
         long lastPaceCutAt;
--- a/sender/src/main/java/amberroute/sender/FleetCoordination.java
+++ b/sender/src/main/java/amberroute/sender/FleetCoordination.java
@@ -232,7 +232,7 @@
 
     private static Heartbeat.Health toHeartbeatHealth(UpstreamStatus status) {
         return switch (status) {
-            case HEALTHY -> Heartbeat.Health.HEALTHY;
+            case HEALTHY, SUSPECTED -> Heartbeat.Health.HEALTHY;
             case UNAVAILABLE -> Heartbeat.Health.UNAVAILABLE;
             case SLOW_START -> Heartbeat.Health.SLOW_START;
         };
--- a/sender/src/main/java/amberroute/sender/SchedulerActions.java
+++ b/sender/src/main/java/amberroute/sender/SchedulerActions.java
@@ -1,6 +1,7 @@
 package amberroute.sender;
 
 import amberroute.decisions.DeliveryScheduler;
+import amberroute.decisions.UpstreamStatus;
 import amberroute.sender.decision.SchedulerAction;
 import amberroute.sender.decision.SchedulerAction.Cancel;
 import amberroute.sender.decision.SchedulerAction.CloseIdle;
@@ -92,7 +93,10 @@
     }
 
     private void saveCheckpoint(DeliveryScheduler.HealthCheckpoint checkpoint) {
-        fleet.onHealthChanged(checkpoint.destination(), checkpoint.status(), checkpoint.sinceMicros());
+        // A suspicion is for the next process only: it neither proves an outage to peers nor that the upstream answers.
+        if (checkpoint.status() != UpstreamStatus.SUSPECTED) {
+            fleet.onHealthChanged(checkpoint.destination(), checkpoint.status(), checkpoint.sinceMicros());
+        }
         folder.journal()
                 .recordHealth(new HealthRecord(
                         checkpoint.destination(),
