--- a/cli/src/main/java/amberroute/cli/RecoveryExperiment.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryExperiment.java
@@ -3,6 +3,7 @@
 import amberroute.testkit.StubUpstream;
 import com.google.gson.JsonObject;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -69,6 +70,9 @@
             description = "time between the first and the last kill; 0: all at once (${DEFAULT-VALUE})")
     private long restartSpreadMillis;
 
+    @Option(names = "--drawn", description = "restarts and signalled senders are drawn from the seed instead")
+    private boolean drawn;
+
     @Option(
             names = "--kinds",
             split = ",",
@@ -92,16 +96,24 @@
         return broken == 0 ? 0 : Main.BAD;
     }
 
-    private boolean play(long seed) throws Exception {
-        RecoveryRun.Plan plan = new RecoveryRun.Plan(
+    private RecoveryRun.Plan plan(long seed) {
+        if (drawn) {
+            Random random = new Random(seed);
+            RecoveryRun.Restarts restarts = RecoveryRun.Restarts.draw(random, senders);
+            return plan(seed, random.nextInt(RecoveryRun.MAX_SIGNALLED_DRAWN + 1), restarts);
+        }
+        return plan(
                 seed,
-                senders,
-                perSecond,
-                ageMillis,
-                outageMillis,
                 signalledSenders,
-                new RecoveryRun.Restarts(restartedSenders, restartAtMillis, restartSpreadMillis),
-                kinds);
+                new RecoveryRun.Restarts(restartedSenders, restartAtMillis, restartSpreadMillis));
+    }
+
+    private RecoveryRun.Plan plan(long seed, int signalled, RecoveryRun.Restarts restarts) {
+        return new RecoveryRun.Plan(seed, senders, perSecond, ageMillis, outageMillis, signalled, restarts, kinds);
+    }
+
+    private boolean play(long seed) throws Exception {
+        RecoveryRun.Plan plan = plan(seed);
         try (RecoveryRun run = new RecoveryRun(plan)) {
             JsonObject result = run.run();
             System.out.println(result);
--- a/cli/src/main/java/amberroute/cli/RecoveryRun.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryRun.java
@@ -21,8 +21,22 @@
  * while some of the senders get signals in series. What the destinations get is judged by {@link RecoveryJudge}, and all else by {@link DeliveryHistory}.
  */
 final class RecoveryRun implements AutoCloseable {
+    /** Most senders that get signals where the seed draws them; these are not restarted beside that. */
+    static final int MAX_SIGNALLED_DRAWN = 4;
+
     /** Senders that are killed and started again; {@code beginMillis} is since the return of the destinations. */
     record Restarts(int senders, long beginMillis, long spreadMillis) {
+        /** Draws none, a third or all senders but the signalled ones, at once or one after another, around the return. */
+        static Restarts draw(Random random, int senders) {
+            int unsignalled = senders - MAX_SIGNALLED_DRAWN;
+            return switch (random.nextInt(5)) {
+                case 0 -> new Restarts(0, 0, 0);
+                case 1 -> new Restarts(unsignalled / 3, -5_000 + random.nextInt(6_000), 0);
+                case 2 -> new Restarts(unsignalled, -5_000 + random.nextInt(10_000), 10_000 + random.nextInt(8_000));
+                default -> new Restarts(unsignalled, -3_500 + random.nextInt(5_000), 0);
+            };
+        }
+
         long killAtMillis(int index) {
             return beginMillis + spreadMillis * index / Math.max(1, senders - 1);
         }
