Pause a sender for 250 ms at least between two trials of a destination

Found on reading the change once more, not reported: without a backoff a sender with much traffic to a destination that is out (10 calls a second) would have tried it about every 0.14 s, each trial an attempt of one of its messages. Change: the pause before the span of TrialSchedule is 0.3 of it, from 0.25 to 1 s.

--- a/decisions/src/main/java/amberroute/decisions/TrialSchedule.java
+++ b/decisions/src/main/java/amberroute/decisions/TrialSchedule.java
@@ -16,10 +16,11 @@
     private static final long FLEET_TRIAL_SPACING_MICROS = 1_200_000;
     /** Time over which trials are spread, in call intervals at the initial pace of a slow start. */
     private static final double SPREAD_CALLS = 0.5;
-    /** Shortest time between two trials of one sender, as a share of the time over which they are spread. */
-    private static final double MIN_INTERVAL_RATIO = 0.3;
-    /** Upper bound of the shortest time between two trials of one sender. */
-    private static final long MAX_MIN_INTERVAL_MICROS = 1_000_000;
+    /** Pause of one sender between two trials, as a share of the time over which they are spread; within the two bounds below. */
+    private static final double PAUSE_RATIO = 0.3;
+
+    private static final long MIN_PAUSE_MICROS = 250_000;
+    private static final long MAX_PAUSE_MICROS = 1_000_000;
 
     private final CurrentSettings settings;
     private final RecoveryRamp recoveryRamp;
@@ -34,8 +35,8 @@
     /** Schedules the next trial after a failure that has opened the breaker, or of a trial. */
     void scheduleAfterFailure(long now, UpstreamHealth health) {
         long spreadMicros = spreadMicros(health);
-        long minMicros = Math.min(MAX_MIN_INTERVAL_MICROS, (long) (MIN_INTERVAL_RATIO * spreadMicros));
-        health.nextTrialAt = now + minMicros + random.nextLong(spreadMicros);
+        double pauseMicros = Math.max(MIN_PAUSE_MICROS, Math.min(MAX_PAUSE_MICROS, PAUSE_RATIO * spreadMicros));
+        health.nextTrialAt = now + (long) pauseMicros + random.nextLong(spreadMicros);
     }
 
     /** Schedules the next trial of an upstream whose outage an earlier process has seen. */
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
@@ -1554,7 +1554,8 @@
         }
         health.breaker = BreakerState.OPEN;
         long spreadMicros = trialSpreadMicros(health);
-        health.nextTrialAt = now + Math.min(1_000_000, (long) (0.3 * spreadMicros)) + random.nextLong(spreadMicros);
+        health.nextTrialAt =
+                now + (long) Math.max(250_000, Math.min(1_000_000, 0.3 * spreadMicros)) + random.nextLong(spreadMicros);
     }
 
     /** Returns the time over which the trials of all senders are spread, which may all begin to wait in one instant. */
