--- a/sender/src/test/java/amberroute/sender/DiscoveryFaultTest.java
+++ b/sender/src/test/java/amberroute/sender/DiscoveryFaultTest.java
@@ -132,7 +132,7 @@
         if (when.equals("on an open watch")) {
             world.announce(EMPTY_LIST);
         } else if (when.equals("when a watch is opened again")) {
-            await(() -> sender.isEndpointReady("s-1"));
+            await(() -> sender.isEndpointReady("s-1") && world.watched());
             world.discovery.answers = empty;
             world.endWatch();
         }
--- a/sender/src/test/java/amberroute/sender/HandoffTest.java
+++ b/sender/src/test/java/amberroute/sender/HandoffTest.java
@@ -671,7 +671,7 @@
         offer(heir, "old", "old", "keyed", System.currentTimeMillis() - 4_900);
         offer(heir, "young", "young", "keyed", System.currentTimeMillis() - 500);
         await(() -> heir.pendingMessageCount() == 0);
-        assertTrue(noticed("old", "returned"), world.notices.toString());
+        await(() -> noticed("old", "returned"));
         assertEquals(
                 List.of("young"),
                 world.receiver.requests.stream()
