--- a/cli/src/main/java/amberroute/cli/RecoveryRun.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryRun.java
@@ -258,6 +258,12 @@
         result.addProperty("late_notices", totals.lateNotifications());
         result.addProperty("duplicates", totals.duplicateExecutions());
         result.addProperty("out_of_order", totals.outOfOrder());
+        result.addProperty(
+                "slowest_restart_ms",
+                restarts.stream()
+                        .mapToLong(SenderRestart::longestReadyMillis)
+                        .max()
+                        .orElse(0));
         if (!findings.isEmpty()) {
             result.addProperty("finding", findings.get(0));
         }
--- a/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
+++ b/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
@@ -164,6 +164,11 @@
                 List.of()));
     }
 
+    /** Notes that a test ends the attempt of a message by an event of its own: it did not run, or the message is over. */
+    void completed(long id) {
+        messages.get(id).inFlight = false;
+    }
+
     SchedulerScript complete(long id, AttemptOutcome outcome) {
         return complete(id, outcome, 0);
     }
--- a/sender/src/test/java/amberroute/sender/UpstreamClientTest.java
+++ b/sender/src/test/java/amberroute/sender/UpstreamClientTest.java
@@ -25,6 +25,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.channels.spi.SelectorProvider;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -240,4 +241,22 @@
             assertTrue(result.messageCompleted());
         }
     }
+
+    private UpstreamClient.Result resultOfRejection(String connectionHeader) throws Exception {
+        loop.submit(this::start).sync();
+        try (Socket connection = receiver.accept()) {
+            connection.getInputStream().read();
+            String response = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: " + connectionHeader
+                    + "\r\n\r\n";
+            connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+            return results.poll(20, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Guards against a shut endpoint that keeps the connection being taken for one whose table of connections is full. */
+    @Test
+    void rejectionThatKeepsItsConnectionIsNoneOfTheConnection() throws Exception {
+        assertTrue(resultOfRejection("keep-alive").connectionIdleMicros() > 0);
+        assertEquals(0, resultOfRejection("close").connectionIdleMicros());
+    }
 }
--- a/testkit/src/main/java/amberroute/testkit/StubUpstream.java
+++ b/testkit/src/main/java/amberroute/testkit/StubUpstream.java
@@ -18,6 +18,8 @@
         UP,
         HANG,
         REFUSE,
+        /** Refuses each call and closes its connection. */
+        REFUSE_AND_CLOSE,
         DEAD,
         /** Answers each call with an error. */
         ERRORS
@@ -122,6 +124,7 @@
             WAIT,
             REFUSE_LIMIT,
             REFUSE_FULL,
+            REFUSE_AND_CLOSE,
             SILENT,
             ERROR
         }
@@ -181,6 +184,9 @@
         if (mode == Mode.ERRORS) {
             return new Verdict(Verdict.Kind.ERROR, 0);
         }
+        if (mode == Mode.REFUSE_AND_CLOSE) {
+            return new Verdict(Verdict.Kind.REFUSE_AND_CLOSE, 0);
+        }
         if (mode == Mode.REFUSE || now < overloadedUntil) {
             return new Verdict(Verdict.Kind.REFUSE_FULL, 0);
         }
--- a/testkit/src/main/java/amberroute/testkit/StubUpstreamServer.java
+++ b/testkit/src/main/java/amberroute/testkit/StubUpstreamServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -171,6 +173,7 @@
             case WAIT -> queue.add(call);
             case REFUSE_LIMIT -> answer(call, 429, verdict.time());
             case REFUSE_FULL -> answer(call, 503, 0);
+            case REFUSE_AND_CLOSE -> refuseAndClose(call);
             case SILENT -> {}
             case ERROR -> answer(call, 500, 0);
         }
@@ -203,6 +206,15 @@
         }
     }
 
+    private static void refuseAndClose(Call call) {
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        call.context.channel().writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
     private void answer(Call call, int status, long wait) {
         Channel channel = call.context.channel();
         if (!channel.isActive()) {
