Tell a rejection of a call from one by a full connection table where that shows

Callers saw a shut destination called every 0.2 to 2 s by each sender, where reports are configured and its rejections carry none: such a rejection on a new connection counted as a full connection table, which opens no breaker. Cause: that the endpoint kept the connection open, and so had accepted it, was not looked at.

Why it works: a connection that outlasts the rejection was not rejected, so the call counts as one over a connection in use.

--- a/sender/src/main/java/amberroute/sender/upstream/ResponseInterpreter.java
+++ b/sender/src/main/java/amberroute/sender/upstream/ResponseInterpreter.java
@@ -33,7 +33,12 @@
      * @param loadReport the reported values in the order of the settings, empty for none
      * @param messages one outcome for each message of the call, in its order
      */
-    record CallOutcome(long retryAfterMicros, List<Double> loadReport, List<MessageOutcome> messages) {}
+    record CallOutcome(long retryAfterMicros, List<Double> loadReport, List<MessageOutcome> messages) {
+        /** Returns whether the endpoint rejected each message. */
+        boolean rejected() {
+            return messages.stream().allMatch(message -> message.outcome() == AttemptOutcome.FULL);
+        }
+    }
 
     private List<String> reportNames;
 
--- a/sender/src/main/java/amberroute/sender/upstream/UpstreamCall.java
+++ b/sender/src/main/java/amberroute/sender/upstream/UpstreamCall.java
@@ -17,7 +17,7 @@
     final long timeoutMicros;
     /** Its connection, null until one is found or opened. */
     UpstreamConnection connection;
-    /** How long its connection was idle before the call, in microseconds, 0 for a fresh connection. */
+    /** As in {@link UpstreamClient.Result}. */
     long connectionIdleMicros;
 
     Future<?> timeout;
--- a/sender/src/main/java/amberroute/sender/upstream/UpstreamClient.java
+++ b/sender/src/main/java/amberroute/sender/upstream/UpstreamClient.java
@@ -36,7 +36,8 @@
      * @param messageCompleted whether the message has its end at the destination, so that it is over
      * @param retryAfterMicros the wait that the endpoint asks for, 0 for none
      * @param loadReport the endpoint's load report, empty for none
-     * @param connectionIdleMicros how long the connection was idle before the call, 0 for a fresh one
+     * @param connectionIdleMicros how long the connection was idle before the call, 0 for a fresh one; above 0 for a fresh one that the
+     *     endpoint kept behind a rejection, which so was none of the connection
      */
     public record Result(
             AcceptedMessage message,
@@ -272,6 +273,9 @@
 
     private void finish(UpstreamCall call, ResponseReader.Response response) {
         ResponseInterpreter.CallOutcome outcome = interpreter.interpret(call, response);
+        if (response.reusable() && outcome.rejected()) {
+            call.connectionIdleMicros = Math.max(1, call.connectionIdleMicros);
+        }
         if (outcome.retryAfterMicros() > 0) {
             preventWrites(route -> route.waitGroup().equals(call.route.waitGroup()));
         }
