Divide the result of the recovery experiment into short methods

Change: loads of destinations, the slowest restart and the timeline have methods of their own, checks as they were.

--- a/cli/src/main/java/amberroute/cli/RecoveryRun.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryRun.java
@@ -232,25 +232,15 @@
 
     private JsonObject result() throws IOException {
         DeliveryHistory.Totals totals = environment.totals();
-        JsonArray destinations = new JsonArray();
-        boolean withinBudget = true;
-        for (RecoveryJudge.Result each : environment.callOnLoop(judge::results)) {
-            withinBudget &= !each.ruleBroken() && each.peakInformedShare() <= 1;
-            destinations.add(String.format(
-                    Locale.ROOT,
-                    "%d %s %.2f/%.2f%s",
-                    each.destination(),
-                    outageKind(each.destination()),
-                    each.peakInformedShare(),
-                    each.peakShare(),
-                    each.ruleBroken() ? " BROKEN" : ""));
-        }
+        List<RecoveryJudge.Result> destinations = environment.callOnLoop(judge::results);
+        boolean withinBudget =
+                destinations.stream().allMatch(each -> !each.ruleBroken() && each.peakInformedShare() <= 1);
         boolean completed = totals.ok() && totals.lateNotifications() == 0 && findings.isEmpty();
         rulesKept = withinBudget && completed;
         JsonObject result = new JsonObject();
         result.addProperty("ok", rulesKept);
         result.addProperty("seed", plan.seed());
-        result.add("informed_and_all_calls_in_budgets", destinations);
+        result.add("informed_and_all_calls_in_budgets", loads(destinations));
         result.addProperty("accepted", totals.accepted());
         result.addProperty("delivered", totals.delivered());
         result.addProperty("in_time", totals.inTime());
@@ -258,25 +248,46 @@
         result.addProperty("late_notices", totals.lateNotifications());
         result.addProperty("duplicates", totals.duplicateExecutions());
         result.addProperty("out_of_order", totals.outOfOrder());
-        result.addProperty(
-                "slowest_restart_ms",
-                restarts.stream()
-                        .mapToLong(SenderRestart::longestReadyMillis)
-                        .max()
-                        .orElse(0));
+        result.addProperty("slowest_restart_ms", slowestRestartMillis());
         if (!findings.isEmpty()) {
             result.addProperty("finding", findings.get(0));
         }
         if (!rulesKept) {
-            Path report = folder.resolve("timeline");
-            Files.write(
-                    report,
-                    timeline.merged(senders.stream().map(SoakSender::log).toList(), 0, Long.MAX_VALUE));
-            result.addProperty("timeline", report.toString());
+            result.addProperty("timeline", writeTimeline().toString());
         }
         return result;
     }
 
+    /** Returns what each destination got, with a mark where the rule was broken. */
+    private JsonArray loads(List<RecoveryJudge.Result> destinations) {
+        JsonArray loads = new JsonArray();
+        for (RecoveryJudge.Result each : destinations) {
+            loads.add(String.format(
+                    Locale.ROOT,
+                    "%d %s %.2f/%.2f%s",
+                    each.destination(),
+                    outageKind(each.destination()),
+                    each.peakInformedShare(),
+                    each.peakShare(),
+                    each.ruleBroken() ? " BROKEN" : ""));
+        }
+        return loads;
+    }
+
+    private long slowestRestartMillis() {
+        return restarts.stream()
+                .mapToLong(SenderRestart::longestReadyMillis)
+                .max()
+                .orElse(0);
+    }
+
+    private Path writeTimeline() throws IOException {
+        Path report = folder.resolve("timeline");
+        Files.write(
+                report, timeline.merged(senders.stream().map(SoakSender::log).toList(), 0, Long.MAX_VALUE));
+        return report;
+    }
+
     @Override
     public void close() throws IOException {
         senders.forEach(SoakSender::kill);
