End the backoff behind rejections where the breaker opens

Callers saw a destination that had come back from an outage of rejections used little: since the trials of an open breaker have a time of their own, but the backoff that the same rejections had drawn, up to 26 s with 38 senders, still held up the slow start behind the trial that was answered.

Evidence: RejectedSendersTest.slowStartIsNotHeldUpByTheBackoffBehindRejections failed before (no call within 36 s, 3.5 s by the pace).

Why it works: opening the breaker, and each rejected trial, ends the backoff; the trial and then the slow start say when the next call may come. A Retry-After stays.

--- a/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
+++ b/decisions/src/main/java/amberroute/decisions/CircuitBreaker.java
@@ -149,6 +149,8 @@
             health.trial = null;
             states.change(now, health, BreakerState.OPEN, reason, recoveryRamp.callsPerSecond(0, health));
         }
+        // From here on the trials have a time of their own.
+        health.backoffUntil = now;
         trials.scheduleAfterFailure(now, health);
     }
 }
--- a/decisions/src/test/java/amberroute/decisions/RejectedSendersTest.java
+++ b/decisions/src/test/java/amberroute/decisions/RejectedSendersTest.java
@@ -56,7 +56,7 @@
             List<Double> report,
             long connectionIdleMicros) {
         SchedulerScript.Send send = script.sends.get(script.sends.size() - 1);
-        script.completed(send.id());
+        script.ended(send.id(), outcome == AttemptOutcome.OK);
         script.add(new Event.AttemptCompleted(
                         send.id(),
                         send.attempt(),
@@ -153,4 +153,31 @@
         double meanSeconds = total / 1e6 / senders;
         assertTrue(meanSeconds < 5, meanSeconds + " s");
     }
+
+    /** Guards against a backoff from before an answered trial that holds up the slow start behind it. */
+    @Test
+    void slowStartIsNotHeldUpByTheBackoffBehindRejections() {
+        SchedulerScript script = sender(1, 38, REPORTS);
+        List<Double> report = List.of(0.0, LARGE_LIMIT);
+        for (int id = 1; id <= 4; id++) {
+            submitAndAwaitCall(script, id);
+            end(script, AttemptOutcome.FULL, 0, report, 1);
+        }
+        submitAndAwaitCall(script, 5);
+        end(script, AttemptOutcome.OK, 0, report, 1);
+        long answeredAt = script.now;
+        submitAndAwaitCall(script, 6);
+        double firstIntervalSeconds = 1 / (0.9 * 2 * 0.2 * 0.75 * LARGE_LIMIT / 38);
+        double seconds = (script.now - answeredAt) / 1e6;
+        assertTrue(seconds <= firstIntervalSeconds, seconds + " s, " + firstIntervalSeconds + " by the pace");
+    }
+
+    private static void submitAndAwaitCall(SchedulerScript script, long id) {
+        int calls = script.sends.size();
+        script.submit(id, SchedulerScript.IDEMPOTENT, DESTINATION).decide();
+        for (long waited = 0; script.sends.size() == calls && waited < 3 * WATCHED_MICROS; waited += STEP_MICROS) {
+            script.advance(STEP_MICROS);
+        }
+        assertTrue(script.sends.size() > calls, "no call of " + id);
+    }
 }
--- a/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
+++ b/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
@@ -164,9 +164,10 @@
                 List.of()));
     }
 
-    /** Notes that a test ends the attempt of a message by an event of its own: it did not run, or the message is over. */
-    void completed(long id) {
+    /** Notes that a test ends the attempt of a message by an event of its own: the message is over, or the attempt did not run. */
+    void ended(long id, boolean messageCompleted) {
         messages.get(id).inFlight = false;
+        messages.get(id).completed = messageCompleted;
     }
 
     SchedulerScript complete(long id, AttemptOutcome outcome) {
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
@@ -1561,6 +1561,7 @@
             health.trial = null;
         }
         health.breaker = BreakerState.OPEN;
+        health.backoffUntil = now;
         long spreadMicros = trialSpreadMicros(health);
         health.nextTrialAt = Math.max(now, health.retryAfterUntil)
                 + (long) Math.max(250_000, Math.min(1_000_000, 0.3 * spreadMicros))
