--- a/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
+++ b/decisions/src/main/java/amberroute/decisions/DeliveryScheduler.java
@@ -361,7 +361,8 @@
          * @param messageCompleted whether the destination said that the message is completed
          * @param retryAfterMicros Retry-After of the receiver, 0 for none
          * @param loadReport values at the positions of {@link ReportFields}, may be empty
-         * @param connectionIdleMicros how long the connection was idle before; 0 for a new one, -1 if unknown
+         * @param connectionIdleMicros how long the connection was idle before; 0 for a new one, above 0 for a new one that is still
+         *     open behind a rejection, -1 if unknown
          */
         record AttemptCompleted(
                 long id,
--- a/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
+++ b/decisions/src/main/java/amberroute/decisions/HealthTransfer.java
@@ -94,9 +94,13 @@
      * @param ageMicros the time since the outage or the slow start began
      */
     void restore(long now, HealthCheckpoint checkpoint, long ageMicros) {
-        if (isUnknownEndpoint(checkpoint) || checkpoint.status() == UpstreamStatus.HEALTHY) {
-            return;
+        if (!isUnknownEndpoint(checkpoint) && checkpoint.status() != UpstreamStatus.HEALTHY) {
+            restoreState(now, checkpoint, ageMicros);
+            trials.scheduleAfterRestore(now, healthOf(checkpoint));
         }
+    }
+
+    private void restoreState(long now, HealthCheckpoint checkpoint, long ageMicros) {
         Destination destination = registry.destination(checkpoint.destination());
         UpstreamHealth health = healthOf(checkpoint);
         boolean unavailable = checkpoint.status() != UpstreamStatus.SLOW_START;
@@ -114,7 +118,6 @@
         health.openedInSlowStart = unavailable;
         health.slowStartBeganAt = now - ageMicros;
         health.lastSlowStartCallAt = now;
-        trials.scheduleAfterRestore(now, health);
         health.failureRatio = unavailable ? 1 : 0;
         pending.updateEstimatesAndWake(now, destination);
     }
@@ -125,7 +128,10 @@
         if (isUnknownEndpoint(checkpoint)) {
             return;
         }
-        restore(now, checkpoint, checkpoint.sinceMicros());
+        boolean healthy = checkpoint.status() == UpstreamStatus.HEALTHY;
+        if (!healthy) {
+            restoreState(now, checkpoint, checkpoint.sinceMicros());
+        }
         Destination destination = registry.destination(checkpoint.destination());
         UpstreamHealth health = healthOf(checkpoint);
         health.usualLatencyMicros = checkpoint.usualLatencyMicros();
@@ -136,7 +142,10 @@
         }
         destination.successProbability = snapshot.successProbability();
         restoreMeasurements(now, health, snapshot);
-        trials.scheduleAfterRestore(now, health);
+        if (!healthy) {
+            // The wait and the limit of the snapshot count for it.
+            trials.scheduleAfterRestore(now, health);
+        }
         pending.updateEstimates(now, destination);
     }
 
--- a/decisions/src/test/java/amberroute/decisions/AtcDeliverySchedulerTest.java
+++ b/decisions/src/test/java/amberroute/decisions/AtcDeliverySchedulerTest.java
@@ -537,23 +537,7 @@
 
     /** Returns the settings of one of three hundred senders. */
     private static DeliveryScheduler.Settings settingsOfThreeHundredSenders(long seed) {
-        DeliveryScheduler.Settings base = SchedulerScript.settings(4, false, 1);
-        return new DeliveryScheduler.Settings(
-                seed,
-                300,
-                0,
-                base.tickMicros(),
-                false,
-                0.1,
-                base.lateValueDecay(),
-                base.weightKind(),
-                base.classes(),
-                base.tenants(),
-                base.kinds(),
-                base.limits(),
-                base.rules(),
-                base.prices(),
-                base.reportFields());
+        return SchedulerScript.settings(seed, 300, 4, new DeliveryScheduler.ReportFields(-1, -1));
     }
 
     @Test
--- a/decisions/src/test/java/amberroute/decisions/FleetRestartGrid.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetRestartGrid.java
@@ -6,8 +6,10 @@
 import amberroute.testkit.SlowStartBudget;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.stream.LongStream;
 
 /**
@@ -67,9 +69,10 @@
         return patterns;
     }
 
-    /** Runs all kinds of outages, report settings and limits with a number of senders. */
-    static List<Outcome> run(int senders, Restarts restarts, long firstSeed, int seeds) {
+    /** Runs these kinds of outages with all report settings and limits and a number of senders. */
+    static List<Outcome> run(Set<OutageKind> kinds, int senders, Restarts restarts, long firstSeed, int seeds) {
         return run(
+                kinds,
                 senders,
                 firstSeed,
                 seeds,
@@ -78,9 +81,11 @@
     }
 
     /** Runs the same without restarts and with an outage of this length, of which all senders learn when it begins. */
-    static List<Outcome> runLearnedTogether(int senders, long outageMicros, long firstSeed, int seeds) {
+    static List<Outcome> runLearnedTogether(
+            Set<OutageKind> kinds, int senders, long outageMicros, long firstSeed, int seeds) {
         long endMicros = FleetOutageGrid.OUTAGE_START_MICROS + outageMicros;
-        return run(senders, firstSeed, seeds, endMicros, (each, seed) -> each.runLearnedTogether(seed, endMicros));
+        return run(
+                kinds, senders, firstSeed, seeds, endMicros, (each, seed) -> each.runLearnedTogether(seed, endMicros));
     }
 
     /** How a case is run with a seed. */
@@ -88,9 +93,10 @@
         FleetSimulation run(Case each, long seed);
     }
 
-    private static List<Outcome> run(int senders, long firstSeed, int seeds, long outageEndMicros, Runner runner) {
+    private static List<Outcome> run(
+            Set<OutageKind> kinds, int senders, long firstSeed, int seeds, long outageEndMicros, Runner runner) {
         List<Case> cases = new ArrayList<>();
-        for (OutageKind kind : OutageKind.values()) {
+        for (OutageKind kind : kinds) {
             for (Reports reports : REPORTS) {
                 for (double limit : LIMITS_PER_SECOND) {
                     cases.add(new Case(kind, 0, reports, senders, limit));
@@ -117,7 +123,10 @@
                 Arrays.stream(args).skip(2).mapToInt(Integer::parseInt).toArray();
         for (int senders : senderCounts) {
             for (Pattern pattern : patterns()) {
-                print(senders, pattern, run(senders, pattern.restarts(), firstSeed, seeds));
+                print(
+                        senders,
+                        pattern,
+                        run(EnumSet.allOf(OutageKind.class), senders, pattern.restarts(), firstSeed, seeds));
             }
         }
     }
--- a/decisions/src/test/java/amberroute/decisions/FleetRestartTest.java
+++ b/decisions/src/test/java/amberroute/decisions/FleetRestartTest.java
@@ -9,7 +9,8 @@
 import java.util.Locale;
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Tests that senders that saw an outage together leave room in the budget of the destination that comes back, also if all of them come
@@ -19,9 +20,11 @@
     private static final long FIRST_SEED = 9_000;
     private static final int SEEDS = 2;
     /** Outages in which calls are rejected, or so few answered that the destination rejects others. */
-    private static final Set<OutageKind> KINDS_WITH_REJECTIONS =
+    private static final EnumSet<OutageKind> KINDS_WITH_REJECTIONS =
             EnumSet.of(OutageKind.SHUT, OutageKind.MOST_CALLS_FAIL, OutageKind.MIXED);
 
+    private static final EnumSet<OutageKind> OTHER_KINDS = EnumSet.complementOf(KINDS_WITH_REJECTIONS);
+
     /** What the calls of informed senders may use of the budget, which they share with senders that saw no outage. */
     private static final double MAX_INFORMED_BUDGET_RATIO = 0.8;
 
@@ -43,96 +46,108 @@
         assertTrue(failures.isEmpty(), name + ": " + failures.size() + " of " + outcomes.size() + ": " + failures);
     }
 
+    private static void assertRoomInBudget(Set<OutageKind> kinds, int senders, Restarts restarts) {
+        List<Outcome> outcomes = FleetRestartGrid.run(kinds, senders, restarts, FIRST_SEED, SEEDS);
+        assertRoomInBudget(senders + " senders, " + restarts, outcomes);
+    }
+
+    private static void assertRoomInBudgetIfLearnedTogether(Set<OutageKind> kinds, int senders, double outageSeconds) {
+        long outageMicros = (long) (outageSeconds * 1e6);
+        List<Outcome> outcomes = FleetRestartGrid.runLearnedTogether(kinds, senders, outageMicros, FIRST_SEED, SEEDS);
+        assertRoomInBudget(senders + " senders, outage of " + outageSeconds + " s", outcomes);
+    }
+
+    private static Arguments restart(int senders, double senderRatio, double firstSeconds, double lastSeconds) {
+        return Arguments.of(
+                senders, new Restarts(senderRatio, (long) (firstSeconds * 1e6), (long) (lastSeconds * 1e6)));
+    }
+
+    private static Arguments restartTogether(int senders, double seconds) {
+        return restart(senders, 1, seconds, seconds);
+    }
+
+    static List<Arguments> restartsTogether() {
+        return List.of(
+                restartTogether(5, -0.5),
+                restartTogether(5, 0.3),
+                restartTogether(15, -0.1),
+                restartTogether(15, 1),
+                restartTogether(38, 0),
+                restartTogether(38, 0.3),
+                restartTogether(38, 2),
+                restartTogether(47, 0.6),
+                restartTogether(47, 4),
+                restartTogether(120, 0.1),
+                restartTogether(120, 0.9),
+                restartTogether(120, 3));
+    }
+
+    static List<Arguments> restartsOneAfterAnother() {
+        return List.of(
+                restart(38, 0.34, 0.3, 0.3),
+                restart(38, 0.34, 1, 1),
+                restart(120, 0.34, 0.3, 0.3),
+                restart(15, 1, 0.1, 4),
+                restart(38, 1, 0.1, 4),
+                restart(38, 1, -4.8, 17),
+                restart(47, 1, -4.8, 17),
+                restart(120, 1, -4.8, 17));
+    }
+
+    static List<Arguments> outages() {
+        return List.of(
+                Arguments.of(5, 3),
+                Arguments.of(5, 8),
+                Arguments.of(15, 4),
+                Arguments.of(38, 3),
+                Arguments.of(38, 4),
+                Arguments.of(38, 6),
+                Arguments.of(38, 8),
+                Arguments.of(38, 10),
+                Arguments.of(120, 4),
+                Arguments.of(120, 8),
+                Arguments.of(120, 12));
+    }
+
     /** Guards against a trial of each restarted sender in the instant of its start. */
     @ParameterizedTest
-    @CsvSource({
-        "5,-0.5", "5,0.3", "15,-0.1", "15,1", "38,0", "38,0.3", "38,2", "47,0.6", "47,4", "120,0.1", "120,0.9", "120,3"
-    })
-    void sendersThatRestartTogetherMakeNoTrialsTogether(int senders, double secondsSinceReturn) {
-        assertRoomInBudgetIfRestartedTogether(senders, secondsSinceReturn, false);
+    @MethodSource("restartsTogether")
+    void sendersThatRestartTogetherMakeNoTrialsTogether(int senders, Restarts restarts) {
+        assertRoomInBudget(OTHER_KINDS, senders, restarts);
     }
 
     /** Guards against the same where they learned of the outage by a rejection. */
     @ParameterizedTest
-    @CsvSource({
-        "5,-0.5", "5,0.3", "15,-0.1", "15,1", "38,0", "38,0.3", "38,2", "47,0.6", "47,4", "120,0.1", "120,0.9", "120,3"
-    })
-    void rejectedSendersThatRestartTogetherMakeNoTrialsTogether(int senders, double secondsSinceReturn) {
-        assertRoomInBudgetIfRestartedTogether(senders, secondsSinceReturn, true);
-    }
-
-    private static void assertRoomInBudgetIfRestartedTogether(
-            int senders, double secondsSinceReturn, boolean rejections) {
-        Restarts restarts = FleetRestartGrid.atOnce(1, (long) (secondsSinceReturn * 1e6));
-        List<Outcome> outcomes = FleetRestartGrid.run(senders, restarts, FIRST_SEED, SEEDS);
-        assertRoomInBudget(senders + " senders, " + restarts, withRejections(outcomes, rejections));
+    @MethodSource("restartsTogether")
+    void rejectedSendersThatRestartTogetherMakeNoTrialsTogether(int senders, Restarts restarts) {
+        assertRoomInBudget(KINDS_WITH_REJECTIONS, senders, restarts);
     }
 
     /** Guards against the same where a third of the senders restart, or all of them one after another. */
     @ParameterizedTest
-    @CsvSource({
-        "38,0.34,0.3,0.3",
-        "38,0.34,1,1",
-        "120,0.34,0.3,0.3",
-        "15,1,0.1,4",
-        "38,1,0.1,4",
-        "38,1,-4.8,17",
-        "47,1,-4.8,17",
-        "120,1,-4.8,17"
-    })
-    void sendersThatRestartOneAfterAnotherStayWithinBudget(
-            int senders, double senderRatio, double firstSeconds, double lastSeconds) {
-        assertRoomInBudgetIfRestarted(senders, senderRatio, firstSeconds, lastSeconds, false);
+    @MethodSource("restartsOneAfterAnother")
+    void sendersThatRestartOneAfterAnotherStayWithinBudget(int senders, Restarts restarts) {
+        assertRoomInBudget(OTHER_KINDS, senders, restarts);
     }
 
     /** Guards against the same where they learned of the outage by a rejection. */
     @ParameterizedTest
-    @CsvSource({
-        "38,0.34,0.3,0.3",
-        "38,0.34,1,1",
-        "120,0.34,0.3,0.3",
-        "15,1,0.1,4",
-        "38,1,0.1,4",
-        "38,1,-4.8,17",
-        "47,1,-4.8,17",
-        "120,1,-4.8,17"
-    })
-    void rejectedSendersThatRestartOneAfterAnotherStayWithinBudget(
-            int senders, double senderRatio, double firstSeconds, double lastSeconds) {
-        assertRoomInBudgetIfRestarted(senders, senderRatio, firstSeconds, lastSeconds, true);
-    }
-
-    private static void assertRoomInBudgetIfRestarted(
-            int senders, double senderRatio, double firstSeconds, double lastSeconds, boolean rejections) {
-        Restarts restarts = new Restarts(senderRatio, (long) (firstSeconds * 1e6), (long) (lastSeconds * 1e6));
-        List<Outcome> outcomes = FleetRestartGrid.run(senders, restarts, FIRST_SEED, SEEDS);
-        assertRoomInBudget(senders + " senders, " + restarts, withRejections(outcomes, rejections));
+    @MethodSource("restartsOneAfterAnother")
+    void rejectedSendersThatRestartOneAfterAnotherStayWithinBudget(int senders, Restarts restarts) {
+        assertRoomInBudget(KINDS_WITH_REJECTIONS, senders, restarts);
     }
 
     /** Guards against further trials that come together because all senders learned of the outage in one instant. */
     @ParameterizedTest
-    @CsvSource({"5,3", "5,8", "15,4", "38,3", "38,4", "38,6", "38,8", "38,10", "120,4", "120,8", "120,12"})
+    @MethodSource("outages")
     void sendersThatLearnOfAnOutageTogetherMakeNoTrialsTogether(int senders, double outageSeconds) {
-        assertRoomInBudgetIfLearnedTogether(senders, outageSeconds, false);
+        assertRoomInBudgetIfLearnedTogether(OTHER_KINDS, senders, outageSeconds);
     }
 
     /** Guards against the same where they learn of it by a rejection, which may also be that of a busy destination. */
     @ParameterizedTest
-    @CsvSource({"5,3", "5,8", "15,4", "38,3", "38,4", "38,6", "38,8", "38,10", "120,4", "120,8", "120,12"})
+    @MethodSource("outages")
     void sendersThatAreRejectedTogetherMakeNoTrialsTogether(int senders, double outageSeconds) {
-        assertRoomInBudgetIfLearnedTogether(senders, outageSeconds, true);
-    }
-
-    private static void assertRoomInBudgetIfLearnedTogether(int senders, double outageSeconds, boolean rejections) {
-        long outageMicros = (long) (outageSeconds * 1e6);
-        List<Outcome> outcomes = FleetRestartGrid.runLearnedTogether(senders, outageMicros, FIRST_SEED, SEEDS);
-        assertRoomInBudget(
-                senders + " senders, outage of " + outageSeconds + " s", withRejections(outcomes, rejections));
-    }
-
-    private static List<Outcome> withRejections(List<Outcome> outcomes, boolean rejections) {
-        return outcomes.stream()
-                .filter(each -> KINDS_WITH_REJECTIONS.contains(each.run().kind()) == rejections)
-                .toList();
+        assertRoomInBudgetIfLearnedTogether(KINDS_WITH_REJECTIONS, senders, outageSeconds);
     }
 }
--- a/decisions/src/test/java/amberroute/decisions/RejectedSendersTest.java
+++ b/decisions/src/test/java/amberroute/decisions/RejectedSendersTest.java
@@ -28,24 +28,7 @@
     private static final ReportFields REPORTS = new ReportFields(0, 1);
 
     private static SchedulerScript sender(long seed, int senders, ReportFields reports) {
-        DeliveryScheduler.Settings base = SchedulerScript.settings(8, false, 1);
-        return new SchedulerScript(new DeliveryScheduler.Settings(
-                        seed,
-                        senders,
-                        0,
-                        base.tickMicros(),
-                        false,
-                        0.1,
-                        base.lateValueDecay(),
-                        base.weightKind(),
-                        base.classes(),
-                        base.tenants(),
-                        base.kinds(),
-                        base.limits(),
-                        base.rules(),
-                        base.prices(),
-                        reports))
-                .listEndpoints(DESTINATION, 1);
+        return new SchedulerScript(SchedulerScript.settings(seed, senders, 8, reports)).listEndpoints(DESTINATION, 1);
     }
 
     /** Ends the call in flight. */
--- a/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
+++ b/decisions/src/test/java/amberroute/decisions/SchedulerScript.java
@@ -89,6 +89,28 @@
                 new DeliveryScheduler.ReportFields(-1, -1));
     }
 
+    /** Returns the settings of one sender of a fleet, otherwise as above with a pushed endpoint list and one message in a call. */
+    static DeliveryScheduler.Settings settings(
+            long seed, int senders, int maxConcurrentCalls, DeliveryScheduler.ReportFields reports) {
+        DeliveryScheduler.Settings base = settings(maxConcurrentCalls, false, 1);
+        return new DeliveryScheduler.Settings(
+                seed,
+                senders,
+                0,
+                base.tickMicros(),
+                false,
+                0.1,
+                base.lateValueDecay(),
+                base.weightKind(),
+                base.classes(),
+                base.tenants(),
+                base.kinds(),
+                base.limits(),
+                base.rules(),
+                base.prices(),
+                reports);
+    }
+
     private static DeliveryScheduler.MessageClass messageClass(
             double priorityWeight, DeliveryScheduler.Idempotency idempotency, boolean ordered) {
         return new DeliveryScheduler.MessageClass(
--- a/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
+++ b/decisions/src/test/java/amberroute/decisions/reference/ReferenceScheduler.java
@@ -243,7 +243,8 @@
         } else if (event instanceof Event.MessageRecovered recovered) {
             onRecovered(now, recovered);
         } else if (event instanceof Event.HealthRestored restored) {
-            restoreCheckpoint(now, restored.checkpoint(), restored.checkpoint().sinceMicros() + restored.ageMicros());
+            long sinceMicros = restored.checkpoint().sinceMicros() + restored.ageMicros();
+            scheduleTrialOfRestored(now, restoreCheckpoint(now, restored.checkpoint(), sinceMicros));
         } else if (event instanceof Event.CallInFlight inFlight) {
             onCallInFlight(now, inFlight, actions);
         } else if (event instanceof Event.CompletedMessageRecovered completedMessage) {
@@ -352,10 +353,10 @@
      * start would release all pending messages. This covers crashes and planned restarts. Cost: a destination that has recovered
      * in the meantime gets a single call first.
      */
-    private void restoreCheckpoint(long now, HealthCheckpoint checkpoint, long ageMicros) {
+    private UpstreamHealth restoreCheckpoint(long now, HealthCheckpoint checkpoint, long ageMicros) {
         Endpoint endpoint = endpoints.get(checkpoint.endpoint());
         if (checkpoint.endpoint() != 0 && endpoint == null || checkpoint.status() == UpstreamStatus.HEALTHY) {
-            return;
+            return null;
         }
         Destination destination = destination(checkpoint.destination());
         UpstreamHealth health = endpoint == null ? destination.sharedHealth : endpoint.health;
@@ -372,8 +373,14 @@
         health.openedInSlowStart = unavailable;
         health.slowStartBeganAt = now - ageMicros;
         health.lastSlowStartCallAt = now;
-        health.nextTrialAt = Math.max(now, health.retryAfterUntil) + random.nextLong(trialSpreadMicros(health));
         health.failureRatio = unavailable ? 1 : 0;
+        return health;
+    }
+
+    private void scheduleTrialOfRestored(long now, UpstreamHealth health) {
+        if (health != null) {
+            health.nextTrialAt = Math.max(now, health.retryAfterUntil) + random.nextLong(trialSpreadMicros(health));
+        }
     }
 
     /** Saves checkpoints of upstreams whose breaker has changed. What has to survive the process changes only then. */
@@ -471,7 +478,8 @@
         if (snapshot.checkpoint().endpoint() != 0 && endpoint == null) {
             return;
         }
-        restoreCheckpoint(now, snapshot.checkpoint(), snapshot.checkpoint().sinceMicros());
+        UpstreamHealth restored = restoreCheckpoint(
+                now, snapshot.checkpoint(), snapshot.checkpoint().sinceMicros());
         Destination destination = destination(snapshot.checkpoint().destination());
         UpstreamHealth health = endpoint == null ? destination.sharedHealth : endpoint.health;
         health.usualLatencyMicros = snapshot.checkpoint().usualLatencyMicros();
@@ -493,7 +501,7 @@
         health.servedRate.add(now, snapshot.servedPerSecond() * SERVED_RATE_TIME_CONSTANT_MICROS / MICROS_PER_SECOND);
         health.reportedLimit = snapshot.reportedLimit();
         health.failureRatio = snapshot.failureRatio();
-        health.nextTrialAt = Math.max(now, health.retryAfterUntil) + random.nextLong(trialSpreadMicros(health));
+        scheduleTrialOfRestored(now, restored);
     }
 
     /** If another sender has seen the destination answer, a trial is due now; the own one may be many seconds away. */
