--- a/cli/src/main/java/amberroute/cli/FailoverExperiment.java
+++ b/cli/src/main/java/amberroute/cli/FailoverExperiment.java
@@ -1,6 +1,5 @@
 package amberroute.cli;
 
-import amberroute.fleet.FleetClient;
 import amberroute.testkit.DeliveryHistory;
 import amberroute.testkit.FaultInjectionNetwork;
 import amberroute.testkit.FaultScript;
@@ -9,7 +8,6 @@
 import amberroute.testkit.LoadClients;
 import amberroute.testkit.StubUpstream;
 import amberroute.testkit.TestEnvironment;
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -21,7 +19,6 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -41,7 +38,6 @@
     /** The longest that a message of the stage's classes lives. */
     private static final long MESSAGE_LIFETIME_MICROS = 6_000_000;
 
-    private static final int EXIT_LEADERSHIP_LOST = 7;
     private static final int REPLICA_COUNT = 3;
     private static final long REPLICATED_TIMEOUT_MILLIS = 15_000;
 
@@ -84,7 +80,7 @@
     @Option(names = "--logs", description = "print the daemons' logs at the end")
     private boolean logs;
 
-    private final List<DaemonSlot> slots = new ArrayList<>();
+    private final List<FailoverDaemon> slots = new ArrayList<>();
     private final List<Long> failoverMillis = new ArrayList<>();
     /** When each daemon was last befallen: what it had may be at any other since. */
     private final Map<Integer, Long> faultedAtMillis = new TreeMap<>();
@@ -94,79 +90,16 @@
     private Path file;
     private FaultInjectionNetwork network;
     private TestEnvironment environment;
-    private long replicasTakenOver;
     private long released;
     /** How long it took behind each round until all estates had all their copies again. */
     private final List<Long> fullyReplicatedMillis = new ArrayList<>();
 
     private long notFullyReplicated;
     private String missingReplicas = "";
-    private long cpuMillis;
     private long startCpuMillis;
     private long steadySince;
     private long steadyCpuMillis;
 
-    /** One daemon over all its processes. */
-    private final class DaemonSlot {
-        final int index;
-        final int port;
-        final String handoffAddress;
-        Process process;
-        long lostAtMillis;
-        boolean stopped;
-
-        DaemonSlot(int index, int port, String handOver) {
-            this.index = index;
-            this.port = port;
-            this.handoffAddress = handOver;
-        }
-
-        Path state() {
-            return folder.resolve("s" + index);
-        }
-
-        void start() throws IOException {
-            List<String> peers = new ArrayList<>();
-            for (int i = 0; i < daemons; i++) {
-                if (i != index) {
-                    // What costs are measured for has no net between, which is a daemon's equal in work.
-                    peers.add("s" + i + "=" + (direct ? slots.get(i).handoffAddress : network.address(index, i)));
-                }
-            }
-            process = new ExperimentDaemon(
-                            folder,
-                            file,
-                            "s" + index,
-                            port,
-                            96,
-                            Map.of("GW_HANDOVER", handoffAddress, "GW_PEERS", String.join(",", peers)),
-                            true)
-                    .process;
-        }
-
-        void kill() throws InterruptedException {
-            cpuMillis += process.info()
-                    .totalCpuDuration()
-                    .map(java.time.Duration::toMillis)
-                    .orElse(0L);
-            process.destroyForcibly().waitFor();
-        }
-
-        void signal(String name) throws Exception {
-            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid())
-                    .start()
-                    .waitFor();
-        }
-
-        /** A process that ended because its estate goes on elsewhere is started again, as a supervisor does. */
-        void poll() throws IOException {
-            if (!stopped && !process.isAlive()) {
-                replicasTakenOver += process.exitValue() == EXIT_LEADERSHIP_LOST ? 1 : 0;
-                start();
-            }
-        }
-    }
-
     @Override
     public Integer call() throws Exception {
         folder = Files.createTempDirectory("amberroute-survivors-");
@@ -189,10 +122,11 @@
             List<InetSocketAddress> senders = TestEnvironment.addresses(port, daemons);
             List<InetSocketAddress> listeners = TestEnvironment.addresses(port + daemons, daemons);
             for (int i = 0; i < daemons; i++) {
-                slots.add(new DaemonSlot(i, port + i, "127.0.0.1:" + (port + daemons + i)));
+                slots.add(new FailoverDaemon(i, port + i, "127.0.0.1:" + (port + daemons + i), folder, file));
             }
             network = environment.network(listeners, port + 2 * daemons);
-            for (DaemonSlot slot : slots) {
+            for (FailoverDaemon slot : slots) {
+                slot.setPeers(peers(slot));
                 slot.start();
             }
             awaitReady();
@@ -219,31 +153,33 @@
             return result();
         } finally {
             if (logs) {
-                for (DaemonSlot slot : slots) {
-                    System.out.println("-- s" + slot.index);
-                    System.out.println(Files.readString(folder.resolve("s" + slot.index + ".log")));
+                for (FailoverDaemon slot : slots) {
+                    System.out.println("-- " + slot.name());
+                    System.out.println(Files.readString(slot.log()));
                 }
             }
-            for (DaemonSlot slot : slots) {
-                slot.process.destroyForcibly().waitFor();
+            for (FailoverDaemon slot : slots) {
+                slot.close();
             }
             LocalFleet.delete(folder);
         }
     }
 
-    /** Milliseconds of CPU of all processes so far, those that are gone among them. */
+    /** Returns the peers of a daemon: behind the network of faults, or {@code direct}, which measures what replicas cost. */
+    private List<String> peers(FailoverDaemon slot) {
+        return slots.stream()
+                .filter(peer -> peer != slot)
+                .map(peer ->
+                        peer.name() + "=" + (direct ? peer.handoffAddress : network.address(slot.index, peer.index)))
+                .toList();
+    }
+
+    /** Returns the CPU time of all processes so far, in milliseconds. */
     private long totalCpuMillis() {
-        return cpuMillis
-                + slots.stream()
-                        .mapToLong(slot -> slot.process
-                                .info()
-                                .totalCpuDuration()
-                                .map(java.time.Duration::toMillis)
-                                .orElse(0L))
-                        .sum();
+        return slots.stream().mapToLong(FailoverDaemon::cpuMillis).sum();
     }
 
-    private static void pollUnchecked(DaemonSlot slot) {
+    private static void pollUnchecked(FailoverDaemon slot) {
         try {
             slot.poll();
         } catch (IOException e) {
@@ -253,11 +189,10 @@
 
     private void awaitReady() throws Exception {
         long end = System.nanoTime() + READY_TIMEOUT_MILLIS * 1_000_000;
-        for (DaemonSlot slot : slots) {
-            while (!ready(slot)) {
+        for (FailoverDaemon slot : slots) {
+            while (!slot.isReady()) {
                 if (System.nanoTime() > end) {
-                    throw new IOException("s" + slot.index + " is not ready: "
-                            + Files.readString(folder.resolve("s" + slot.index + ".log")));
+                    throw new IOException(slot.name() + " is not ready: " + Files.readString(slot.log()));
                 }
                 slot.poll();
                 Thread.sleep(20);
@@ -274,7 +209,7 @@
         while (!replicationOff
                 && !fullyReplicated()
                 && System.nanoTime() - from < REPLICATED_TIMEOUT_MILLIS * 1_000_000) {
-            for (DaemonSlot slot : slots) {
+            for (FailoverDaemon slot : slots) {
                 // A process may find only now that its estate goes on elsewhere.
                 slot.poll();
             }
@@ -289,39 +224,12 @@
     }
 
     private boolean fullyReplicated() {
-        try {
-            for (DaemonSlot slot : slots) {
-                for (JsonElement each : FleetClient.ask(slot.state().resolve("control"), FleetClient.request("estates"))
-                        .getAsJsonArray("estates")) {
-                    JsonObject one = each.getAsJsonObject();
-                    String here = one.get("here").getAsString();
-                    boolean open = here.equals("own") || here.equals("taken over");
-                    if (open
-                            && (!one.has("behind")
-                                    || one.getAsJsonObject("behind").size() < Math.min(REPLICA_COUNT, daemons)
-                                    || one.getAsJsonObject("behind").asMap().values().stream()
-                                            .anyMatch(n -> n.getAsLong() < 0))) {
-                        missingReplicas = "at s" + slot.index + " " + one;
-                        return false;
-                    }
-                }
-            }
-            return true;
-        } catch (IOException | RuntimeException e) {
-            missingReplicas = e.toString();
-            return false;
-        }
-    }
-
-    private static boolean ready(DaemonSlot slot) {
-        try {
-            return ExperimentDaemon.status(slot.state())
-                    .get("state")
-                    .getAsString()
-                    .equals("ready");
-        } catch (IOException | RuntimeException e) {
-            return false;
-        }
+        missingReplicas = slots.stream()
+                .map(slot -> slot.missingReplicas(Math.min(REPLICA_COUNT, daemons)))
+                .filter(missing -> !missing.isEmpty())
+                .findFirst()
+                .orElse("");
+        return missingReplicas.isEmpty();
     }
 
     /** One thing that is to be done at a moment of the round. */
@@ -361,7 +269,7 @@
                     && (System.nanoTime() - start) / 1_000_000 >= due.get(next).at()) {
                 due.get(next++).work().call();
             }
-            for (DaemonSlot slot : slots) {
+            for (FailoverDaemon slot : slots) {
                 slot.poll();
             }
             Thread.sleep(10);
@@ -369,9 +277,9 @@
         environment.runOnLoop(network::heal);
         awaitReady();
         awaitFullyReplicated();
-        for (DaemonSlot slot : slots) {
+        for (FailoverDaemon slot : slots) {
             if (slot.lostAtMillis > 0) {
-                long took = failoversOf(slot);
+                long took = failoverMillis(slot);
                 if (took >= 0) {
                     failoverMillis.add(took);
                 }
@@ -381,7 +289,7 @@
     }
 
     private Void begin(Fault f) throws Exception {
-        DaemonSlot slot = slots.get(f.target());
+        FailoverDaemon slot = slots.get(f.target());
         long now = TestEnvironment.micros();
         switch (f.kind()) {
             case KILL, LOSE, OLD_FOLDER -> {
@@ -390,19 +298,19 @@
                 }
                 slot.stopped = true;
                 if (f.kind() == Kind.OLD_FOLDER) {
-                    copy(slot.state(), folder.resolve("old" + slot.index));
+                    slot.copyState();
                     Thread.sleep(100);
                 }
                 slot.kill();
                 if (f.kind() == Kind.LOSE) {
                     slot.lostAtMillis = System.currentTimeMillis();
-                    LocalFleet.delete(slot.state());
+                    slot.deleteState();
                 }
             }
             case PAUSE -> slot.signal("STOP");
             case RESTART -> slot.signal("TERM");
             case SLOW -> {}
-            case RELEASE -> release(f.target());
+            case RELEASE -> release(slot);
             case CUT, FLAP -> split(List.of(f.target()), true);
             case ONE_WAY -> oneWay(f.target(), true);
             case SPLIT -> split(half(f.target()), true);
@@ -428,13 +336,11 @@
     }
 
     private Void end(Fault f) throws Exception {
-        DaemonSlot slot = slots.get(f.target());
+        FailoverDaemon slot = slots.get(f.target());
         switch (f.kind()) {
             case KILL, LOSE, OLD_FOLDER -> {
                 if (f.kind() == Kind.OLD_FOLDER) {
-                    LocalFleet.delete(slot.state());
-                    copy(folder.resolve("old" + slot.index), slot.state());
-                    LocalFleet.delete(folder.resolve("old" + slot.index));
+                    slot.restoreState();
                 }
                 slot.stopped = false;
             }
@@ -449,51 +355,19 @@
         return null;
     }
 
-    /** Milliseconds from a loss until an heir had resumed what was lost, as the daemons' logs tell; -1 where none did. */
-    private long failoversOf(DaemonSlot lost) throws IOException {
-        long best = -1;
-        for (DaemonSlot slot : slots) {
-            boolean takes = false;
-            for (String line : Files.readAllLines(folder.resolve("s" + slot.index + ".log"))) {
-                int space = line.indexOf(' ');
-                if (space < 1
-                        || !line.substring(0, space).matches("[0-9]+")
-                        || Long.parseLong(line.substring(0, space)) < lost.lostAtMillis) {
-                    continue;
-                }
-                takes |= line.contains("event=failover_started journal=s" + lost.index + ".");
-                if (takes && line.contains("event=messages_recovered")) {
-                    long took = Long.parseLong(line.substring(0, space)) - lost.lostAtMillis;
-                    best = best < 0 ? took : Math.min(best, took);
-                    break;
-                }
-            }
+    /** Returns the milliseconds from a loss until the first other daemon had resumed what was lost, -1 where none has. */
+    private long failoverMillis(FailoverDaemon lost) throws IOException {
+        long earliest = -1;
+        for (FailoverDaemon slot : slots) {
+            long millis = slot.failoverMillis(lost);
+            earliest = millis >= 0 && (earliest < 0 || millis < earliest) ? millis : earliest;
         }
-        return best;
+        return earliest;
     }
 
-    /** Asks each daemon to let go of what it has taken over from this one. */
-    private void release(int target) {
-        for (DaemonSlot slot : slots) {
-            try {
-                Path control = slot.state().resolve("control");
-                for (JsonElement each :
-                        FleetClient.ask(control, FleetClient.request("estates")).getAsJsonArray("estates")) {
-                    JsonObject one = each.getAsJsonObject();
-                    if (one.get("here").getAsString().equals("taken over")
-                            && one.get("estate").getAsString().startsWith("s" + target + ".")) {
-                        JsonObject request = FleetClient.request("release");
-                        request.add("estate", one.get("estate"));
-                        JsonObject answer = FleetClient.ask(control, request);
-                        released += answer.get("ok").getAsBoolean() ? 1 : 0;
-                        System.out.println(
-                                "release of " + one.get("estate").getAsString() + " at s" + slot.index + ": " + answer);
-                    }
-                }
-            } catch (IOException | RuntimeException e) {
-                // Whoever is not there has nothing to let go of.
-            }
-        }
+    /** Asks each daemon to release what it has taken over from this one. */
+    private void release(FailoverDaemon owner) {
+        slots.forEach(slot -> released += slot.releaseJournalsOf(owner));
     }
 
     private List<Integer> half(int from) {
@@ -524,19 +398,6 @@
         });
     }
 
-    private static void copy(Path from, Path to) throws IOException {
-        try (Stream<Path> files = Files.walk(from)) {
-            for (Path each : files.toList()) {
-                Path there = to.resolve(from.relativize(each).toString());
-                if (Files.isDirectory(each)) {
-                    Files.createDirectories(there);
-                } else if (Files.isRegularFile(each)) {
-                    Files.write(there, Files.readAllBytes(each));
-                }
-            }
-        }
-    }
-
     private int result() throws Exception {
         DeliveryHistory.Totals t = environment.totals();
         long allCpuMillis = totalCpuMillis();
@@ -550,7 +411,9 @@
         out.addProperty("errors", t.errors());
         out.addProperty("silent", t.unanswered());
         out.addProperty("in_time", t.inTime());
-        out.addProperty("estates_over", replicasTakenOver);
+        out.addProperty(
+                "estates_over",
+                slots.stream().mapToInt(FailoverDaemon::lostLeaderships).sum());
         out.addProperty("takeovers_seen", failoverMillis.size());
         out.addProperty("released", released);
         failoverMillis.sort(null);
--- a/cli/src/main/java/amberroute/cli/RecoveryExperiment.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryExperiment.java
@@ -82,6 +82,10 @@
 
     @Override
     public Integer call() throws Exception {
+        if (drawn && senders <= RecoveryRun.MAX_SIGNALLED_DRAWN) {
+            throw new IllegalArgumentException(
+                    "--drawn takes more than " + RecoveryRun.MAX_SIGNALLED_DRAWN + " senders");
+        }
         int broken = 0;
         for (long seed = from; seed < from + seeds; seed++) {
             broken += play(seed) ? 0 : 1;
--- a/cli/src/main/java/amberroute/cli/RecoveryRun.java
+++ b/cli/src/main/java/amberroute/cli/RecoveryRun.java
@@ -134,13 +134,13 @@
         environment.runOnLoop(() -> clients.run(new LoadClients.Load(plan.perSecond(), 0, 1, KEYS, CLIENT_ATTEMPTS)));
         Thread.sleep(plan.ageMillis());
         beginOutages();
-        long outageEndNanos = System.nanoTime() + plan.outageMillis() * 1_000_000;
+        long outageEndNanos = System.nanoTime() + plan.outageMillis() * NANOS_PER_MILLI;
         List<SoakSignals> signals = startSignals();
         List<Thread> threads = new ArrayList<>(startRestarts(outageEndNanos));
         signals.forEach(each -> threads.add(new Thread(each, "signals")));
         threads.forEach(Thread::start);
         visitByCrowd();
-        Thread.sleep(Math.max(0, (outageEndNanos - System.nanoTime()) / 1_000_000));
+        Thread.sleep(Math.max(0, (outageEndNanos - System.nanoTime()) / NANOS_PER_MILLI));
         endOutages();
         Thread.sleep(SLOW_START_MILLIS);
         for (Thread thread : threads) {
@@ -189,7 +189,7 @@
 
     /** Some senders get signals in series until the destinations are warm. */
     private List<SoakSignals> startSignals() {
-        long endNanos = System.nanoTime() + (plan.outageMillis() + SLOW_START_MILLIS) * 1_000_000;
+        long endNanos = System.nanoTime() + (plan.outageMillis() + SLOW_START_MILLIS) * NANOS_PER_MILLI;
         List<SoakSignals> signals = new ArrayList<>();
         for (SoakSender sender : senders.subList(0, plan.signalledSenders())) {
             long signalSeed = plan.seed() * senders.size() + sender.number();
